Add core types, rings, duties and the check of the code's shape

Cause: all packages need one way to run threads and to say what happened to a request. Change: bounded rings, event loops on an ants pool, verdicts, contracts, answers; internal/lint refuses goroutines and channels elsewhere and imports of encodings from decisions. Result: lint is clean; TestCheckFindsEachBreach passes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Tool versions. The tools are built by the Go toolchain into TOOLS, outside the
+# tree, so that several work trees share them and the product's go.mod stays small.
+GOLANGCI_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+TOOLS ?= $(shell go env GOPATH)/berylfall-tools
+export PATH := $(TOOLS):$(PATH)
+
+# Packages of tests; CI passes the same list.
+PKGS ?= ./...
+BENCHTIME ?= 1s
+
+.PHONY: build demo test bench lint fmt generate tools
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./bin/berylfalld demo
+
+test:
+	go test -count=1 -timeout 15m $(PKGS)
+
+bench:
+	go test -run '^$$' -bench . -benchmem -benchtime $(BENCHTIME) $(PKGS)
+
+lint: $(TOOLS)/golangci-lint
+	golangci-lint fmt --diff
+	golangci-lint run
+	go run ./internal/lint/cmd/layout .
+
+fmt: $(TOOLS)/golangci-lint
+	golangci-lint fmt
+
+generate: $(TOOLS)/buf $(TOOLS)/protoc-gen-go
+	cd internal/daemon/daemonrpc && buf generate
+
+tools: $(TOOLS)/golangci-lint $(TOOLS)/buf $(TOOLS)/protoc-gen-go
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+$(TOOLS)/buf:
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+
+$(TOOLS)/protoc-gen-go:
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
--- /dev/null
+++ b/internal/core/answer.go
@@ -0,0 +1,136 @@
+package core
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/berylfall/berylfall/internal/ring"
+)
+
+// Chunk is a piece of an engine's answer.
+type Chunk struct {
+	Attempt  int // attempt of the request that produced the chunk
+	Position int // position of the first token in the answer
+	Tokens   []int32
+	Text     string
+	Version  Version // weight version that the engine reported with the tokens
+	Adapter  string
+}
+
+// End is the last event of an answer.
+type End struct {
+	Verdict      Verdict
+	Err          *Error // nil when the answer is whole
+	Status       int    // HTTP status of a plain service's answer
+	ContentType  string
+	Body         []byte // a plain service's answer
+	FinishReason string
+	Server       ServerID // backend server that gave the answer, if any
+	Attempts     int
+}
+
+// AnswerCapacity is the number of chunks that wait for a slow caller before
+// the backend exchange stops reading.
+const AnswerCapacity = 64
+
+// Answer carries the answer of one request from the exchange with a backend
+// server to the reader, which is the caller's handler or another duty's worker.
+type Answer struct {
+	chunks *ring.Ring[Chunk]
+	end    *ring.Ring[End]
+	owner  atomic.Int64 // attempt that may add chunks; 0 until one claims it
+}
+
+// NewAnswer returns an empty answer.
+func NewAnswer() *Answer {
+	return &Answer{
+		chunks: ring.New[Chunk]("answer.chunks", AnswerCapacity),
+		end:    ring.New[End]("answer.end", 1),
+	}
+}
+
+// Claim makes attempt the only one that may add chunks, unless another is.
+// Attempts are numbered from 1.
+func (a *Answer) Claim(attempt int) bool {
+	return a.owner.CompareAndSwap(0, int64(attempt)) || a.owner.Load() == int64(attempt)
+}
+
+// Transfer hands the answer from an attempt that has ended to its successor.
+func (a *Answer) Transfer(from, to int) bool {
+	return a.owner.CompareAndSwap(int64(from), int64(to))
+}
+
+// Offer adds a chunk, waiting for the reader until ctx ends. It reports false
+// when the chunk's attempt does not own the answer or the answer has ended.
+// Only pool workers may call it.
+func (a *Answer) Offer(ctx context.Context, c Chunk) bool {
+	if !a.Claim(c.Attempt) {
+		return false
+	}
+	return a.chunks.PutWait(ctx, c)
+}
+
+// Finish ends the answer. It never waits; only the first call counts.
+func (a *Answer) Finish(e End) bool {
+	if !a.end.TryPut(e) {
+		return false
+	}
+	a.end.Close()
+	a.chunks.Close()
+	return true
+}
+
+// Next returns the next chunk, or the end when there are no more chunks, or ok
+// false when ctx ends first.
+func (a *Answer) Next(ctx context.Context) (c Chunk, end *End, ok bool) {
+	c, ok = a.chunks.Take(ctx)
+	if ok {
+		return c, nil, true
+	}
+	e, ended := a.end.TryTake()
+	if !ended {
+		return Chunk{}, nil, false
+	}
+	return Chunk{}, &e, true
+}
+
+// Assembler checks that an engine's answer arrives whole: each token once, in
+// order. It also builds the version spans.
+type Assembler struct {
+	tokens []int32
+	text   []byte
+	spans  []Span
+}
+
+// Accept takes a chunk and returns the part of it that is new. Repeated tokens
+// are dropped; a gap is an error, since the tokens in it are lost.
+func (a *Assembler) Accept(c Chunk) (Chunk, error) {
+	next := len(a.tokens)
+	if c.Position > next {
+		return Chunk{}, MayHaveRunError(CodeBroken, "answer has a gap: expected token %d, got %d", next, c.Position)
+	}
+	skip := next - c.Position
+	if skip >= len(c.Tokens) {
+		return Chunk{Attempt: c.Attempt, Position: next, Version: c.Version, Adapter: c.Adapter}, nil
+	}
+	if skip > 0 {
+		// Text cannot be cut at a token border without a tokenizer.
+		return Chunk{}, MayHaveRunError(CodeBroken, "chunk at token %d overlaps the answer, which ends at %d", c.Position, next)
+	}
+	a.tokens = append(a.tokens, c.Tokens...)
+	a.text = append(a.text, c.Text...)
+	a.spans = AppendSpan(a.spans, Span{Version: c.Version, Adapter: c.Adapter, From: next, To: len(a.tokens)})
+	return c, nil
+}
+
+// Position returns the number of tokens accepted.
+func (a *Assembler) Position() int { return len(a.tokens) }
+
+// Tokens returns the accepted tokens.
+func (a *Assembler) Tokens() []int32 { return a.tokens }
+
+// Text returns the accepted text.
+func (a *Assembler) Text() string { return string(a.text) }
+
+// Spans returns the version spans of the accepted tokens.
+func (a *Assembler) Spans() []Span { return a.spans }
--- /dev/null
+++ b/internal/core/errors.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Code classifies an error for programs.
+type Code string
+
+// Codes of errors that reach callers. docs/api.md maps them to HTTP statuses.
+const (
+	CodeInvalid        Code = "invalid"         // the request or setting is malformed
+	CodeUnauthorized   Code = "unauthorized"    // no valid credentials
+	CodeForbidden      Code = "forbidden"       // valid credentials for another customer
+	CodeNotFound       Code = "not-found"       // no such customer, service, object or request
+	CodeConflict       Code = "conflict"        // the object changed, or the key was used for other content
+	CodeNoCapability   Code = "no-capability"   // no backend server can run the request
+	CodeLimited        Code = "limited"         // a limit of the contract is reached
+	CodeOverloaded     Code = "overloaded"      // a queue or ring is full
+	CodeDraining       Code = "draining"        // the daemon is stopping
+	CodeUnavailable    Code = "unavailable"     // the store or every backend server is unreachable
+	CodeDeadline       Code = "deadline"        // the deadline passed
+	CodeBroken         Code = "broken"          // the backend server or its connection failed
+	CodeQuarantined    Code = "quarantined"     // the request is convicted of crashing backend servers
+	CodeCancelled      Code = "cancelled"       // the caller went away
+	CodeAlreadyStarted Code = "already-started" // an earlier attempt under the same key may have run
+	CodeInternal       Code = "internal"        // a fault of berylfall itself
+)
+
+// Error is the error that crosses package borders. Verdict says whether the
+// request may have run; for errors that concern no request it is NotRun.
+type Error struct {
+	Code       Code
+	Verdict    Verdict
+	Reason     string        // what happened, for people
+	Field      string        // the field, flag or header at fault, if any
+	Value      string        // the value found in Field
+	Allowed    string        // what Field may hold
+	RetryAfter time.Duration // when to try again; 0 means that a retry does not help or needs no wait
+	Err        error         // the cause, if any
+}
+
+// Error returns the error for people.
+func (e *Error) Error() string {
+	var b strings.Builder
+	if e.Field != "" {
+		fmt.Fprintf(&b, "%s: ", e.Field)
+	}
+	b.WriteString(e.Reason)
+	if e.Value != "" {
+		fmt.Fprintf(&b, " (got %q", e.Value)
+		if e.Allowed != "" {
+			fmt.Fprintf(&b, ", allowed: %s", e.Allowed)
+		}
+		b.WriteString(")")
+	} else if e.Allowed != "" {
+		fmt.Fprintf(&b, " (allowed: %s)", e.Allowed)
+	}
+	if e.Err != nil {
+		fmt.Fprintf(&b, ": %v", e.Err)
+	}
+	return b.String()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// NotRunError returns an error for a request that was refused before any
+// backend server started it.
+func NotRunError(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Verdict: NotRun, Reason: fmt.Sprintf(format, args...)}
+}
+
+// MayHaveRunError returns an error for a request that a backend server may have started.
+func MayHaveRunError(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Verdict: MayHaveRun, Reason: fmt.Sprintf(format, args...)}
+}
+
+// InvalidError returns an error for a field with a value that is not allowed.
+func InvalidError(field, value, allowed, reason string) *Error {
+	return &Error{Code: CodeInvalid, Verdict: NotRun, Reason: reason, Field: field, Value: value, Allowed: allowed}
+}
+
+// AsError returns err as an *Error. Other errors become CodeInternal with
+// verdict MayHaveRun, since nothing is known about them.
+func AsError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: CodeInternal, Verdict: MayHaveRun, Reason: err.Error()}
+}
+
+// CodeOf returns the code of err, or CodeInternal.
+func CodeOf(err error) Code { return AsError(err).Code }
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,84 @@
+package core
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Class is the kind of work a request is. It sets queue order and engine priority.
+type Class string
+
+// Classes, from most to least urgent.
+const (
+	ClassInteractive Class = "interactive" // a person waits
+	ClassBackground  Class = "background"  // a tool waits
+	ClassRollout     Class = "rollout"     // a trainer waits for a group
+)
+
+// Classes lists the classes from most to least urgent.
+func Classes() []Class { return []Class{ClassInteractive, ClassBackground, ClassRollout} }
+
+// Rank returns 0 for the most urgent class; an unknown class ranks last.
+func (c Class) Rank() int {
+	for i, known := range Classes() {
+		if c == known {
+			return i
+		}
+	}
+	return len(Classes())
+}
+
+// RequestID identifies a request across daemons and attempts.
+type RequestID string
+
+// CustomerID names a customer.
+type CustomerID string
+
+// ServerID names a backend server.
+type ServerID string
+
+// DaemonID names one run of a daemon: it changes when the process restarts.
+type DaemonID string
+
+// Request is one call to be answered once and in full.
+type Request struct {
+	ID             RequestID
+	Customer       CustomerID
+	Service        string
+	Operation      string // for plain services; empty for model calls
+	Model          string // for engines
+	Adapter        string // for engines; empty for the base model
+	MinVersion     Version
+	Class          Class
+	Repeatable     bool   // a second run does no harm
+	IdempotencyKey string // required when not Repeatable
+	Priority       int    // within the class; higher goes first
+	Deadline       time.Time
+	Prompt         string
+	Body           []byte // for plain services
+	MaxTokens      int    // for engines
+	Stream         bool   // the caller takes the answer in pieces
+	// Fingerprint identifies the content of the request, whatever its ID, so
+	// that a request sent again is recognised.
+	Fingerprint uint64
+}
+
+// IsModelCall reports whether the request goes to an engine.
+func (r *Request) IsModelCall() bool { return r.Operation == "" }
+
+// ComputeFingerprint returns a hash of everything that determines what a
+// backend server does with the request.
+func (r *Request) ComputeFingerprint() uint64 {
+	h := xxhash.New()
+	var length [8]byte
+	for _, part := range []string{string(r.Customer), r.Service, r.Operation, r.Model, r.Adapter, r.Prompt, string(r.Body)} {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = h.Write(length[:])
+		_, _ = h.WriteString(part)
+	}
+	binary.LittleEndian.PutUint64(length[:], uint64(r.MaxTokens))
+	_, _ = h.Write(length[:])
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/duty/clock.go
@@ -0,0 +1,108 @@
+package duty
+
+import (
+	"sync"
+	"time"
+)
+
+// Clock tells the time to duties. Tests use ManualClock.
+type Clock interface {
+	// Now returns the current time with a monotonic reading.
+	Now() time.Time
+	// AfterFunc calls f once d has passed. f must not block. The returned
+	// function cancels the call and reports whether it did.
+	AfterFunc(d time.Duration, f func()) (stop func() bool)
+}
+
+// SystemClock is the host's clock.
+type SystemClock struct{}
+
+// Now returns time.Now.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// AfterFunc wraps time.AfterFunc.
+func (SystemClock) AfterFunc(d time.Duration, f func()) func() bool {
+	return time.AfterFunc(d, f).Stop
+}
+
+// ManualClock is a clock that moves only when Advance is called.
+type ManualClock struct {
+	mu     sync.Mutex
+	now    time.Time
+	nextID uint64
+	timers map[uint64]manualTimer
+}
+
+type manualTimer struct {
+	at time.Time
+	f  func()
+}
+
+// NewManualClock returns a clock that stands at start.
+func NewManualClock(start time.Time) *ManualClock {
+	return &ManualClock{now: start, timers: map[uint64]manualTimer{}}
+}
+
+// Now returns the time that the clock stands at.
+func (c *ManualClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// AfterFunc registers f to be called by the Advance that reaches now + d.
+func (c *ManualClock) AfterFunc(d time.Duration, f func()) func() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	id := c.nextID
+	c.timers[id] = manualTimer{at: c.now.Add(d), f: f}
+	return func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, waiting := c.timers[id]
+		delete(c.timers, id)
+		return waiting
+	}
+}
+
+// Advance moves the clock by d and calls the timers that are due, earliest first.
+func (c *ManualClock) Advance(d time.Duration) {
+	c.mu.Lock()
+	target := c.now.Add(d)
+	c.mu.Unlock()
+	for {
+		f := c.nextDue(target)
+		if f == nil {
+			return
+		}
+		f()
+	}
+}
+
+// nextDue removes and returns the earliest timer due by target, moving the
+// clock to its time; with none left it moves the clock to target.
+func (c *ManualClock) nextDue(target time.Time) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var bestID uint64
+	var best manualTimer
+	for id, t := range c.timers {
+		if t.at.After(target) {
+			continue
+		}
+		earlier := bestID == 0 || t.at.Before(best.at) || (t.at.Equal(best.at) && id < bestID)
+		if earlier {
+			bestID, best = id, t
+		}
+	}
+	if bestID == 0 {
+		c.now = target
+		return nil
+	}
+	delete(c.timers, bestID)
+	if best.at.After(c.now) {
+		c.now = best.at
+	}
+	return best.f
+}
--- /dev/null
+++ b/internal/lint/lint.go
@@ -0,0 +1,167 @@
+// Package lint checks the two rules on the shape of the code that no general
+// linter knows: threads are started and joined only by the duty and ring
+// packages, and decision packages do not import encodings.
+package lint
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// module is the import path of this repository.
+const module = "github.com/berylfall/berylfall"
+
+// threadPackages may start goroutines and use channels.
+var threadPackages = []string{"internal/duty", "internal/ring"}
+
+// encodingPackages are the wire encodings, each below the package of its peer.
+var encodingPackages = []string{
+	"internal/caller/callerhttp",
+	"internal/backend/backendhttp",
+	"internal/trainer/trainerhttp",
+	"internal/scorer/scorerhttp",
+	"internal/weights/weightshttp",
+	"internal/platform/platformhttp",
+	"internal/daemon/daemonrpc",
+	"internal/operator/operatorhttp",
+}
+
+// decisionPackages must not import encodings, nor the libraries they use.
+var decisionPackages = []string{
+	"internal/core",
+	"internal/ring",
+	"internal/duty",
+	"internal/caller",
+	"internal/backend",
+	"internal/trainer",
+	"internal/scorer",
+	"internal/weights",
+	"internal/platform",
+	"internal/daemon",
+	"internal/operator",
+}
+
+// transportLibraries belong to encodings and the composition.
+var transportLibraries = []string{
+	"net/http",
+	"github.com/cloudwego/hertz",
+	"github.com/hashicorp/yamux",
+	"google.golang.org/protobuf",
+}
+
+// Finding is one breach of a rule.
+type Finding struct {
+	Position token.Position
+	Rule     string
+}
+
+// String returns the finding in the form file:line: rule.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d: %s", f.Position.Filename, f.Position.Line, f.Rule)
+}
+
+// Check reads the Go files below root, tests and generated files aside, and
+// returns every breach.
+func Check(root string) ([]Finding, error) {
+	var findings []Finding
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() {
+			return skipDirectory(entry.Name())
+		}
+		if !isProductFile(path) {
+			return nil
+		}
+		relative, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		found, err := checkFile(path, filepath.ToSlash(filepath.Dir(relative)))
+		findings = append(findings, found...)
+		return err
+	})
+	return findings, err
+}
+
+func skipDirectory(name string) error {
+	hidden := strings.HasPrefix(name, ".") && name != "." && name != ".."
+	if hidden || name == "testdata" || name == "bin" {
+		return filepath.SkipDir
+	}
+	return nil
+}
+
+func isProductFile(path string) bool {
+	return strings.HasSuffix(path, ".go") &&
+		!strings.HasSuffix(path, "_test.go") &&
+		!strings.HasSuffix(path, ".pb.go")
+}
+
+func checkFile(path, dir string) ([]Finding, error) {
+	files := token.NewFileSet()
+	file, err := parser.ParseFile(files, path, nil, parser.SkipObjectResolution)
+	if err != nil {
+		return nil, err
+	}
+	var findings []Finding
+	report := func(at token.Pos, rule string) {
+		findings = append(findings, Finding{Position: files.Position(at), Rule: rule})
+	}
+	checkImports(file, dir, report)
+	if !contains(threadPackages, dir) {
+		checkThreads(file, report)
+	}
+	return findings, nil
+}
+
+func checkImports(file *ast.File, dir string, report func(token.Pos, string)) {
+	if !contains(decisionPackages, dir) {
+		return
+	}
+	for _, spec := range file.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			continue
+		}
+		local, inModule := strings.CutPrefix(path, module+"/")
+		if inModule && contains(encodingPackages, local) {
+			report(spec.Pos(), "decision package imports the encoding "+local)
+		}
+		for _, library := range transportLibraries {
+			if path == library || strings.HasPrefix(path, library+"/") {
+				report(spec.Pos(), "decision package imports the transport library "+path)
+			}
+		}
+	}
+}
+
+func checkThreads(file *ast.File, report func(token.Pos, string)) {
+	ast.Inspect(file, func(n ast.Node) bool {
+		switch node := n.(type) {
+		case *ast.GoStmt:
+			report(node.Pos(), "go statement outside the duty and ring packages")
+		case *ast.ChanType:
+			report(node.Pos(), "channel outside the duty and ring packages")
+		case *ast.SelectStmt:
+			report(node.Pos(), "select statement outside the duty and ring packages")
+		}
+		return true
+	})
+}
+
+func contains(list []string, s string) bool {
+	for _, item := range list {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,262 @@
+// Package ring provides the bounded queues that join duties.
+//
+// A ring has a fixed capacity and one reader. The writer chooses what happens
+// when the ring is full: refuse (TryPut), drop the oldest entry (PutLatest) or
+// wait for room (PutWait). All waits block; none poll.
+package ring
+
+import (
+	"context"
+	"sync"
+)
+
+// Stats is a snapshot of a ring's counters.
+type Stats struct {
+	Name     string
+	Capacity int
+	Depth    int    // entries waiting now
+	Peak     int    // largest depth seen
+	Put      uint64 // entries accepted
+	Refused  uint64 // TryPut calls that found the ring full or closed
+	Dropped  uint64 // entries that PutLatest discarded
+}
+
+// Ring is a bounded first-in first-out queue for many writers and one reader.
+type Ring[T any] struct {
+	name string
+
+	mu      sync.Mutex
+	buf     []T
+	head    int
+	size    int
+	peak    int
+	put     uint64
+	refused uint64
+	dropped uint64
+	closed  bool
+	waiting int // writers in PutWait
+
+	// notify is called after an entry is added; it wakes the reader.
+	notify func()
+	// ready holds one token when a reader without a notify function may look again.
+	ready chan struct{}
+	// room holds one token when a waiting writer may look again.
+	room chan struct{}
+}
+
+// New returns a ring with the given name and capacity. The capacity must be at least 1.
+func New[T any](name string, capacity int) *Ring[T] {
+	if capacity < 1 {
+		capacity = 1
+	}
+	return &Ring[T]{
+		name:  name,
+		buf:   make([]T, capacity),
+		ready: make(chan struct{}, 1),
+		room:  make(chan struct{}, 1),
+	}
+}
+
+// Name returns the name given to New.
+func (r *Ring[T]) Name() string { return r.name }
+
+// Bind sets the function that wakes the reader. It is called once, by the duty
+// loop that owns the ring, before the loop starts.
+func (r *Ring[T]) Bind(notify func()) {
+	r.mu.Lock()
+	r.notify = notify
+	pending := r.size > 0
+	r.mu.Unlock()
+	if pending {
+		notify()
+	}
+}
+
+// TryPut adds v and reports whether there was room.
+func (r *Ring[T]) TryPut(v T) bool {
+	r.mu.Lock()
+	if r.closed || r.size == len(r.buf) {
+		r.refused++
+		r.mu.Unlock()
+		return false
+	}
+	r.push(v)
+	notify := r.notify
+	r.mu.Unlock()
+	r.wakeReader(notify)
+	return true
+}
+
+// PutLatest adds v, discarding the oldest entry when the ring is full. It is
+// for values of which only the newest counts.
+func (r *Ring[T]) PutLatest(v T) {
+	r.mu.Lock()
+	if r.closed {
+		r.mu.Unlock()
+		return
+	}
+	if r.size == len(r.buf) {
+		r.pop()
+		r.dropped++
+	}
+	r.push(v)
+	notify := r.notify
+	r.mu.Unlock()
+	r.wakeReader(notify)
+}
+
+// PutWait adds v, waiting for room until ctx ends. It reports whether v was
+// added. Duties must not call it; see docs/design.md, section 2.2.
+func (r *Ring[T]) PutWait(ctx context.Context, v T) bool {
+	for {
+		r.mu.Lock()
+		if r.closed {
+			r.refused++
+			r.mu.Unlock()
+			return false
+		}
+		if r.size < len(r.buf) {
+			r.push(v)
+			more := r.waiting > 0 && r.size < len(r.buf)
+			notify := r.notify
+			r.mu.Unlock()
+			if more {
+				signal(r.room)
+			}
+			r.wakeReader(notify)
+			return true
+		}
+		r.waiting++
+		r.mu.Unlock()
+
+		var ended bool
+		select {
+		case <-r.room:
+		case <-ctx.Done():
+			ended = true
+		}
+
+		r.mu.Lock()
+		r.waiting--
+		pass := ended && r.waiting > 0 && r.size < len(r.buf)
+		r.mu.Unlock()
+		if pass {
+			signal(r.room)
+		}
+		if ended {
+			return false
+		}
+	}
+}
+
+// TryTake removes the oldest entry, if there is one.
+func (r *Ring[T]) TryTake() (T, bool) {
+	r.mu.Lock()
+	if r.size == 0 {
+		r.mu.Unlock()
+		var zero T
+		return zero, false
+	}
+	v := r.pop()
+	wake := r.waiting > 0
+	r.mu.Unlock()
+	if wake {
+		signal(r.room)
+	}
+	return v, true
+}
+
+// Take removes the oldest entry, waiting for one until ctx ends or the ring is
+// closed and empty. It is for readers that are not duties, such as an HTTP
+// handler that waits for its answer.
+func (r *Ring[T]) Take(ctx context.Context) (T, bool) {
+	for {
+		if v, ok := r.TryTake(); ok {
+			return v, true
+		}
+		r.mu.Lock()
+		closed := r.closed && r.size == 0
+		r.mu.Unlock()
+		if closed {
+			var zero T
+			return zero, false
+		}
+		select {
+		case <-r.ready:
+		case <-ctx.Done():
+			return r.TryTake()
+		}
+	}
+}
+
+// Close refuses further entries. Entries already in the ring can still be taken.
+func (r *Ring[T]) Close() {
+	r.mu.Lock()
+	r.closed = true
+	notify := r.notify
+	r.mu.Unlock()
+	r.wakeReader(notify)
+	signal(r.room)
+}
+
+// Len returns the number of entries waiting.
+func (r *Ring[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size
+}
+
+// Stats returns the ring's counters.
+func (r *Ring[T]) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Stats{
+		Name:     r.name,
+		Capacity: len(r.buf),
+		Depth:    r.size,
+		Peak:     r.peak,
+		Put:      r.put,
+		Refused:  r.refused,
+		Dropped:  r.dropped,
+	}
+}
+
+func (r *Ring[T]) push(v T) {
+	tail := r.head + r.size
+	if tail >= len(r.buf) {
+		tail -= len(r.buf)
+	}
+	r.buf[tail] = v
+	r.size++
+	r.put++
+	if r.size > r.peak {
+		r.peak = r.size
+	}
+}
+
+func (r *Ring[T]) pop() T {
+	var zero T
+	v := r.buf[r.head]
+	r.buf[r.head] = zero
+	r.head++
+	if r.head == len(r.buf) {
+		r.head = 0
+	}
+	r.size--
+	return v
+}
+
+func (r *Ring[T]) wakeReader(notify func()) {
+	if notify != nil {
+		notify()
+		return
+	}
+	signal(r.ready)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
