Serve one path from contract to backend server and trainer

Cause: the design needs one path through every kind of peer before the parts grow. Change: object API client and watch, config duty, admission, dispatch, exchange over HTTP, trainer steps, and stand-ins for the object API, an engine and a plain service.

--- /dev/null
+++ b/internal/caller/contract.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"strings"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// applyContract checks that the contract permits the request and fills in what
+// the request leaves to the contract.
+func applyContract(contract *core.Contract, r *core.Request) *core.Error {
+	if r.IsModelCall() {
+		return applyModel(contract, r)
+	}
+	return applyOperation(contract, r)
+}
+
+func applyModel(contract *core.Contract, r *core.Request) *core.Error {
+	service, model := findModel(contract, r)
+	if model == nil {
+		return core.InvalidError("model", r.Model, strings.Join(modelNames(contract), ", "), "the contract names no such model")
+	}
+	if r.Adapter != "" && !containsString(model.Adapters, r.Adapter) {
+		return core.InvalidError("adapter", r.Adapter, strings.Join(model.Adapters, ", "), "the contract names no such adapter")
+	}
+	r.Service = service.Name
+	r.Repeatable = true
+	applyDefaults(r, service.Class, time.Duration(service.Deadline))
+	return nil
+}
+
+func findModel(contract *core.Contract, r *core.Request) (*core.Service, *core.Model) {
+	for i := range contract.Services {
+		service := &contract.Services[i]
+		if r.Service != "" && r.Service != service.Name {
+			continue
+		}
+		if model := service.Model(r.Model); model != nil {
+			return service, model
+		}
+	}
+	return nil, nil
+}
+
+func applyOperation(contract *core.Contract, r *core.Request) *core.Error {
+	service := contract.Service(r.Service)
+	if service == nil {
+		return core.InvalidError("service", r.Service, "", "the contract names no such service")
+	}
+	operation := service.Operation(r.Operation)
+	if operation == nil {
+		return core.InvalidError("operation", r.Operation, strings.Join(operationNames(service), ", "), "the contract names no such operation")
+	}
+	r.Repeatable = operation.Idempotent
+	if !r.Repeatable && r.IdempotencyKey == "" {
+		return core.InvalidError("Idempotency-Key", "", "a key that is unique for each booking or card", "the operation is not idempotent and needs a key")
+	}
+	class := operation.Class
+	if class == "" {
+		class = service.Class
+	}
+	deadline := operation.Deadline
+	if deadline == 0 {
+		deadline = service.Deadline
+	}
+	applyDefaults(r, class, time.Duration(deadline))
+	return nil
+}
+
+// applyDefaults fills in the class. The deadline is set by the encoding, which
+// owns the request's context; a contract's shorter one is applied here.
+func applyDefaults(r *core.Request, class core.Class, deadline time.Duration) {
+	if class == "" {
+		class = core.ClassInteractive
+	}
+	if r.Class == "" {
+		r.Class = class
+	}
+	if deadline == 0 {
+		return
+	}
+	if latest := time.Now().Add(deadline); r.Deadline.IsZero() || latest.Before(r.Deadline) {
+		r.Deadline = latest
+	}
+}
+
+func modelNames(contract *core.Contract) []string {
+	var names []string
+	for _, service := range contract.Services {
+		for _, model := range service.Models {
+			names = append(names, model.Name)
+		}
+	}
+	return names
+}
+
+func operationNames(service *core.Service) []string {
+	names := make([]string, 0, len(service.Operations))
+	for _, operation := range service.Operations {
+		names = append(names, operation.Name)
+	}
+	return names
+}
+
+func containsString(list []string, s string) bool {
+	for _, item := range list {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/platform/platformhttp/client.go
@@ -0,0 +1,146 @@
+// Package platformhttp encodes calls to the platform's object API and host list as HTTP.
+package platformhttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// Headers of the object API.
+const (
+	HeaderIfVersion  = "If-Version"
+	HeaderWriteToken = "Write-Token"
+)
+
+// WatchWait is how long the object API holds a watch without changes.
+const WatchWait = 10 * time.Second
+
+// Client speaks to the object API and the host list.
+type Client struct {
+	http *client.Client
+	base string
+}
+
+var (
+	_ platform.ObjectAPI = (*Client)(nil)
+	_ platform.HostList  = (*Client)(nil)
+)
+
+// NewClient returns a client for the platform at base, such as "http://127.0.0.1:7000".
+func NewClient(base string, o transport.ClientOptions) (*Client, error) {
+	c, err := transport.NewClient(o)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{http: c, base: base}, nil
+}
+
+// Get reads one object.
+func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
+	var o platform.Object
+	err := c.do(ctx, transport.Exchange{Method: consts.MethodGet, URL: c.objectURL(key)}, &o)
+	return o, err
+}
+
+// List reads every object below the prefix.
+func (c *Client) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	var l platform.Listing
+	target := c.base + "/v1/objects?prefix=" + url.QueryEscape(prefix)
+	err := c.do(ctx, transport.Exchange{Method: consts.MethodGet, URL: target}, &l)
+	return l, err
+}
+
+// Put writes one object under its condition.
+func (c *Client) Put(ctx context.Context, w platform.Write) (platform.Object, error) {
+	return c.write(ctx, consts.MethodPut, w)
+}
+
+// Delete removes one object under its condition.
+func (c *Client) Delete(ctx context.Context, w platform.Write) (platform.Object, error) {
+	return c.write(ctx, consts.MethodDelete, w)
+}
+
+// WriteBody is the body of a Put.
+type WriteBody struct {
+	Value []byte `json:"value"`
+}
+
+func (c *Client) write(ctx context.Context, method string, w platform.Write) (platform.Object, error) {
+	var o platform.Object
+	err := c.do(ctx, transport.Exchange{
+		Method: method,
+		URL:    c.objectURL(w.Key),
+		Headers: map[string]string{
+			HeaderIfVersion:  strconv.FormatInt(w.IfVersion, 10),
+			HeaderWriteToken: w.Token,
+		},
+		Body: WriteBody{Value: w.Value},
+	}, &o)
+	return o, err
+}
+
+// Watch waits for changes below the prefix after the revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64) (platform.Listing, error) {
+	var l platform.Listing
+	target := fmt.Sprintf("%s/v1/watch?prefix=%s&after=%d", c.base, url.QueryEscape(prefix), after)
+	err := c.do(ctx, transport.Exchange{Method: consts.MethodGet, URL: target}, &l)
+	return l, err
+}
+
+// Hosts reads the host list.
+func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+	var hosts []platform.Host
+	err := c.do(ctx, transport.Exchange{Method: consts.MethodGet, URL: c.base + "/v1/hosts"}, &hosts)
+	return hosts, err
+}
+
+func (c *Client) objectURL(key string) string {
+	return c.base + "/v1/objects/" + url.PathEscape(key)
+}
+
+func (c *Client) do(ctx context.Context, x transport.Exchange, out any) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		x.Timeout = time.Until(deadline)
+	}
+	return classify(transport.DoJSON(ctx, c.http, x, out))
+}
+
+// classify maps a failed call to an error of package platform.
+func classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	var response *transport.ResponseError
+	if !errors.As(err, &response) {
+		if transport.IsDialError(err) {
+			return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		}
+		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+	}
+	switch response.Status {
+	case consts.StatusNotFound:
+		return platform.ErrNotFound
+	case consts.StatusConflict:
+		return platform.ErrConflict
+	case consts.StatusGone:
+		return platform.ErrCompacted
+	case consts.StatusTooManyRequests:
+		return platform.ErrRateLimited
+	case consts.StatusRequestEntityTooLarge:
+		return platform.ErrTooLarge
+	case consts.StatusServiceUnavailable:
+		return platform.ErrUnavailable
+	default:
+		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+	}
+}
--- /dev/null
+++ b/internal/server/path_test.go
@@ -0,0 +1,145 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/caller/callerhttp"
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/settings"
+	"github.com/berylfall/berylfall/internal/standin/engine"
+	"github.com/berylfall/berylfall/internal/standin/objectapi"
+	"github.com/berylfall/berylfall/internal/standin/plain"
+	"github.com/berylfall/berylfall/internal/trainer"
+	"github.com/berylfall/berylfall/internal/trainer/trainerhttp"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// waitLimit is a generous bound on events that take milliseconds.
+const waitLimit = 30 * time.Second
+
+// Guards against a break anywhere between the HTTP front, the duties and the
+// backend servers: a contract is applied, then a model call, a booking and a
+// trainer step come back whole.
+func TestWholePath(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	runner, err := duty.NewRunner(16)
+	check(t, err)
+	defer runner.Stop(ctx)
+	clock := duty.SystemClock{}
+	api, err := objectapi.Start("127.0.0.1:0", clock, runner)
+	check(t, err)
+	model, err := engine.Start("127.0.0.1:0", clock, runner, engine.Options{
+		Service: "wear-model", Kind: "gpu", Model: "wear", Version: 7, ContextTokens: 1024, Slots: 8, TokenTime: time.Millisecond,
+	})
+	check(t, err)
+	desk, err := plain.Start("127.0.0.1:0", clock, runner, plain.Options{Service: "card-desk", Kind: "cpu", Operations: []string{"book"}})
+	check(t, err)
+	api.SetHosts(ctx, []platform.Host{
+		{Name: "e1", Role: platform.RoleBackend, Address: model.Address(), State: platform.HostLive},
+		{Name: "p1", Role: platform.RoleBackend, Address: desk.Address(), State: platform.HostLive},
+	})
+
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	set, err := settings.Parse([]string{
+		"--platform-url", api.URL(), "--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0",
+	})
+	check(t, err)
+	d, err := Start(set, log)
+	check(t, err)
+	defer d.Stop(ctx)
+	c, err := transport.NewClient(transport.ClientOptions{})
+	check(t, err)
+
+	contract := core.Contract{
+		Customer: "prairie",
+		Services: []core.Service{
+			{Name: "wear-model", Kind: core.KindEngine, Models: []core.Model{{Name: "wear"}}},
+			{Name: "card-desk", Kind: core.KindPlain, Operations: []core.Operation{{Name: "book"}}},
+		},
+	}
+	check(t, transport.DoJSON(ctx, c, transport.Exchange{
+		Method: "PUT", URL: "http://" + d.OperatorAddress() + "/v1/contracts/prairie", Body: contract,
+	}, nil))
+
+	base := "http://" + d.CallerAddress()
+	headers := map[string]string{transport.HeaderCustomer: "prairie", transport.HeaderIdempotencyKey: "k1"}
+	var completion callerhttp.CompletionResponse
+	eventually(t, ctx, func() error {
+		return transport.DoJSON(ctx, c, transport.Exchange{
+			Method: "POST", URL: base + "/v1/completions", Headers: headers,
+			Body: callerhttp.CompletionRequest{Model: "wear", Prompt: "strap", MaxTokens: 5},
+		}, &completion)
+	})
+	if completion.Usage.CompletionTokens != 5 || len(completion.Spans) != 1 || completion.Spans[0].Version != 7 {
+		t.Fatalf("completion = %+v, want 5 tokens of version 7", completion)
+	}
+	eventually(t, ctx, func() error {
+		return transport.DoJSON(ctx, c, transport.Exchange{
+			Method: "POST", URL: base + "/v1/services/card-desk/book", Headers: headers, Body: map[string]string{"slot": "9:00"},
+		}, nil)
+	})
+	if runs := desk.Runs(ctx); len(runs) != 1 {
+		t.Fatalf("booking ran %d times, want once: %v", len(runs), runs)
+	}
+	testStep(ctx, t, c, base, headers)
+}
+
+func testStep(ctx context.Context, t *testing.T, c *client.Client, base string, headers map[string]string) {
+	t.Helper()
+	const groups = 6
+	spec := trainer.StepSpec{Step: 1, Model: "wear", MaxTokens: 4}
+	for i := range groups {
+		spec.Groups = append(spec.Groups, trainer.GroupSpec{Prompt: fmt.Sprint("note ", i), Samples: 2})
+	}
+	check(t, transport.DoJSON(ctx, c, transport.Exchange{
+		Method: "POST", URL: base + "/v1/trainers/t1/steps", Headers: headers, Body: spec,
+	}, nil))
+	seen := map[int]int{}
+	var cursor int64
+	for len(seen) < groups {
+		var m trainerhttp.DeliveriesMessage
+		check(t, transport.DoJSON(ctx, c, transport.Exchange{
+			Method: "GET", URL: fmt.Sprintf("%s/v1/trainers/t1/deliveries?after=%d", base, cursor), Headers: headers,
+		}, &m))
+		for _, delivery := range m.Deliveries {
+			seen[delivery.Group.ID]++
+			cursor = delivery.Sequence
+		}
+		check(t, transport.DoJSON(ctx, c, transport.Exchange{
+			Method: "POST", URL: base + "/v1/trainers/t1/ack", Headers: headers, Body: trainer.Acknowledgement{Cursor: cursor},
+		}, nil))
+	}
+	for group, times := range seen {
+		if times != 1 {
+			t.Errorf("group %d was delivered %d times, want once", group, times)
+		}
+	}
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func eventually(t *testing.T, ctx context.Context, f func() error) {
+	t.Helper()
+	err := f()
+	for err != nil && ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+		err = f()
+	}
+	check(t, err)
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,125 @@
+// Package transport sets up the HTTP servers and clients that the encoding
+// packages share. It holds no decisions.
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/route"
+	"github.com/sirupsen/logrus"
+)
+
+// Defaults of servers and clients.
+const (
+	DefaultMaxBody     = 8 << 20 // bytes of a request body
+	DefaultHeaderLimit = 16 << 10
+	DefaultReadTimeout = 30 * time.Second
+	DefaultIdleTimeout = 60 * time.Second
+	DefaultDialTimeout = 2 * time.Second
+	// MaxIdleConnection is below DefaultIdleTimeout, so that a client drops an
+	// idle connection before the server closes it under a request.
+	MaxIdleConnection = 20 * time.Second
+	maxConnections    = 4096 // per backend server
+)
+
+// ServerOptions changes how a server listens. Zero values take the defaults.
+type ServerOptions struct {
+	TLS         *tls.Config
+	MaxBody     int           // bytes
+	ReadTimeout time.Duration // for one read of a request
+}
+
+// Server is an HTTP server on one listener.
+type Server struct {
+	hertz    *server.Hertz
+	listener net.Listener
+}
+
+// Listen opens the address, such as "127.0.0.1:0", without serving yet.
+func Listen(address string, o ServerOptions) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if o.MaxBody == 0 {
+		o.MaxBody = DefaultMaxBody
+	}
+	if o.ReadTimeout == 0 {
+		o.ReadTimeout = DefaultReadTimeout
+	}
+	options := []config.Option{
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(o.MaxBody),
+		server.WithReadTimeout(o.ReadTimeout),
+		server.WithIdleTimeout(DefaultIdleTimeout),
+		server.WithMaxHeaderBytes(DefaultHeaderLimit),
+		server.WithExitWaitTime(0),
+		server.WithDisablePrintRoute(true),
+	}
+	if o.TLS != nil {
+		options = append(options, server.WithTLS(o.TLS))
+	}
+	return &Server{hertz: server.New(options...), listener: listener}, nil
+}
+
+// Router returns the routes, to which handlers are added before Serve.
+func (s *Server) Router() *route.Engine { return s.hertz.Engine }
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve handles connections until Shutdown.
+func (s *Server) Serve() error { return s.hertz.Run() }
+
+// Shutdown stops accepting connections and waits for open requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.hertz.Shutdown(ctx) }
+
+// ClientOptions changes how a client connects. Zero values take the defaults.
+type ClientOptions struct {
+	TLS         *tls.Config
+	DialTimeout time.Duration
+	ReadTimeout time.Duration // for one read of a response; 0 waits without bound
+	Stream      bool          // response bodies are read in pieces
+}
+
+// NewClient returns an HTTP client that makes one attempt per request.
+func NewClient(o ClientOptions) (*client.Client, error) {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	options := []config.ClientOption{
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(o.DialTimeout),
+		client.WithMaxConnsPerHost(maxConnections),
+		client.WithMaxIdleConnDuration(MaxIdleConnection),
+		client.WithResponseBodyStream(o.Stream),
+		client.WithNoDefaultUserAgentHeader(true),
+	}
+	if o.ReadTimeout > 0 {
+		options = append(options, client.WithClientReadTimeout(o.ReadTimeout))
+	}
+	if o.TLS != nil {
+		options = append(options, client.WithTLSConfig(o.TLS))
+	}
+	c, err := client.NewClient(options...)
+	if err != nil {
+		return nil, fmt.Errorf("create HTTP client: %w", err)
+	}
+	return c, nil
+}
+
+// UseLogger sends the HTTP library's own log lines to log.
+func UseLogger(log *logrus.Logger) {
+	hlog.SetOutput(log.WriterLevel(logrus.DebugLevel))
+	hlog.SetLevel(hlog.LevelWarn)
+}
