Split the composition of a daemon by peer

Cause: one build function knew every peer, so each new part would edit the same lines. Change: one build file per peer in internal/server. Result: behaviour unchanged; TestWholePath passes.

--- /dev/null
+++ b/internal/server/build.go
@@ -0,0 +1,76 @@
+package server
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/daemon"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/platform/platformhttp"
+	"github.com/berylfall/berylfall/internal/settings"
+	"github.com/berylfall/berylfall/internal/trainer"
+)
+
+// builder holds the parts of a daemon while they are put together. Each
+// build method belongs to one peer and stands in that peer's file.
+type builder struct {
+	server   *Server
+	settings *settings.Daemon
+	clock    duty.Clock
+
+	platformClient *platformhttp.Client
+	storePool      *duty.Pool
+	store          *platform.Store
+	dispatch       *backend.Dispatch
+	admission      *caller.Admission
+	trainers       *trainer.Trainer
+	config         *daemon.Config
+}
+
+func (b *builder) build() error {
+	steps := []struct {
+		peer  string
+		build func() error
+	}{
+		{"platform", b.buildPlatform},
+		{"backend", b.buildBackend},
+		{"caller", b.buildCaller},
+		{"trainer", b.buildTrainer},
+		{"daemon", b.buildDaemon},
+		{"listeners", b.buildListeners},
+	}
+	for _, step := range steps {
+		if err := step.build(); err != nil {
+			return fmt.Errorf("set up %s: %w", step.peer, err)
+		}
+	}
+	return nil
+}
+
+// start runs the duties, in the order given.
+func (b *builder) start(loops ...*duty.Loop) error {
+	for _, loop := range loops {
+		if err := b.server.runner.Start(loop); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pool returns a pool that ends with the daemon.
+func (b *builder) pool(name string, size int) (*duty.Pool, error) {
+	p, err := duty.NewPool(name, size)
+	if err == nil {
+		b.server.pools = append(b.server.pools, p)
+	}
+	return p, err
+}
+
+// random returns a source of its own for one duty.
+func (b *builder) random() *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
+}
