--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/berylfall/berylfall/internal/settings"
 	"github.com/berylfall/berylfall/internal/transport"
 )
+
 // dutyCapacity is the number of duties and listeners of one daemon.
 const dutyCapacity = 64
 
