Give every end of an attempt a proven verdict

Attempts use a connection of their own making, which counts the bytes sent and can be closed while a read waits. Dispatch retries within a budget, isolates crash suspects and cancels attempts that are no longer wanted.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -4,26 +4,32 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
-	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
-// silenceTimeout ends a read that brings no byte.
-const silenceTimeout = 5 * time.Second
+// DefaultSilence is the silence bound: so long may a connection in use bring
+// no byte before the server is asked over a fresh one.
+const DefaultSilence = 5 * time.Second
+
+// Options changes how attempts are made. Zero values take the defaults.
+type Options struct {
+	Silence      time.Duration
+	ProbeTimeout time.Duration // of one probe over a fresh connection
+}
 
 // Client carries out attempts and probes over HTTP.
 type Client struct {
-	streaming *client.Client
-	plain     *client.Client
+	pool         *pool
+	polls        *client.Client
+	probeTimeout time.Duration
 }
 
 var (
@@ -32,168 +38,84 @@
 )
 
 // NewClient returns a client for backend servers.
-func NewClient(o transport.ClientOptions) (*Client, error) {
-	plain, err := transport.NewClient(o)
-	if err != nil {
-		return nil, err
+func NewClient(o Options) (*Client, error) {
+	if o.Silence == 0 {
+		o.Silence = DefaultSilence
+	}
+	if o.ProbeTimeout == 0 {
+		o.ProbeTimeout = probeTimeout
 	}
-	o.Stream = true
-	o.ReadTimeout = silenceTimeout
-	streaming, err := transport.NewClient(o)
+	polls, err := transport.NewClient(transport.ClientOptions{ReadTimeout: o.Silence})
 	if err != nil {
 		return nil, err
 	}
-	return &Client{streaming: streaming, plain: plain}, nil
+	return &Client{pool: newPool(o.Silence), polls: polls, probeTimeout: o.ProbeTimeout}, nil
 }
 
 // Exchange carries out one attempt and blocks until it has ended.
 func (c *Client) Exchange(a backend.Attempt) backend.AttemptEnd {
 	started := time.Now()
-	var end backend.AttemptEnd
-	if a.Call.Request.IsModelCall() {
-		end = c.complete(a)
-	} else {
-		end = c.operate(a)
-	}
+	end := c.exchange(a)
 	end.Attempt = a
 	end.Duration = time.Since(started)
 	return end
 }
 
-// Describe asks a backend server what it can do.
-func (c *Client) Describe(ctx context.Context, address string) (backend.Description, error) {
-	var m ServerMessage
-	err := transport.DoJSON(ctx, c.plain, get(ctx, address, PathServer), &m)
-	if err != nil {
-		return backend.Description{}, err
-	}
-	d := backend.Description{
-		Kind:          m.Kind,
-		Service:       m.Service,
-		Incarnation:   m.Incarnation,
-		Role:          backend.Role(m.Role),
-		ContextTokens: m.ContextTokens,
-		Operations:    m.Operations,
-		ChecksFence:   m.ChecksFence,
-		Slots:         m.Slots,
-	}
-	for _, model := range m.Models {
-		d.Models = append(d.Models, backend.ModelDescription{
-			Name:     model.Name,
-			Version:  core.Version(model.Version),
-			Adapters: model.Adapters,
-		})
-	}
-	return d, nil
-}
-
-// Load asks a backend server for its load report.
-func (c *Client) Load(ctx context.Context, address string) (backend.Load, error) {
-	var m LoadMessage
-	err := transport.DoJSON(ctx, c.plain, get(ctx, address, PathLoad), &m)
-	return backend.Load{At: m.At, Running: m.Running, Waiting: m.Waiting, KVUsed: m.KVUsed}, err
-}
-
-func get(ctx context.Context, address, path string) transport.Exchange {
-	x := transport.Exchange{Method: consts.MethodGet, URL: "http://" + address + path}
-	if deadline, ok := ctx.Deadline(); ok {
-		x.Timeout = time.Until(deadline)
-	}
-	return x
-}
-
-func (c *Client) complete(a backend.Attempt) backend.AttemptEnd {
+func (c *Client) exchange(a backend.Attempt) backend.AttemptEnd {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
-	r := a.Call.Request
-	err := transport.EncodeRequest(req, transport.Exchange{
-		Method: consts.MethodPost,
-		URL:    "http://" + a.Address + PathCompletions,
-		Body: CompletionMessage{
-			RequestID:    string(r.ID),
-			Model:        r.Model,
-			Adapter:      r.Adapter,
-			Prompt:       r.Prompt,
-			MaxTokens:    r.MaxTokens,
-			Priority:     r.Class.Rank(),
-			ResumeTokens: a.ResumeTokens,
-		},
-	})
-	if err != nil {
+	if err := encode(a, req); err != nil {
 		return failed(core.NotRunError(core.CodeInvalid, "request cannot be encoded: %v", err))
 	}
-	if err := c.streaming.Do(a.Context, req, resp); err != nil {
-		return failed(classifySend(err))
-	}
-	if resp.StatusCode() >= consts.StatusBadRequest {
-		return failed(classifyRefusal(transport.NewResponseError(resp)))
-	}
-	return readTokens(a, resp)
-}
-
-// readTokens copies the events into the answer until the last one.
-func readTokens(a backend.Attempt, resp *protocol.Response) backend.AttemptEnd {
-	reader, err := sse.NewReader(resp)
+	connection, err := c.connect(a)
 	if err != nil {
-		return failed(core.MayHaveRunError(core.CodeBroken, "answer is no event stream: %v", err))
+		return failed(classifyDial(a.Context, err))
 	}
-	defer func() { _ = reader.Close() }()
+	// Closing is the only way to end a blocked read at once.
+	stopClosing := context.AfterFunc(a.Context, func() { connection.Close() })
 	var end backend.AttemptEnd
-	finish := ""
-	err = reader.ForEach(a.Context, func(e *sse.Event) error {
-		var m TokenMessage
-		if err := json.Unmarshal(e.Data, &m); err != nil {
-			return err
-		}
-		chunk := core.Chunk{
-			Attempt:  a.Number,
-			Position: m.Position,
-			Tokens:   m.Tokens,
-			Text:     m.Text,
-			Version:  core.Version(m.Version),
-			Adapter:  m.Adapter,
-		}
-		if len(m.Tokens) > 0 && !a.Call.Answer.Offer(a.Context, chunk) {
-			return errNotWanted
-		}
-		end.Tokens = append(end.Tokens, m.Tokens...)
-		finish = m.FinishReason
-		if finish != "" {
-			return errLastEvent
-		}
-		return nil
-	})
-	if finish != "" {
-		end.Verdict = core.Ran
-		end.End = core.End{Verdict: core.Ran, FinishReason: finish, Server: a.Server}
-		return end
+	var reusable bool
+	if a.Call.Request.IsModelCall() {
+		end, reusable = c.complete(a, connection, req, resp)
+	} else {
+		end, reusable = c.operate(a, connection, req, resp)
+	}
+	if stopClosing() && reusable {
+		c.pool.put(connection)
+	} else {
+		connection.Close()
 	}
-	end.Verdict = core.MayHaveRun
-	end.Err = streamError(err)
 	return end
 }
 
-var (
-	errNotWanted = errors.New("the answer is no longer wanted")
-	errLastEvent = errors.New("last event")
-)
-
-func streamError(err error) *core.Error {
-	if errors.Is(err, errNotWanted) || errors.Is(err, context.Canceled) {
-		return core.MayHaveRunError(core.CodeCancelled, "the caller went away")
+// connect returns the connection for an attempt. A call that must not be
+// repeated gets a new one: on a kept connection the server's close can cross
+// the request, and then nothing proves that it did not run.
+func (c *Client) connect(a backend.Attempt) (*conn, error) {
+	if a.Call.Request.Repeatable {
+		return c.pool.get(a.Context, a.Address)
 	}
-	if err == nil || errors.Is(err, io.EOF) {
-		return core.MayHaveRunError(core.CodeBroken, "the stream ended before the answer was whole")
-	}
-	return core.MayHaveRunError(core.CodeBroken, "the stream broke: %v", err)
+	return dial(a.Context, a.Address, c.pool.silence)
 }
 
-func (c *Client) operate(a backend.Attempt) backend.AttemptEnd {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
+func encode(a backend.Attempt, req *protocol.Request) error {
 	r := a.Call.Request
+	if r.IsModelCall() {
+		return transport.EncodeRequest(req, transport.Exchange{
+			Method: consts.MethodPost,
+			URL:    "http://" + a.Address + PathCompletions,
+			Body: CompletionMessage{
+				RequestID:    string(r.ID),
+				Model:        r.Model,
+				Adapter:      r.Adapter,
+				Prompt:       r.Prompt,
+				MaxTokens:    r.MaxTokens,
+				Priority:     r.Class.Rank(),
+				ResumeTokens: a.ResumeTokens,
+			},
+		})
+	}
 	req.SetMethod(consts.MethodPost)
 	req.SetRequestURI("http://" + a.Address + PathOperations + r.Operation)
 	req.Header.Set(transport.HeaderRequestID, string(r.ID))
@@ -202,11 +124,88 @@
 		req.Header.Set(transport.HeaderIdempotencyKey, r.IdempotencyKey)
 	}
 	req.SetBody(r.Body)
-	if err := c.plain.DoDeadline(a.Context, req, resp, r.Deadline); err != nil {
-		return failed(classifySend(err))
+	return nil
+}
+
+// complete makes a model call and reads its stream.
+func (c *Client) complete(a backend.Attempt, connection *conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
+	s := newStream(a)
+	connection.onSilence = func() error { return c.checkStream(s) }
+	err := connection.send(req)
+	if err == nil {
+		err = connection.receiveHead(resp)
+	}
+	if err == nil && resp.StatusCode() >= consts.StatusBadRequest {
+		return c.refusal(a, connection, resp)
+	}
+	whole := false
+	if err == nil {
+		whole, err = s.read(connection, resp)
+	}
+	if s.finish != "" {
+		return s.finished(), whole && !resp.ConnectionClose()
+	}
+	if s.hasAllTokens() && !errors.Is(err, errNotWanted) {
+		s.finish = FinishLength
+		return s.finished(), false
+	}
+	return c.brokenStream(s, connection, err), false
+}
+
+// brokenStream ends an attempt whose stream stopped early. The engine's status
+// tells a lost last event from a lost answer.
+func (c *Client) brokenStream(s *stream, connection *conn, err error) backend.AttemptEnd {
+	end := failed(classifyBroken(s.attempt.Context, connection.written, err))
+	end.Tokens = s.tokens
+	if errors.Is(err, errNotWanted) && s.attempt.Context.Err() == nil {
+		end.Err = core.MayHaveRunError(core.CodeCancelled, "another attempt answers the request")
+	}
+	if connection.written == 0 {
+		return end
+	}
+	end.CancelAtServer = true
+	if s.attempt.Context.Err() != nil || errors.Is(err, errNotWanted) {
+		return end
+	}
+	c.inspect(&end, s.attempt)
+	if end.Crashed {
+		end.CancelAtServer = false
+		return end
+	}
+	status, known, statusErr := c.status(s.attempt.Address, s.attempt.Call.Request.ID)
+	if statusErr == nil && known && status.State == StateDone && status.FinishReason != "" && status.Position == s.next {
+		s.finish = status.FinishReason
+		return s.finished()
+	}
+	return end
+}
+
+// inspect looks over a fresh connection whether the server has crashed.
+func (c *Client) inspect(end *backend.AttemptEnd, a backend.Attempt) {
+	p := c.probe(a.Address)
+	end.Crashed = p.crashed(a.Incarnation)
+	end.Incarnation = p.incarnation
+	if end.Crashed {
+		c.pool.drop(a.Address)
+	}
+}
+
+// operate makes a call of a plain service.
+func (c *Client) operate(a backend.Attempt, connection *conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
+	periods := 0
+	connection.onSilence = func() error {
+		periods++
+		return c.checkCall(a, periods)
+	}
+	if err := connection.roundTrip(req, resp); err != nil {
+		end = failed(classifyBroken(a.Context, connection.written, err))
+		if connection.written > 0 && a.Context.Err() == nil {
+			c.inspect(&end, a)
+		}
+		return end, false
 	}
-	if resp.StatusCode() >= consts.StatusInternalServerError {
-		return failed(classifyRefusal(transport.NewResponseError(resp)))
+	if isFailure(resp) {
+		return c.refusal(a, connection, resp)
 	}
 	return backend.AttemptEnd{
 		Verdict: core.Ran,
@@ -217,26 +216,46 @@
 			Body:        append([]byte{}, resp.Body()...),
 			Server:      a.Server,
 		},
-	}
+	}, !resp.ConnectionClose()
 }
 
-func failed(e *core.Error) backend.AttemptEnd {
-	return backend.AttemptEnd{Verdict: e.Verdict, Err: e}
+// isFailure tells failures of the service from its answers to the caller,
+// which may have a status of 4xx.
+func isFailure(resp *protocol.Response) bool {
+	status := resp.StatusCode()
+	return status >= consts.StatusInternalServerError ||
+		status == consts.StatusTooManyRequests ||
+		resp.Header.Get(transport.HeaderRequestStarted) == "false"
+}
+
+// refusal ends an attempt that the server answered with an error. The body is
+// read for the message only.
+func (c *Client) refusal(a backend.Attempt, connection *conn, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
+	readErr := error(nil)
+	if a.Call.Request.IsModelCall() {
+		readErr = connection.receiveBody(resp)
+	}
+	return failed(classifyRefusal(transport.NewResponseError(resp))), readErr == nil && !resp.ConnectionClose()
 }
 
-// classifySend gives the verdict of a request without an answer.
-func classifySend(err error) *core.Error {
-	if transport.IsDialError(err) {
-		return core.NotRunError(core.CodeBroken, "no connection to the backend server: %v", err)
+// roundTrip sends the request and reads the whole answer.
+func (c *conn) roundTrip(req *protocol.Request, resp *protocol.Response) error {
+	if err := c.send(req); err != nil {
+		return err
+	}
+	if err := c.receiveHead(resp); err != nil {
+		return err
 	}
-	return core.MayHaveRunError(core.CodeBroken, "no answer from the backend server: %v", err)
+	return c.receiveBody(resp)
 }
 
-// classifyRefusal gives the verdict of an error answer. Only the header proves
-// that the server did not start the request.
-func classifyRefusal(e *transport.ResponseError) *core.Error {
-	if e.Headers[transport.HeaderRequestStarted] == "false" {
-		return core.NotRunError(core.CodeOverloaded, "the backend server refused the request: %v", e)
+// decode reads the answer to a probe into out unless out is nil.
+func decode(resp *protocol.Response, out any) error {
+	if resp.StatusCode() >= consts.StatusBadRequest {
+		return transport.NewResponseError(resp)
+	}
+	if out == nil {
+		return nil
 	}
-	return core.MayHaveRunError(core.CodeBroken, "the backend server failed: %v", e)
+	return json.Unmarshal(resp.Body(), out)
 }
--- a/internal/backend/backendhttp/messages.go
+++ b/internal/backend/backendhttp/messages.go
@@ -57,6 +57,7 @@
 
 // TokenMessage is the data of one server-sent event of an engine.
 type TokenMessage struct {
+	RequestID    string  `json:"request_id,omitempty"` // of engines that send it
 	Position     int     `json:"position"`
 	Tokens       []int32 `json:"tokens,omitempty"`
 	Text         string  `json:"text,omitempty"`
@@ -67,10 +68,22 @@
 
 // RequestMessage is the answer to GET /v1/requests/{id}.
 type RequestMessage struct {
-	State    string `json:"state"`    // waiting, running, paused, done
-	Position int    `json:"position"` // tokens produced so far
+	State        string `json:"state"`                   // waiting, running, paused, done
+	Position     int    `json:"position"`                // tokens produced so far
+	FinishReason string `json:"finish_reason,omitempty"` // when done
 }
 
+// States of a request at an engine.
+const (
+	StateWaiting = "waiting"
+	StateRunning = "running"
+	StatePaused  = "paused"
+	StateDone    = "done"
+)
+
+// FinishLength is the finish reason of an answer with as many tokens as asked for.
+const FinishLength = "length"
+
 // OrderMessage is the body of POST /v1/orders.
 type OrderMessage struct {
 	Kind    string `json:"kind"` // load-version, load-model, load-adapter, set-role
--- /dev/null
+++ b/internal/backend/backendhttp/silence.go
@@ -0,0 +1,50 @@
+package backendhttp
+
+import (
+	"fmt"
+
+	"github.com/berylfall/berylfall/internal/backend"
+)
+
+// maxSilentPeriods is how many silence bounds a repeatable plain call waits
+// for a server that answers on a fresh connection. Whether the server is slow
+// or the connection is dead cannot be told apart, and another run does no
+// harm. A call that must not be repeated waits for its deadline.
+const maxSilentPeriods = 3
+
+// checkStream decides on a stream without a byte for the silence bound: nil
+// keeps waiting.
+func (c *Client) checkStream(s *stream) error {
+	if err := s.attempt.Context.Err(); err != nil {
+		return err
+	}
+	status, known, err := c.status(s.attempt.Address, s.attempt.Call.Request.ID)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w, and a fresh connection failed: %w", errSilent, err)
+	case !known:
+		return errUnknown
+	case status.Position > s.next:
+		return errBehind
+	case status.State == StateDone:
+		return errBehind
+	}
+	return nil
+}
+
+// checkCall decides on a plain call without a byte for the silence bound.
+func (c *Client) checkCall(a backend.Attempt, periods int) error {
+	if err := a.Context.Err(); err != nil {
+		return err
+	}
+	p := c.probe(a.Address)
+	switch {
+	case p.err != nil:
+		return fmt.Errorf("%w, and a fresh connection failed: %w", errSilent, p.err)
+	case p.crashed(a.Incarnation):
+		return errRestarted
+	case a.Call.Request.Repeatable && periods >= maxSilentPeriods:
+		return errSilent
+	}
+	return nil
+}
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -1,9 +1,12 @@
 package backend
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/ring"
@@ -13,21 +16,31 @@
 const (
 	callRingCapacity   = 4096
 	serverRingCapacity = 256
+	reportRingCapacity = 256
 	// MaxAttemptsInProgress bounds attempts of one daemon. The ring of attempt
 	// ends has the same capacity, so an end is never refused.
 	MaxAttemptsInProgress = 16384
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 4
+	// maxCalls bounds the calls in progress. The ring of cancels has the same
+	// capacity, so a cancel is never refused.
+	maxCalls = 2 * MaxAttemptsInProgress
 	// serviceTimeWeight is the weight of the newest attempt in the mean.
 	serviceTimeWeight = 0.1
 )
 
+// callState is a call in progress.
 type callState struct {
 	call     *core.Call
 	attempts int
-	tokens   []int32 // tokens that the caller has
+	running  map[int]context.CancelFunc // attempts in progress, by number
+	tokens   []int32                    // tokens that the caller has
 	verdict  core.Verdict
 	tried    map[core.ServerID]bool
+	backOff  *backoff.ExponentialBackOff
+
+	waiting   bool // for a time or for room
+	waits     int  // tells a timer of an earlier wait from the current one
+	stopTimer func() bool
+	stopWatch func() bool
 }
 
 // Dispatch is the duty that sends calls to backend servers.
@@ -37,17 +50,27 @@
 	pool      *duty.Pool
 	picker    Picker
 	scorer    Scorer
-	filters   []Filter
+	filters   []Filter // what a server can do
+	guards    []Filter // what may be waited for
 
 	calls   *ring.Ring[*core.Call]
 	ends    *ring.Ring[AttemptEnd]
 	servers *ring.Ring[[]Server]
+	cancels *ring.Ring[core.RequestID]
+	reports *ring.Ring[SuspectReport]
 
 	table      map[core.ServerID]*Candidate
 	order      []*Candidate // the table in a fixed order
 	inProgress map[core.RequestID]*callState
 	running    int
 	eligible   []*Candidate // scratch space of choose
+
+	health          *health
+	budget          *retryBudget
+	parked          []*callState
+	slotsDue        bool
+	deliverSlots    func([]ServiceSlots)
+	deliverSuspects func(SuspectReport)
 }
 
 // NewDispatch returns the dispatch duty. The pool bounds the attempts in progress.
@@ -62,12 +85,23 @@
 		calls:      ring.New[*core.Call]("dispatch.calls", callRingCapacity),
 		ends:       ring.New[AttemptEnd]("dispatch.ends", MaxAttemptsInProgress),
 		servers:    ring.New[[]Server]("dispatch.servers", serverRingCapacity),
+		cancels:    ring.New[core.RequestID]("dispatch.cancels", maxCalls),
+		reports:    ring.New[SuspectReport]("dispatch.suspects", reportRingCapacity),
 		table:      map[core.ServerID]*Candidate{},
 		inProgress: map[core.RequestID]*callState{},
+		health:     newHealth(clock.Now),
+		budget:     newRetryBudget(clock.Now()),
+	}
+	d.guards = []Filter{
+		filterFunc{"readiness", d.health.isAccepting},
+		filterFunc{"room for a crash suspect", d.health.mayRunSuspect},
 	}
 	duty.On(d.loop, d.servers, d.handleServers)
 	duty.On(d.loop, d.ends, d.handleEnd)
+	duty.On(d.loop, d.cancels, d.handleCancel)
+	duty.On(d.loop, d.reports, d.handleReport)
 	duty.On(d.loop, d.calls, d.handleCall)
+	d.loop.Every(suspectPeriod, d.suspectTick)
 	return d
 }
 
@@ -91,8 +125,11 @@
 		candidate.Server = s
 		table[s.ID] = candidate
 		d.order = append(d.order, candidate)
+		d.health.polled(s)
 	}
 	d.table = table
+	d.health.forget(func(id core.ServerID) bool { return table[id] != nil })
+	d.slotsChanged()
 }
 
 func (d *Dispatch) handleCall(c *core.Call) {
@@ -100,124 +137,97 @@
 		c.Fail(core.NotRunError(core.CodeConflict, "request %s is in progress already", c.Request.ID))
 		return
 	}
-	state := &callState{call: c, verdict: core.NotRun, tried: map[core.ServerID]bool{}}
-	d.inProgress[c.Request.ID] = state
-	d.start(state)
+	if len(d.inProgress) >= maxCalls {
+		c.Fail(core.NotRunError(core.CodeOverloaded, "too many requests in progress"))
+		return
+	}
+	s := &callState{call: c, verdict: core.NotRun, running: map[int]context.CancelFunc{}, tried: map[core.ServerID]bool{}}
+	d.inProgress[c.Request.ID] = s
+	d.budget.firstAttempt()
+	d.start(s)
 }
 
-// start begins the next attempt of the call, or ends it.
+// start begins the next attempt of the call, lets it wait, or ends it.
 func (d *Dispatch) start(s *callState) {
-	r := s.call.Request
 	if err := s.call.Context.Err(); err != nil {
-		d.finish(s, core.End{Verdict: s.verdict, Err: &core.Error{Code: core.CodeDeadline, Verdict: s.verdict, Reason: "deadline passed before an attempt", Err: err}})
-		return
-	}
-	chosen, missing := d.choose(s)
-	if chosen == nil {
-		d.finish(s, core.End{Verdict: s.verdict, Err: &core.Error{
-			Code: core.CodeNoCapability, Verdict: s.verdict, Reason: "no backend server has the " + missing + " that the request needs",
-		}})
-		return
-	}
-	if d.running >= MaxAttemptsInProgress {
-		d.finish(s, core.End{Verdict: s.verdict, Err: &core.Error{Code: core.CodeOverloaded, Verdict: s.verdict, Reason: "too many attempts in progress", RetryAfter: time.Second}})
+		d.fail(s, ContextError(err, s.verdict, "before an attempt"), "")
 		return
 	}
-	s.attempts++
-	s.tried[chosen.Server.ID] = true
-	if s.attempts > 1 {
-		s.call.Answer.Transfer(s.attempts-1, s.attempts)
-	}
-	a := Attempt{
-		Number:       s.attempts,
-		Call:         s.call,
-		Server:       chosen.Server.ID,
-		Address:      chosen.Server.Address,
-		Context:      s.call.Context,
-		ResumeTokens: s.tokens,
-	}
-	if !d.pool.TryGo(func() { d.ends.TryPut(d.exchanger.Exchange(a)) }) {
-		d.finish(s, core.End{Verdict: s.verdict, Err: &core.Error{Code: core.CodeOverloaded, Verdict: s.verdict, Reason: "no worker is free for " + string(r.ID), RetryAfter: time.Second}})
+	if d.refuseConvicted(s) {
 		return
 	}
-	chosen.Outstanding++
-	d.running++
-}
-
-// choose returns the server for the next attempt, or what no server has.
-func (d *Dispatch) choose(s *callState) (chosen *Candidate, missing string) {
-	r := s.call.Request
-	d.eligible = append(d.eligible[:0], d.order...)
-	for _, f := range d.filters {
-		kept := d.eligible[:0]
-		for _, c := range d.eligible {
-			if f.Keep(r, c) {
-				kept = append(kept, c)
-			}
-		}
-		d.eligible = kept
-		if len(kept) == 0 {
-			return nil, f.Reason()
-		}
-	}
-	d.eligible = preferUntried(d.eligible, s.tried)
-	i := d.picker.Pick(r, d.eligible, d.scorer)
-	return d.eligible[i], ""
-}
-
-// preferUntried drops the servers that were tried, unless all were.
-func preferUntried(candidates []*Candidate, tried map[core.ServerID]bool) []*Candidate {
-	if len(tried) == 0 {
-		return candidates
-	}
-	untried := make([]*Candidate, 0, len(candidates))
-	for _, c := range candidates {
-		if !tried[c.Server.ID] {
-			untried = append(untried, c)
-		}
-	}
-	if len(untried) == 0 {
-		return candidates
+	chosen, missing := d.choose(s)
+	switch {
+	case chosen == nil && missing == "":
+		d.waitForServer(s)
+	case chosen == nil:
+		d.fail(s, &core.Error{Code: core.CodeNoCapability, Reason: "no backend server has the " + missing + " that the request needs"}, "")
+	case !d.startAttempt(s, chosen):
+		d.fail(s, &core.Error{Code: core.CodeOverloaded, Reason: "no worker is free for the request", RetryAfter: overloadedWait}, "")
 	}
-	return untried
 }
 
+// handleEnd takes the end of an attempt. The first whole answer ends the call;
+// a failure counts once no other attempt is in progress.
 func (d *Dispatch) handleEnd(e AttemptEnd) {
 	d.running--
-	if c := d.table[e.Attempt.Server]; c != nil {
-		c.Outstanding--
-		c.ServiceTime += time.Duration(serviceTimeWeight * float64(e.Duration-c.ServiceTime))
+	d.observeEnd(e)
+	roomForSuspects := d.health.ended(e)
+	if s := d.inProgress[e.Attempt.Call.Request.ID]; s != nil {
+		d.advance(s, e)
 	}
-	s := d.inProgress[e.Attempt.Call.Request.ID]
-	if s == nil {
-		return
+	if roomForSuspects {
+		d.unpark()
 	}
+}
+
+func (d *Dispatch) advance(s *callState, e AttemptEnd) {
+	delete(s.running, e.Attempt.Number)
 	s.tokens = append(s.tokens, e.Tokens...)
 	s.verdict = s.verdict.Combine(e.Verdict)
 	if e.Err == nil {
 		d.finish(s, e.End)
 		return
 	}
-	if d.mayRetry(s, e) {
-		d.start(s)
-		return
+	if len(s.running) == 0 {
+		d.retry(s, e)
 	}
-	e.Err.Verdict = s.verdict
-	d.finish(s, core.End{Verdict: s.verdict, Err: e.Err, Server: e.Attempt.Server})
 }
 
-func (d *Dispatch) mayRetry(s *callState, e AttemptEnd) bool {
-	if s.attempts >= maxAttempts || s.call.Context.Err() != nil {
-		return false
-	}
-	return e.Verdict == core.NotRun || s.call.Request.Repeatable
+// fail ends the call with an error that carries the verdict of all its attempts.
+func (d *Dispatch) fail(s *callState, err *core.Error, server core.ServerID) {
+	err.Verdict = s.verdict
+	d.finish(s, core.End{Verdict: s.verdict, Err: err, Server: server})
 }
 
 func (d *Dispatch) finish(s *callState, e core.End) {
 	delete(d.inProgress, s.call.Request.ID)
+	s.stopAttempts()
 	e.Attempts = s.attempts
-	if e.Verdict == core.Ran {
-		e.Err = nil
-	}
 	s.call.End(e)
 }
+
+// ContextError returns the error for a request whose context has ended.
+func ContextError(cause error, verdict core.Verdict, when string) *core.Error {
+	if cause == context.DeadlineExceeded {
+		return &core.Error{Code: core.CodeDeadline, Verdict: verdict, Reason: "the deadline passed " + when}
+	}
+	return &core.Error{Code: core.CodeCancelled, Verdict: verdict, Reason: "the caller went away " + when}
+}
+
+// observeStart is the hook of the load view for an attempt that starts.
+func (d *Dispatch) observeStart(c *Candidate) {
+	c.Outstanding++
+	d.slotsChanged()
+}
+
+// observeEnd is the hook of the load view for an attempt that has ended.
+func (d *Dispatch) observeEnd(e AttemptEnd) {
+	c := d.table[e.Attempt.Server]
+	if c == nil {
+		return
+	}
+	c.Outstanding--
+	c.ServiceTime += time.Duration(serviceTimeWeight * float64(e.Duration-c.ServiceTime))
+	d.slotsChanged()
+}
--- /dev/null
+++ b/internal/backend/quarantine.go
@@ -0,0 +1,46 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// suspectPeriod is how often suspicions expire and are reported.
+const suspectPeriod = time.Second
+
+// SetSuspects sets the function that takes this daemon's suspicions and
+// convictions. It must not wait, and it is set before the duty starts.
+func (d *Dispatch) SetSuspects(deliver func(SuspectReport)) { d.deliverSuspects = deliver }
+
+// MergeConvictions takes what another daemon knows of crash suspects. When it
+// reports false the ring was full; the next report repeats what was in it.
+func (d *Dispatch) MergeConvictions(r SuspectReport) bool { return d.reports.TryPut(r) }
+
+func (d *Dispatch) handleReport(r SuspectReport) {
+	d.health.suspects.Merge(r, d.loop.Clock().Now())
+	d.unpark()
+}
+
+// suspectTick expires suspicions and reports the rest.
+func (d *Dispatch) suspectTick() {
+	now := d.loop.Clock().Now()
+	d.health.suspects.Expire(now)
+	if d.deliverSuspects != nil {
+		d.deliverSuspects(d.health.suspects.Report(now))
+	}
+	d.unpark()
+}
+
+// refuseConvicted ends the call when its content is convicted, and reports
+// whether it did. The verdict stays that of the attempts so far.
+func (d *Dispatch) refuseConvicted(s *callState) bool {
+	remaining := d.health.suspects.Convicted(s.call.Request.Fingerprint, d.loop.Clock().Now())
+	if remaining == 0 {
+		return false
+	}
+	d.fail(s, &core.Error{
+		Code: core.CodeQuarantined, Reason: "requests with this content crashed several backend servers", RetryAfter: remaining,
+	}, "")
+	return true
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -58,32 +58,6 @@
 	Load        Load
 }
 
-// Attempt is one try of a request at one backend server.
-type Attempt struct {
-	Number  int // from 1
-	Call    *core.Call
-	Server  core.ServerID
-	Address string
-	Context context.Context // ends when the attempt is no longer wanted
-	// ResumeTokens are the tokens that the caller already has.
-	ResumeTokens []int32
-}
-
-// AttemptEnd is the outcome of an attempt.
-type AttemptEnd struct {
-	Attempt  Attempt
-	Verdict  core.Verdict
-	Err      *core.Error // nil when the answer is whole
-	Tokens   []int32     // tokens added to the answer by this attempt
-	End      core.End    // what the caller gets when Err is nil
-	Duration time.Duration
-}
-
-// Exchanger carries out attempts. Exchange blocks, so it runs on a pool worker.
-type Exchanger interface {
-	Exchange(a Attempt) AttemptEnd
-}
-
 // Prober asks backend servers about themselves. Its methods block.
 type Prober interface {
 	Describe(ctx context.Context, address string) (Description, error)
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -7,14 +7,13 @@
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
-	"github.com/berylfall/berylfall/internal/transport"
 )
 
 // probeWorkers bounds the probes of backend servers at once.
 const probeWorkers = 32
 
 func (b *builder) buildBackend() error {
-	client, err := backendhttp.NewClient(transport.ClientOptions{})
+	client, err := backendhttp.NewClient(backendhttp.Options{})
 	if err != nil {
 		return err
 	}
