--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -78,7 +78,7 @@
 			break
 		}
 	}
-	if d.running >= MaxAttemptsInProgress || !d.pool.TryGo(func() { d.runAttempt(a, stop) }) {
+	if d.running >= MaxAttemptsInProgress || !d.tryGo(func() { d.runAttempt(a, stop) }) {
 		stop()
 		return false
 	}
--- a/internal/backend/backendhttp/conn.go
+++ b/internal/backend/backendhttp/conn.go
@@ -111,7 +111,7 @@
 			return err
 		}
 		used := len(c.buffer)
-		read, err := c.Conn.Read(c.buffer[used:cap(c.buffer)])
+		read, err := c.Read(c.buffer[used:cap(c.buffer)])
 		c.buffer = c.buffer[:used+read]
 		c.received += read
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.onSilence != nil {
--- a/internal/backend/backendhttp/messages.go
+++ b/internal/backend/backendhttp/messages.go
@@ -101,3 +101,15 @@
 	Kind     string `json:"kind"`   // stored, evicted
 	Prefix   uint64 `json:"prefix"` // xxhash of the prompt prefix
 }
+
+// PrefixBlock is the step, in bytes of the prompt, of the prefixes in cache events.
+const PrefixBlock = 64
+
+// KVMessage is the answer to POST /v1/kv/export, whose body holds only the
+// request ID, and the body of POST /v1/kv/import.
+type KVMessage struct {
+	RequestID string   `json:"request_id"`
+	Model     string   `json:"model,omitempty"`
+	Position  int      `json:"position,omitempty"`
+	Prefixes  []uint64 `json:"prefixes,omitempty"`
+}
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -47,7 +48,7 @@
 type Dispatch struct {
 	loop      *duty.Loop
 	exchanger Exchanger
-	pool      *duty.Pool
+	tryGo     func(func()) bool // runs a blocking call on the pool
 	picker    Picker
 	scorer    Scorer
 	filters   []Filter // what a server can do
@@ -78,7 +79,7 @@
 	d := &Dispatch{
 		loop:       duty.New("dispatch", clock),
 		exchanger:  exchanger,
-		pool:       pool,
+		tryGo:      pool.TryGo,
 		picker:     TwoChoicePicker{Random: random},
 		scorer:     OutstandingScorer{},
 		filters:    CapabilityFilters(),
@@ -209,7 +210,7 @@
 
 // ContextError returns the error for a request whose context has ended.
 func ContextError(cause error, verdict core.Verdict, when string) *core.Error {
-	if cause == context.DeadlineExceeded {
+	if errors.Is(cause, context.DeadlineExceeded) {
 		return &core.Error{Code: core.CodeDeadline, Verdict: verdict, Reason: "the deadline passed " + when}
 	}
 	return &core.Error{Code: core.CodeCancelled, Verdict: verdict, Reason: "the caller went away " + when}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -3,18 +3,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/consts"
-	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	"github.com/google/uuid"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
-	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
-	"github.com/berylfall/berylfall/internal/ring"
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
@@ -29,41 +24,21 @@
 	Slots         int           // requests that run at once
 	TokenTime     time.Duration // per step of the batch
 	ChecksFence   bool
+	CacheBlocks   int           // prompt blocks that fit in the cache; 0 is defaultCacheBlocks
+	PrefillBlocks int           // uncached prompt blocks computed per step; 0 takes no time
+	EventLag      time.Duration // until a cache event can be read
+	LoadLag       time.Duration // age of load reports
+	SwapTime      time.Duration // to carry out an order
 }
 
-// Ring capacities.
+// Bounds of the stand-in.
 const (
-	askCapacity   = 4096
-	tokenCapacity = 256
+	askCapacity        = 4096
+	tokenCapacity      = 4096
+	keptRequests       = 4096 // ended requests whose status is kept
+	defaultCacheBlocks = 4096
 )
 
-type generation struct {
-	message  backendhttp.CompletionMessage
-	position int
-	out      *ring.Ring[backendhttp.TokenMessage]
-}
-
-type query struct {
-	start     *generation
-	load      bool
-	describe  bool
-	setFaults *Faults
-	order     *backendhttp.OrderMessage
-}
-
-type reply struct {
-	accepted bool
-	load     backendhttp.LoadMessage
-	server   backendhttp.ServerMessage
-}
-
-// Faults switch on failures. The zero value has none.
-type Faults struct {
-	BreakAfter int  // streams break after this many tokens; 0 is never
-	Refuse     bool // requests are refused as not started
-	SlowFactor int  // a step takes this many times longer; 0 and 1 are normal
-}
-
 // Server is the stand-in. One duty owns its state and steps the batch.
 type Server struct {
 	loop    *duty.Loop
@@ -71,10 +46,18 @@
 	http    *transport.Server
 	options Options
 
-	running []*generation
-	waiting []*generation
-	faults  Faults
-	model   backendhttp.ServerMessage
+	running  []*generation
+	waiting  []*generation
+	known    *lru.LRU[string, *generation] // running, waiting and ended
+	runs     map[string]int                // starts, by request ID
+	cancels  int
+	crashes  int
+	stepping bool
+	faults   Faults
+	model    backendhttp.ServerMessage
+	fence    int64 // highest fencing number seen
+	cache    *prefixCache
+	loads    []backendhttp.LoadMessage // newest last
 }
 
 // Start listens on the address and serves on the runner's threads.
@@ -83,19 +66,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.CacheBlocks == 0 {
+		o.CacheBlocks = defaultCacheBlocks
+	}
 	s := &Server{
 		loop:    duty.New("standin.engine", clock),
 		asks:    duty.NewAskRing[query, reply]("engine.asks", askCapacity),
 		http:    listener,
 		options: o,
+		runs:    map[string]int{},
 		model: backendhttp.ServerMessage{
-			Kind: o.Kind, Service: o.Service, Incarnation: uuid.NewString(), Role: "serve",
+			Kind: o.Kind, Service: o.Service, Role: "serve",
 			Models:        []backendhttp.ModelMessage{{Name: o.Model, Version: o.Version, Adapters: o.Adapters}},
 			ContextTokens: o.ContextTokens, ChecksFence: o.ChecksFence, Slots: o.Slots,
 		},
 	}
+	s.reset()
 	duty.OnAsk(s.loop, s.asks, s.handle)
-	s.loop.After(o.TokenTime, s.step)
 	s.routes()
 	if err := runner.Start(s.loop); err != nil {
 		return nil, err
@@ -103,124 +90,35 @@
 	return s, runner.Serve("standin.engine.http", listener.Serve, listener.Shutdown)
 }
 
+// reset sets what a restart of the engine loses.
+func (s *Server) reset() {
+	s.model.Incarnation = uuid.NewString()
+	s.cache = newPrefixCache(s.options.CacheBlocks)
+	s.running, s.waiting = nil, nil
+	// The size is a positive constant, for which NewLRU has no error.
+	s.known, _ = lru.NewLRU[string, *generation](keptRequests, nil)
+}
+
 // Address returns the address that the engine listens on.
 func (s *Server) Address() string { return s.http.Address() }
 
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(ctx context.Context, f Faults) {
-	_, _ = s.asks.Ask(ctx, query{setFaults: &f})
+	s.ask(ctx, query{setFaults: &f})
 }
 
-func (s *Server) routes() {
-	r := s.http.Router()
-	r.GET(backendhttp.PathServer, func(ctx context.Context, c *app.RequestContext) {
-		a, _ := s.asks.Ask(ctx, query{describe: true})
-		c.JSON(consts.StatusOK, a.server)
-	})
-	r.GET(backendhttp.PathLoad, func(ctx context.Context, c *app.RequestContext) {
-		a, _ := s.asks.Ask(ctx, query{load: true})
-		c.JSON(consts.StatusOK, a.load)
-	})
-	r.POST(backendhttp.PathOrders, func(ctx context.Context, c *app.RequestContext) {
-		var order backendhttp.OrderMessage
-		if err := transport.ReadJSON(c, &order); err != nil {
-			transport.WriteError(c, err)
-			return
-		}
-		_, _ = s.asks.Ask(ctx, query{order: &order})
-		c.SetStatusCode(consts.StatusOK)
-	})
-	r.POST(backendhttp.PathCompletions, s.complete)
-}
+// Counts returns how often requests were started and cancelled and how often
+// the engine crashed.
+func (s *Server) Counts(ctx context.Context) Counts { return s.ask(ctx, query{counts: true}).counts }
 
-func (s *Server) complete(ctx context.Context, c *app.RequestContext) {
-	var m backendhttp.CompletionMessage
-	if err := transport.ReadJSON(c, &m); err != nil {
-		transport.WriteError(c, err)
-		return
-	}
-	g := &generation{
-		message:  m,
-		position: len(m.ResumeTokens),
-		out:      ring.New[backendhttp.TokenMessage]("engine.tokens", tokenCapacity),
-	}
-	a, err := s.asks.Ask(ctx, query{start: g})
-	if err != nil || !a.accepted {
-		c.Response.Header.Set(transport.HeaderRequestStarted, "false")
-		transport.WriteError(c, core.NotRunError(core.CodeOverloaded, "engine refuses"))
-		return
-	}
-	w := sse.NewWriter(c)
-	for {
-		t, ok := g.out.Take(ctx)
-		if !ok {
-			break
-		}
-		data, _ := json.Marshal(t)
-		if w.WriteEvent("", "", data) != nil {
-			break
-		}
-	}
-	_ = w.Close()
+// Counts is what the engine did.
+type Counts struct {
+	Runs    map[string]int // starts, by request ID
+	Cancels int
+	Crashes int
 }
 
-func (s *Server) handle(ask duty.Ask[query, reply]) {
-	q := ask.Query
-	switch {
-	case q.setFaults != nil:
-		s.faults = *q.setFaults
-		ask.Reply(reply{accepted: true})
-	case q.load:
-		ask.Reply(reply{load: backendhttp.LoadMessage{At: s.loop.Clock().Now(), Running: len(s.running), Waiting: len(s.waiting)}})
-	case q.describe:
-		ask.Reply(reply{server: s.model})
-	case q.order != nil:
-		s.model.Models = []backendhttp.ModelMessage{{Name: s.options.Model, Version: q.order.Version, Adapters: s.options.Adapters}}
-		ask.Reply(reply{accepted: true})
-	case q.start != nil && s.faults.Refuse:
-		ask.Reply(reply{})
-	case q.start != nil:
-		s.waiting = append(s.waiting, q.start)
-		ask.Reply(reply{accepted: true})
-	}
-}
-
-// step produces one token of each running request.
-func (s *Server) step() {
-	s.loop.After(s.options.TokenTime*time.Duration(max(1, s.faults.SlowFactor)), s.step)
-	for len(s.waiting) > 0 && len(s.running) < s.options.Slots {
-		s.running = append(s.running, s.waiting[0])
-		s.waiting = s.waiting[1:]
-	}
-	kept := s.running[:0]
-	for _, g := range s.running {
-		if s.produce(g) {
-			kept = append(kept, g)
-		}
-	}
-	s.running = kept
-}
-
-// produce adds the next token and reports whether more follow.
-func (s *Server) produce(g *generation) bool {
-	if s.faults.BreakAfter > 0 && g.position >= s.faults.BreakAfter {
-		g.out.Close()
-		return false
-	}
-	t := backendhttp.TokenMessage{
-		Position: g.position,
-		Tokens:   []int32{int32(g.position)},
-		Text:     "w ",
-		Version:  s.model.Models[0].Version,
-		Adapter:  g.message.Adapter,
-	}
-	g.position++
-	if g.position >= g.message.MaxTokens {
-		t.FinishReason = "length"
-	}
-	if !g.out.TryPut(t) || t.FinishReason != "" {
-		g.out.Close()
-		return false
-	}
-	return true
+func (s *Server) ask(ctx context.Context, q query) reply {
+	r, _ := s.asks.Ask(ctx, q)
+	return r
 }
--- /dev/null
+++ b/internal/standin/engine/handle.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"github.com/berylfall/berylfall/internal/backend/backendhttp"
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+// query is one question to the duty; exactly one field is set.
+type query struct {
+	start     *generation
+	control   *control
+	order     *backendhttp.OrderMessage
+	exportKV  string
+	importKV  *backendhttp.KVMessage
+	events    *int64 // cache events after this sequence
+	load      bool
+	describe  bool
+	counts    bool
+	setFaults *Faults
+}
+
+type reply struct {
+	accepted   bool
+	retryAfter int // seconds
+	err        *core.Error
+	load       backendhttp.LoadMessage
+	server     backendhttp.ServerMessage
+	request    backendhttp.RequestMessage
+	events     []backendhttp.CacheEventMessage
+	kv         backendhttp.KVMessage
+	counts     Counts
+}
+
+func (s *Server) handle(ask duty.Ask[query, reply]) {
+	q := ask.Query
+	if q.order != nil {
+		s.obey(*q.order, func(err *core.Error) { ask.Reply(reply{accepted: err == nil, err: err}) })
+		return
+	}
+	r := reply{accepted: true}
+	switch {
+	case q.setFaults != nil:
+		s.faults = *q.setFaults
+	case q.load:
+		r.load = s.load()
+	case q.describe:
+		r.server = s.model
+	case q.counts:
+		r.counts = s.count()
+	case q.control != nil:
+		r.request, r.accepted = s.control(*q.control)
+	case q.exportKV != "":
+		r.kv, r.accepted = s.exportKV(q.exportKV)
+	case q.importKV != nil:
+		s.importKV(*q.importKV)
+	case q.events != nil:
+		r.events = s.cache.after(*q.events, s.loop.Clock().Now(), s.options.EventLag)
+	case q.start != nil && s.faults.Refuse:
+		r = reply{retryAfter: s.faults.RetryAfter}
+	case q.start != nil:
+		s.admit(q.start)
+	}
+	s.cache.publish(s.loop.Clock().Now(), s.faults.DropCacheEvents)
+	ask.Reply(r)
+}
+
+func (s *Server) count() Counts {
+	c := Counts{Runs: make(map[string]int, len(s.runs)), Cancels: s.cancels, Crashes: s.crashes}
+	for id, n := range s.runs {
+		c.Runs[id] = n
+	}
+	return c
+}
--- /dev/null
+++ b/internal/standin/engine/routes.go
@@ -0,0 +1,137 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/berylfall/berylfall/internal/backend/backendhttp"
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+func (s *Server) routes() {
+	r := s.http.Router()
+	r.GET(backendhttp.PathServer, func(ctx context.Context, c *app.RequestContext) {
+		c.JSON(consts.StatusOK, s.ask(ctx, query{describe: true}).server)
+	})
+	r.GET(backendhttp.PathLoad, func(ctx context.Context, c *app.RequestContext) {
+		c.JSON(consts.StatusOK, s.ask(ctx, query{load: true}).load)
+	})
+	r.GET(backendhttp.PathCacheEvents, s.cacheEvents)
+	r.POST(backendhttp.PathOrders, s.order)
+	r.POST(backendhttp.PathKVExport, s.kvExport)
+	r.POST(backendhttp.PathKVImport, s.kvImport)
+	r.POST(backendhttp.PathCompletions, s.complete)
+	r.GET(backendhttp.PathRequests+":id", s.command(""))
+	for _, action := range []string{"cancel", "pause", "resume"} {
+		r.POST(backendhttp.PathRequests+":id/"+action, s.command(action))
+	}
+}
+
+func (s *Server) cacheEvents(ctx context.Context, c *app.RequestContext) {
+	after, _ := strconv.ParseInt(c.Query("after"), 10, 64)
+	c.JSON(consts.StatusOK, s.ask(ctx, query{events: &after}).events)
+}
+
+func (s *Server) order(ctx context.Context, c *app.RequestContext) {
+	var order backendhttp.OrderMessage
+	if err := transport.ReadJSON(c, &order); err != nil {
+		transport.WriteError(c, err)
+		return
+	}
+	if r := s.ask(ctx, query{order: &order}); r.err != nil {
+		transport.WriteError(c, r.err)
+		return
+	}
+	c.SetStatusCode(consts.StatusOK)
+}
+
+func (s *Server) command(action string) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		r := s.ask(ctx, query{control: &control{id: c.Param("id"), action: action}})
+		answer(c, r.accepted, r.request)
+	}
+}
+
+func (s *Server) kvExport(ctx context.Context, c *app.RequestContext) {
+	var m backendhttp.KVMessage
+	if err := transport.ReadJSON(c, &m); err != nil {
+		transport.WriteError(c, err)
+		return
+	}
+	r := s.ask(ctx, query{exportKV: m.RequestID})
+	answer(c, r.accepted, r.kv)
+}
+
+func (s *Server) kvImport(ctx context.Context, c *app.RequestContext) {
+	var m backendhttp.KVMessage
+	if err := transport.ReadJSON(c, &m); err != nil {
+		transport.WriteError(c, err)
+		return
+	}
+	s.ask(ctx, query{importKV: &m})
+	c.SetStatusCode(consts.StatusOK)
+}
+
+func answer(c *app.RequestContext, known bool, body any) {
+	if !known {
+		transport.WriteError(c, core.NotRunError(core.CodeNotFound, "the engine does not know the request"))
+		return
+	}
+	c.JSON(consts.StatusOK, body)
+}
+
+func (s *Server) complete(ctx context.Context, c *app.RequestContext) {
+	var m backendhttp.CompletionMessage
+	if err := transport.ReadJSON(c, &m); err != nil {
+		c.Response.Header.Set(transport.HeaderRequestStarted, "false")
+		transport.WriteError(c, err)
+		return
+	}
+	g := newGeneration(m)
+	if r := s.ask(ctx, query{start: g}); !r.accepted {
+		c.Response.Header.Set(transport.HeaderRequestStarted, "false")
+		refusal := core.NotRunError(core.CodeOverloaded, "engine refuses")
+		refusal.RetryAfter = time.Duration(r.retryAfter) * time.Second
+		transport.WriteError(c, refusal)
+		return
+	}
+	s.stream(ctx, c, g)
+}
+
+// stream writes the events to the connection until the last one.
+func (s *Server) stream(ctx context.Context, c *app.RequestContext, g *generation) {
+	var w *sse.Writer
+	for {
+		e, ok := g.out.Take(ctx)
+		if !ok {
+			break
+		}
+		if e.fail {
+			c.SetStatusCode(consts.StatusInternalServerError)
+			return
+		}
+		if e.abort {
+			_ = c.GetConn().Close()
+			return
+		}
+		if w == nil {
+			w = sse.NewWriter(c)
+		}
+		data, _ := json.Marshal(e.token)
+		if w.WriteEvent("", "", data) != nil {
+			// The client is gone, so nobody reads the rest.
+			s.ask(ctx, query{control: &control{id: g.message.RequestID, action: "cancel"}})
+			return
+		}
+	}
+	if w != nil {
+		_ = w.Close()
+	}
+}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -5,12 +5,9 @@
 	"context"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/google/uuid"
 
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
-	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/transport"
 )
@@ -22,16 +19,10 @@
 	Service    string
 	Kind       string
 	Operations []string
+	Slots      int // calls that run at once, as it tells; not enforced
 	CallTime   time.Duration
 }
 
-// Faults switch on failures. The zero value has none.
-type Faults struct {
-	Refuse     bool // calls are refused as not started
-	FailLate   bool // calls are carried out and then answered with 500
-	SlowFactor int  // calls take this many times longer; 0 and 1 are normal
-}
-
 // Run is one call that the service carried out.
 type Run struct {
 	Operation string
@@ -39,18 +30,27 @@
 	RequestID string
 }
 
+type call struct {
+	run  Run
+	body []byte
+}
+
+// query is one question to the duty; exactly one field is set.
 type query struct {
-	call      *Run
-	done      bool
+	call      *call
 	load      bool
+	describe  bool
 	runs      bool
 	setFaults *Faults
 }
 
 type reply struct {
-	faults Faults
-	load   backendhttp.LoadMessage
-	runs   []Run
+	refused bool
+	crashed bool
+	faults  Faults
+	load    backendhttp.LoadMessage
+	server  backendhttp.ServerMessage
+	runs    []Run
 }
 
 // Server is the stand-in. One duty owns its state.
@@ -61,9 +61,10 @@
 	options Options
 	id      string
 
-	running int
-	runs    []Run
-	faults  Faults
+	active []duty.Ask[query, reply] // calls in progress
+	silent []duty.Ask[query, reply] // carried out, and their connections silent
+	runs   []Run
+	faults Faults
 }
 
 // Start listens on the address and serves on the runner's threads.
@@ -101,57 +102,78 @@
 	return r
 }
 
-func (s *Server) routes() {
-	r := s.http.Router()
-	r.GET(backendhttp.PathServer, func(_ context.Context, c *app.RequestContext) {
-		c.JSON(consts.StatusOK, backendhttp.ServerMessage{
-			Kind: s.options.Kind, Service: s.options.Service, Incarnation: s.id, Operations: s.options.Operations,
-		})
-	})
-	r.GET(backendhttp.PathLoad, func(ctx context.Context, c *app.RequestContext) {
-		c.JSON(consts.StatusOK, s.ask(ctx, query{load: true}).load)
-	})
-	r.POST(backendhttp.PathOperations+":operation", s.operate)
+func (s *Server) handle(ask duty.Ask[query, reply]) {
+	q := ask.Query
+	if q.call != nil {
+		s.begin(ask)
+		return
+	}
+	var r reply
+	switch {
+	case q.setFaults != nil:
+		s.faults = *q.setFaults
+		s.endSilence()
+	case q.load:
+		r.load = backendhttp.LoadMessage{At: s.loop.Clock().Now(), Running: len(s.active) + len(s.silent)}
+	case q.describe:
+		r.server = backendhttp.ServerMessage{
+			Kind: s.options.Kind, Service: s.options.Service, Incarnation: s.id,
+			Operations: s.options.Operations, Slots: s.options.Slots,
+		}
+	case q.runs:
+		r.runs = append([]Run{}, s.runs...)
+	}
+	ask.Reply(r)
 }
 
-func (s *Server) operate(ctx context.Context, c *app.RequestContext) {
-	run := Run{
-		Operation: c.Param("operation"),
-		Key:       string(c.GetHeader(transport.HeaderIdempotencyKey)),
-		RequestID: string(c.GetHeader(transport.HeaderRequestID)),
+func (s *Server) begin(ask duty.Ask[query, reply]) {
+	if s.faults.Refuse {
+		ask.Reply(reply{refused: true, faults: s.faults})
+		return
 	}
-	r := s.ask(ctx, query{call: &run})
-	if r.faults.Refuse {
-		c.Response.Header.Set(transport.HeaderRequestStarted, "false")
-		transport.WriteError(c, core.NotRunError(core.CodeOverloaded, "service refuses"))
+	s.runs = append(s.runs, ask.Query.call.run)
+	s.active = append(s.active, ask)
+	if s.faults.crashesOn(ask.Query.call.body) {
+		s.crash()
 		return
 	}
-	time.Sleep(s.options.CallTime * time.Duration(max(1, r.faults.SlowFactor)))
-	s.ask(ctx, query{done: true})
-	if r.faults.FailLate {
-		c.SetStatusCode(consts.StatusInternalServerError)
+	incarnation := s.id
+	s.loop.After(s.options.CallTime*time.Duration(max(1, s.faults.SlowFactor)), func() {
+		if incarnation == s.id {
+			s.end(ask)
+		}
+	})
+}
+
+func (s *Server) end(ask duty.Ask[query, reply]) {
+	for i := range s.active {
+		if s.active[i].Query.call == ask.Query.call {
+			s.active = append(s.active[:i], s.active[i+1:]...)
+			break
+		}
+	}
+	if s.faults.Silent {
+		s.silent = append(s.silent, ask)
 		return
 	}
-	c.Data(consts.StatusOK, consts.MIMEApplicationJSON, append([]byte{}, c.Request.Body()...))
+	ask.Reply(reply{faults: s.faults})
 }
 
-func (s *Server) handle(ask duty.Ask[query, reply]) {
-	q := ask.Query
-	switch {
-	case q.setFaults != nil:
-		s.faults = *q.setFaults
-	case q.call != nil && !s.faults.Refuse:
-		s.running++
-		s.runs = append(s.runs, *q.call)
-	case q.done:
-		s.running--
+func (s *Server) endSilence() {
+	if s.faults.Silent {
+		return
 	}
-	r := reply{faults: s.faults}
-	if q.load {
-		r.load = backendhttp.LoadMessage{At: s.loop.Clock().Now(), Running: s.running}
+	for _, ask := range s.silent {
+		ask.Reply(reply{faults: s.faults})
 	}
-	if q.runs {
-		r.runs = append([]Run{}, s.runs...)
+	s.silent = nil
+}
+
+// crash drops every call in progress, as a restart of the process does.
+func (s *Server) crash() {
+	s.id = uuid.NewString()
+	for _, ask := range append(s.active, s.silent...) {
+		ask.Reply(reply{crashed: true})
 	}
-	ask.Reply(r)
+	s.active, s.silent = nil, nil
 }
