--- a/internal/backend/backendhttp/conn_test.go
+++ b/internal/backend/backendhttp/conn_test.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	c, err := dial(context.Background(), l.Addr().String(), time.Minute)
 	if err != nil {
 		t.Fatal(err)
@@ -63,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { c.Close(); server.Close() })
+	t.Cleanup(func() { _, _ = c.Close(), server.Close() })
 	return c, server
 }
 
@@ -85,7 +85,7 @@
 	}
 	closed, server := pair(t)
 	p.put(closed)
-	server.Close()
+	_ = server.Close()
 	if _, err := closed.Read(make([]byte, 1)); err == nil {
 		t.Fatal("the close has not arrived")
 	}
--- a/internal/backend/backendhttp/exchange_test.go
+++ b/internal/backend/backendhttp/exchange_test.go
@@ -168,7 +168,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(t, err)
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for i := 0; ; i++ {
 			c, err := l.Accept()
@@ -203,7 +203,7 @@
 			address := serve(t, func(_ int, conn *net.TCPConn) {
 				_, _ = conn.Read(make([]byte, c.read))
 				_ = conn.SetLinger(0)
-				conn.Close()
+				_ = conn.Close()
 			})
 			ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 			defer cancel()
@@ -219,7 +219,7 @@
 func TestDialRefusedIsNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(t, err)
-	l.Close()
+	_ = l.Close()
 	end := newClient(t).Exchange(call(context.Background(), l.Addr().String(), nil, false))
 	if end.Verdict != core.NotRun || end.Err == nil || end.Crashed {
 		t.Fatalf("end = %+v, want not-run without a crash", end)
@@ -232,9 +232,9 @@
 	closed := make(chan struct{}, 1)
 	address := serve(t, func(_ int, c *net.TCPConn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
 		}
-		c.Close()
+		_ = c.Close()
 		closed <- struct{}{}
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
--- /dev/null
+++ b/internal/backend/fake_test.go
@@ -0,0 +1,118 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+// seed is fixed, so that every run makes the same choices.
+const seed = 11
+
+// bench steps a dispatch duty on a manual clock. Attempts wait in pending
+// until the test runs them, so nothing depends on threads.
+type bench struct {
+	t        *testing.T
+	clock    *duty.ManualClock
+	dispatch *Dispatch
+	exchange func(Attempt) AttemptEnd
+	pending  []func()
+	attempts []Attempt // in the order that they ran
+	cancels  []Attempt
+	servers  []Server
+	next     int
+}
+
+func newBench(t *testing.T, servers int, exchange func(Attempt) AttemptEnd) *bench {
+	t.Helper()
+	t.Logf("seed %d", seed)
+	clock := duty.NewManualClock(time.Unix(1e9, 0))
+	pool, err := duty.NewPool("unused", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	b := &bench{t: t, clock: clock, exchange: exchange}
+	b.dispatch = NewDispatch(clock, rand.New(rand.NewPCG(seed, seed)), b, pool)
+	b.dispatch.tryGo = func(f func()) bool {
+		b.pending = append(b.pending, f)
+		return true
+	}
+	for i := range servers {
+		b.servers = append(b.servers, Server{ID: core.ServerID(fmt.Sprint("s", i)), Description: Description{
+			Service: "desk", Incarnation: "0", Operations: []string{"look", "book"}, Slots: 4,
+		}})
+	}
+	b.publish()
+	return b
+}
+
+func (b *bench) Exchange(a Attempt) AttemptEnd {
+	b.attempts = append(b.attempts, a)
+	end := b.exchange(a)
+	end.Attempt = a
+	return end
+}
+
+func (b *bench) Cancel(a Attempt) { b.cancels = append(b.cancels, a) }
+
+func (b *bench) publish() {
+	b.dispatch.SetServers(append([]Server{}, b.servers...))
+	b.dispatch.loop.Step()
+}
+
+func (b *bench) submit(ctx context.Context, fingerprint uint64, repeatable bool) *core.Call {
+	b.next++
+	c := core.NewCall(ctx, &core.Request{
+		ID: core.RequestID(fmt.Sprint("r", b.next)), Service: "desk", Operation: "look",
+		Fingerprint: fingerprint, Repeatable: repeatable,
+	})
+	b.dispatch.Submit(c)
+	b.dispatch.loop.Step()
+	return c
+}
+
+// run carries out the waiting attempts, and those that follow at once.
+func (b *bench) run() {
+	for len(b.pending) > 0 {
+		f := b.pending[0]
+		b.pending = b.pending[1:]
+		f()
+		b.dispatch.loop.Step()
+	}
+}
+
+// advance moves the clock in small steps and runs what becomes due.
+func (b *bench) advance(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for ; d > 0; d -= step {
+		b.clock.Advance(min(step, d))
+		b.dispatch.loop.Step()
+		b.run()
+	}
+}
+
+// end returns the end of the call, or nil while it is in progress.
+func end(c *core.Call) *core.End {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, e, _ := c.Answer.Next(ctx)
+	return e
+}
+
+func answered(Attempt) AttemptEnd {
+	return AttemptEnd{Verdict: core.Ran, End: core.End{Verdict: core.Ran}}
+}
+
+func broken(Attempt) AttemptEnd {
+	return AttemptEnd{Verdict: core.MayHaveRun, Err: core.MayHaveRunError(core.CodeBroken, "broken")}
+}
+
+func refused(Attempt) AttemptEnd {
+	return AttemptEnd{Verdict: core.NotRun, Err: core.NotRunError(core.CodeOverloaded, "refused")}
+}
--- /dev/null
+++ b/internal/backend/resume_test.go
@@ -0,0 +1,189 @@
+package backend_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/backend/backendhttp"
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/standin/engine"
+	"github.com/berylfall/berylfall/internal/standin/plain"
+)
+
+const (
+	waitLimit = 30 * time.Second // for events that take milliseconds
+	tokens    = 40
+)
+
+// fleet is a dispatch duty before stand-ins on loopback connections.
+type fleet struct {
+	ctx      context.Context
+	client   *backendhttp.Client
+	dispatch *backend.Dispatch
+	engines  []*engine.Server
+	plain    *plain.Server
+}
+
+func startFleet(t testing.TB, engines int) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*waitLimit)
+	runner, err := duty.NewRunner(32)
+	check(t, err)
+	pool, err := duty.NewPool("exchanges", 256)
+	check(t, err)
+	t.Cleanup(func() {
+		cancel()
+		runner.Stop(ctx)
+		pool.Release()
+	})
+	clock := duty.SystemClock{}
+	f := &fleet{ctx: ctx}
+	f.client, err = backendhttp.NewClient(backendhttp.Options{Silence: 200 * time.Millisecond})
+	check(t, err)
+	f.dispatch = backend.NewDispatch(clock, rand.New(rand.NewPCG(11, 11)), f.client, pool)
+	var servers []backend.Server
+	add := func(address string) {
+		d, err := f.client.Describe(ctx, address)
+		check(t, err)
+		servers = append(servers, backend.Server{ID: core.ServerID(address), Address: address, Description: d})
+	}
+	for range engines {
+		e, err := engine.Start("127.0.0.1:0", clock, runner, engine.Options{Service: "wear-model", Model: "wear", Version: 7, ContextTokens: 64, Slots: 8})
+		check(t, err)
+		f.engines = append(f.engines, e)
+		add(e.Address())
+	}
+	f.plain, err = plain.Start("127.0.0.1:0", clock, runner, plain.Options{Service: "desk", Operations: []string{"look"}})
+	check(t, err)
+	add(f.plain.Address())
+	f.dispatch.SetServers(servers)
+	check(t, runner.Start(f.dispatch.Loop()))
+	return f
+}
+
+func check(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer submits a model call and returns the whole of what its caller gets.
+func (f *fleet) answer(t testing.TB, prompt string) (*core.Assembler, core.End) {
+	t.Helper()
+	call := core.NewCall(f.ctx, &core.Request{
+		ID: core.RequestID(uuid.NewString()), Service: "wear-model", Model: "wear", Prompt: prompt, MaxTokens: tokens, Repeatable: true,
+	})
+	call.Request.Fingerprint = call.Request.ComputeFingerprint()
+	if !f.dispatch.Submit(call) {
+		t.Fatal("the call was refused")
+	}
+	var a core.Assembler
+	for {
+		chunk, end, ok := call.Answer.Next(f.ctx)
+		if !ok {
+			t.Fatal("no end of the answer")
+		}
+		if end != nil {
+			return &a, *end
+		}
+		if chunk.Position != a.Position() {
+			t.Fatalf("chunk at token %d after %d tokens", chunk.Position, a.Position())
+		}
+		_, err := a.Accept(chunk)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a token lost or doubled when a stream moves to another
+// engine, for each way in which a stream can stop.
+func TestStreamResumesByPosition(t *testing.T) {
+	cases := map[string]engine.Faults{
+		"broken stream":     {BreakAfter: 15},
+		"gap":               {SkipEvent: 9},
+		"events twice":      {Duplicate: true},
+		"crossed answer":    {Crossed: true},
+		"silent connection": {Silent: true},
+		"lost last event":   {LoseLastEvent: true},
+		"refusal":           {Refuse: true},
+		"crash":             {CrashOn: "strap"},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 3)
+			f.engines[0].SetFaults(f.ctx, faults)
+			if faults.CrashOn == "" {
+				// Two crashes alone would convict the request.
+				f.engines[1].SetFaults(f.ctx, faults)
+			}
+			a, e := f.answer(t, "strap")
+			if e.Verdict != core.Ran || e.Err != nil || len(a.Tokens()) != tokens {
+				t.Fatalf("%d tokens, end %v %v; want %d", len(a.Tokens()), e.Verdict, e.Err, tokens)
+			}
+			for i, token := range a.Tokens() {
+				if int(token) != i {
+					t.Fatalf("token %d is %d", i, token)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a caller that gets more than what every engine together gave
+// when all break at the same place: progress is kept over attempts.
+func TestStreamMovesOnOverBreakingEngines(t *testing.T) {
+	f := startFleet(t, 3)
+	for _, e := range f.engines {
+		e.SetFaults(f.ctx, engine.Faults{BreakAfter: tokens/3 + 1})
+	}
+	a, e := f.answer(t, "strap")
+	if e.Verdict != core.Ran || len(a.Tokens()) != tokens || e.Attempts != 3 {
+		t.Fatalf("%d tokens in %d attempts, end %v %v; want %d in 3", len(a.Tokens()), e.Attempts, e.Verdict, e.Err, tokens)
+	}
+}
+
+// BenchmarkAttempt compares a plain call through the dispatch duty with a
+// direct exchange with the same stand-in.
+func BenchmarkAttempt(b *testing.B) {
+	f := startFleet(b, 0)
+	next := 0
+	newCall := func() *core.Call {
+		next++
+		return core.NewCall(f.ctx, &core.Request{
+			ID: core.RequestID(fmt.Sprint(next)), Service: "desk", Operation: "look", Repeatable: true, Body: []byte("{}"), Fingerprint: uint64(next),
+		})
+	}
+	direct := func(b *testing.B) {
+		for b.Loop() {
+			call := newCall()
+			end := f.client.Exchange(backend.Attempt{Number: 1, Call: call, Context: f.ctx, Address: f.plain.Address()})
+			if end.Err != nil {
+				b.Fatal(end.Err)
+			}
+		}
+	}
+	var baseline float64
+	b.Run("direct", func(b *testing.B) {
+		direct(b)
+		baseline = float64(b.Elapsed()) / float64(b.N)
+	})
+	b.Run("dispatch", func(b *testing.B) {
+		for b.Loop() {
+			call := newCall()
+			f.dispatch.Submit(call)
+			if _, end, ok := call.Answer.Next(f.ctx); !ok || end.Err != nil {
+				b.Fatal("no answer")
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed())/float64(b.N)/baseline, "x-direct")
+	})
+}
