--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -35,6 +35,8 @@
 	// Incarnation is the run of the server that was seen after a failure;
 	// empty when none was.
 	Incarnation string
+	// Unreachable reports that no connection could be opened.
+	Unreachable bool
 	// CancelAtServer asks for a cancel over another connection, since the
 	// server may still work on the request.
 	CancelAtServer bool
--- a/internal/backend/backendhttp/conn.go
+++ b/internal/backend/backendhttp/conn.go
@@ -38,6 +38,7 @@
 	net.Conn
 	address  string
 	silence  time.Duration
+	patience time.Duration // bound of the next read only; 0 is silence
 	lastUsed time.Time
 
 	written   int          // bytes of the current request
@@ -107,7 +108,7 @@
 func (c *conn) fill(n int) error {
 	for len(c.buffer)-c.start < n {
 		c.makeRoom(n)
-		if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(c.nextPatience())); err != nil {
 			return err
 		}
 		used := len(c.buffer)
@@ -124,6 +125,15 @@
 	return nil
 }
 
+func (c *conn) nextPatience() time.Duration {
+	p := c.patience
+	c.patience = 0
+	if p == 0 {
+		return c.silence
+	}
+	return p
+}
+
 // makeRoom makes the buffer large enough for n unread bytes. It never moves
 // bytes that a caller of Peek may still hold.
 func (c *conn) makeRoom(n int) {
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -70,7 +70,9 @@
 	}
 	connection, err := c.connect(a)
 	if err != nil {
-		return failed(classifyDial(a.Context, err))
+		end := failed(classifyDial(a.Context, err))
+		end.Unreachable = a.Context.Err() == nil
+		return end
 	}
 	// Closing is the only way to end a blocked read at once.
 	stopClosing := context.AfterFunc(a.Context, func() { connection.Close() })
@@ -130,7 +132,7 @@
 // complete makes a model call and reads its stream.
 func (c *Client) complete(a backend.Attempt, connection *conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
 	s := newStream(a)
-	connection.onSilence = func() error { return c.checkStream(s) }
+	connection.onSilence = func() error { return c.checkStream(s, connection) }
 	err := connection.send(req)
 	if err == nil {
 		err = connection.receiveHead(resp)
@@ -172,7 +174,7 @@
 		end.CancelAtServer = false
 		return end
 	}
-	status, known, statusErr := c.status(s.attempt.Address, s.attempt.Call.Request.ID)
+	status, known, statusErr := c.status(s.attempt.Context, s.attempt.Address, s.attempt.Call.Request.ID)
 	if statusErr == nil && known && status.State == StateDone && status.FinishReason != "" && status.Position == s.next {
 		s.finish = status.FinishReason
 		return s.finished()
@@ -182,7 +184,7 @@
 
 // inspect looks over a fresh connection whether the server has crashed.
 func (c *Client) inspect(end *backend.AttemptEnd, a backend.Attempt) {
-	p := c.probe(a.Address)
+	p := c.probe(a.Context, a.Address)
 	end.Crashed = p.crashed(a.Incarnation)
 	end.Incarnation = p.incarnation
 	if end.Crashed {
--- a/internal/backend/backendhttp/exchange_test.go
+++ b/internal/backend/backendhttp/exchange_test.go
@@ -51,7 +51,7 @@
 
 func newClient(t testing.TB) *backendhttp.Client {
 	t.Helper()
-	c, err := backendhttp.NewClient(backendhttp.Options{Silence: silence})
+	c, err := backendhttp.NewClient(backendhttp.Options{Silence: silence, ProbeTimeout: waitLimit})
 	check(t, err)
 	return c
 }
@@ -301,3 +301,62 @@
 		t.Fatalf("the engine was told to cancel %d times, want once", c.Cancels)
 	}
 }
+
+// Guards against an answer run again, although only the event after its last
+// token was lost together with the engine.
+func TestAllTokensOfALostEngine(t *testing.T) {
+	address := serve(t, func(i int, c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil && i == 0 {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+			for p := range tokens {
+				_, _ = fmt.Fprintf(c, "data: {\"position\":%d,\"tokens\":[%d],\"weight_version\":7}\n\n", p, p)
+			}
+		}
+		_ = c.Close()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	r := &core.Request{ID: "r", Model: "wear", MaxTokens: tokens, Repeatable: true}
+	end := newClient(t).Exchange(backend.Attempt{Number: 1, Call: core.NewCall(ctx, r), Context: ctx, Address: address, Incarnation: "i"})
+	if end.Verdict != core.Ran || len(end.Tokens) != tokens || end.End.FinishReason != backendhttp.FinishLength {
+		t.Fatalf("verdict %v, %d tokens, error %v; want the whole answer", end.Verdict, len(end.Tokens), end.Err)
+	}
+}
+
+// Guards against a slow stream that is dropped as a silent one: its engine
+// reports the position that arrived.
+func TestSlowStreamIsWaitedFor(t *testing.T) {
+	r := newRig(t)
+	a := r.attempt(r.ctx, t, true, true)
+	r.engine.SetFaults(r.ctx, engine.Faults{PauseAt: 3})
+	resumed := make(chan struct{})
+	go func() {
+		defer close(resumed)
+		for r.engine.Counts(r.ctx).StatusQueries < 3 && r.ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		resp, err := http.Post("http://"+r.engine.Address()+backendhttp.PathRequests+string(a.Call.Request.ID)+"/resume", "", nil)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	end := r.client.Exchange(a)
+	<-resumed
+	if end.Verdict != core.Ran || len(end.Tokens) != tokens {
+		t.Fatalf("verdict %v, %d tokens, error %v; want the whole answer", end.Verdict, len(end.Tokens), end.Err)
+	}
+}
+
+// Guards against a call that must not be repeated and is given up while its
+// server is alive: only its deadline ends it.
+func TestSilentCallWaitsForItsDeadline(t *testing.T) {
+	r := newRig(t)
+	r.plain.SetFaults(r.ctx, plain.Faults{Silent: true})
+	ctx, stop := context.WithTimeout(r.ctx, 6*silence)
+	defer stop()
+	end := r.client.Exchange(r.attempt(ctx, t, false, false))
+	r.plain.SetFaults(r.ctx, plain.Faults{})
+	if end.Err == nil || end.Err.Code != core.CodeDeadline {
+		t.Fatalf("end %v %v, want the deadline", end.Verdict, end.Err)
+	}
+}
--- a/internal/backend/backendhttp/probe.go
+++ b/internal/backend/backendhttp/probe.go
@@ -69,7 +69,7 @@
 	if !a.Call.Request.IsModelCall() {
 		return
 	}
-	_ = c.fresh(a.Address, consts.MethodPost, PathRequests+string(a.Call.Request.ID)+"/cancel", nil)
+	_ = c.fresh(context.Background(), a.Address, consts.MethodPost, PathRequests+string(a.Call.Request.ID)+"/cancel", nil)
 }
 
 // probe is what a fresh connection showed about a server.
@@ -88,16 +88,16 @@
 	return p.err == nil && incarnation != "" && p.incarnation != incarnation
 }
 
-func (c *Client) probe(address string) probe {
+func (c *Client) probe(ctx context.Context, address string) probe {
 	var m ServerMessage
-	err := c.fresh(address, consts.MethodGet, PathServer, &m)
+	err := c.fresh(ctx, address, consts.MethodGet, PathServer, &m)
 	return probe{incarnation: m.Incarnation, refused: errors.Is(err, syscall.ECONNREFUSED), err: err}
 }
 
 // status asks an engine for the progress of a request. known is false when the
 // engine answers that it does not have the request.
-func (c *Client) status(address string, id core.RequestID) (m RequestMessage, known bool, err error) {
-	err = c.fresh(address, consts.MethodGet, PathRequests+string(id), &m)
+func (c *Client) status(ctx context.Context, address string, id core.RequestID) (m RequestMessage, known bool, err error) {
+	err = c.fresh(ctx, address, consts.MethodGet, PathRequests+string(id), &m)
 	var refusal *transport.ResponseError
 	if errors.As(err, &refusal) && refusal.Status == consts.StatusNotFound {
 		return m, false, nil
@@ -106,10 +106,9 @@
 }
 
 // fresh makes one request over a connection of its own, which shows whether
-// the server is reachable whatever state older connections are in. It does not
-// end with the attempt's context, since it is also made after that has ended.
-func (c *Client) fresh(address, method, path string, out any) error {
-	ctx, stop := context.WithTimeout(context.Background(), c.probeTimeout)
+// the server is reachable whatever state older connections are in.
+func (c *Client) fresh(ctx context.Context, address, method, path string, out any) error {
+	ctx, stop := context.WithTimeout(ctx, c.probeTimeout)
 	defer stop()
 	connection, err := dial(ctx, address, c.probeTimeout)
 	if err != nil {
--- a/internal/backend/backendhttp/silence.go
+++ b/internal/backend/backendhttp/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/berylfall/berylfall/internal/backend"
 )
@@ -12,23 +13,29 @@
 // harm. A call that must not be repeated waits for its deadline.
 const maxSilentPeriods = 3
 
+// lateGrace is the wait for bytes that left the server before it reported its
+// position, so that a slow stream is not taken for a silent one.
+const lateGrace = 500 * time.Millisecond
+
 // checkStream decides on a stream without a byte for the silence bound: nil
 // keeps waiting.
-func (c *Client) checkStream(s *stream) error {
+func (c *Client) checkStream(s *stream, connection *conn) error {
 	if err := s.attempt.Context.Err(); err != nil {
 		return err
 	}
-	status, known, err := c.status(s.attempt.Address, s.attempt.Call.Request.ID)
+	status, known, err := c.status(s.attempt.Context, s.attempt.Address, s.attempt.Call.Request.ID)
 	switch {
 	case err != nil:
 		return fmt.Errorf("%w, and a fresh connection failed: %w", errSilent, err)
 	case !known:
 		return errUnknown
-	case status.Position > s.next:
-		return errBehind
-	case status.State == StateDone:
+	case status.Position == s.next && status.State != StateDone:
+		return nil
+	case s.behind && s.behindAt == s.next:
 		return errBehind
 	}
+	s.behind, s.behindAt = true, s.next
+	connection.patience = lateGrace
 	return nil
 }
 
@@ -37,7 +44,7 @@
 	if err := a.Context.Err(); err != nil {
 		return err
 	}
-	p := c.probe(a.Address)
+	p := c.probe(a.Context, a.Address)
 	switch {
 	case p.err != nil:
 		return fmt.Errorf("%w, and a fresh connection failed: %w", errSilent, p.err)
--- a/internal/backend/backendhttp/stream.go
+++ b/internal/backend/backendhttp/stream.go
@@ -18,6 +18,9 @@
 	next    int     // position of the next token
 	tokens  []int32 // accepted from this attempt
 	finish  string  // finish reason, once the answer is whole
+
+	behind   bool // the server was seen ahead of what arrived
+	behindAt int  // next at that time
 }
 
 func newStream(a backend.Attempt) *stream {
--- a/internal/backend/dispatch_test.go
+++ b/internal/backend/dispatch_test.go
@@ -93,7 +93,7 @@
 	call := b.submit(ctx, 1, true)
 	b.run()
 	leave()
-	for b.dispatch.cancels.Len() == 0 {
+	for bound := time.Now().Add(30 * time.Second); b.dispatch.cancels.Len() == 0 && time.Now().Before(bound); {
 		time.Sleep(time.Millisecond) // the context's own goroutine puts the cancel
 	}
 	b.dispatch.loop.Step()
@@ -158,3 +158,63 @@
 		t.Errorf("slots %+v, want the 4 of the server that stays", slots)
 	}
 }
+
+// Guards against attempts that go on once another has answered the call, and
+// against the end of a call whose other attempt can still answer it.
+func TestFirstWholeAnswerEndsTheOtherAttempt(t *testing.T) {
+	b := newBench(t, 3, nil)
+	b.exchange = func(a Attempt) AttemptEnd {
+		if a.Number == 1 {
+			return broken(a)
+		}
+		return answered(a)
+	}
+	call := b.submit(context.Background(), 1, true)
+	s := b.dispatch.inProgress[call.Request.ID]
+	for range 2 {
+		if !b.dispatch.startAttempt(s, b.dispatch.order[0]) {
+			t.Fatal("the further attempt did not start")
+		}
+	}
+	first, second := b.pending[0], b.pending[1]
+	first()
+	b.dispatch.loop.Step()
+	if e := end(call); e != nil {
+		t.Fatalf("end %+v while two attempts are in progress", e)
+	}
+	second()
+	b.dispatch.loop.Step()
+	if e := end(call); e == nil || e.Verdict != core.Ran || e.Err != nil {
+		t.Fatalf("end %+v, want the answer of the second attempt", e)
+	}
+	b.pending[2]()
+	if loser := b.attempts[2]; loser.Context.Err() == nil {
+		t.Error("the third attempt was not stopped")
+	}
+}
+
+// Guards against a dead server that looks idle and draws all the work.
+func TestUnreachableServerIsLeftOut(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.exchange = func(a Attempt) AttemptEnd {
+		if a.Server != b.servers[0].ID {
+			return answered(a)
+		}
+		e := refused(a)
+		e.Unreachable = true
+		return e
+	}
+	dials := 0
+	for i := range 50 {
+		b.submit(context.Background(), uint64(i), true)
+		b.run()
+	}
+	for _, a := range b.attempts {
+		if a.Server == b.servers[0].ID {
+			dials++
+		}
+	}
+	if dials > 1 {
+		t.Errorf("%d attempts at the dead server without time passing, want at most 1", dials)
+	}
+}
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -10,6 +10,10 @@
 // poller reports no new incarnation of it.
 const crashHold = 2 * time.Second
 
+// unreachableHold is how long a server that refuses connections is left out.
+// Without it a dead server looks idle and draws the work of a whole poll period.
+const unreachableHold = 500 * time.Millisecond
+
 // attemptKey names an attempt among all attempts of this daemon.
 type attemptKey struct {
 	request core.RequestID
@@ -29,7 +33,7 @@
 	polled      string    // last reported by the poller
 	crashed     string    // incarnation that crashed last
 	holdUntil   time.Time // after a crash
-	retryAt     time.Time // asked for by a refusal with Retry-After
+	retryAt     time.Time // asked for by a refusal with Retry-After, or after a failed dial
 }
 
 // health is what attempts have shown about the servers. The dispatch duty owns it.
@@ -108,9 +112,12 @@
 		delete(h.running, fingerprint)
 	}
 	suspected := h.suspects.IsSuspected(fingerprint, now)
-	if e.Err == nil {
+	switch {
+	case e.Err == nil:
 		h.suspects.Finished(fingerprint)
-	} else if e.Verdict == core.NotRun && e.Err.RetryAfter > 0 {
+	case e.Unreachable:
+		state.retryAt = now.Add(unreachableHold)
+	case e.Verdict == core.NotRun && e.Err.RetryAfter > 0:
 		state.retryAt = now.Add(e.Err.RetryAfter)
 	}
 	return suspected || e.Crashed
--- a/internal/backend/resume_test.go
+++ b/internal/backend/resume_test.go
@@ -45,7 +45,7 @@
 	})
 	clock := duty.SystemClock{}
 	f := &fleet{ctx: ctx}
-	f.client, err = backendhttp.NewClient(backendhttp.Options{Silence: 200 * time.Millisecond})
+	f.client, err = backendhttp.NewClient(backendhttp.Options{Silence: 200 * time.Millisecond, ProbeTimeout: waitLimit})
 	check(t, err)
 	f.dispatch = backend.NewDispatch(clock, rand.New(rand.NewPCG(11, 11)), f.client, pool)
 	var servers []backend.Server
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -24,7 +24,9 @@
 	state    string
 	finish   string
 	muted    bool // the connection has gone silent
-	out      *ring.Ring[event]
+	// pausedOnce keeps the fault PauseAt from pausing a resumed request again.
+	pausedOnce bool
+	out        *ring.Ring[event]
 }
 
 func newGeneration(m backendhttp.CompletionMessage) *generation {
@@ -106,6 +108,11 @@
 		g.abort()
 		return false
 	}
+	if s.faults.PauseAt > 0 && g.position == s.faults.PauseAt && !g.pausedOnce {
+		g.pausedOnce = true
+		g.state = backendhttp.StatePaused
+		return true
+	}
 	return s.produce(g)
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -51,6 +51,7 @@
 	known    *lru.LRU[string, *generation] // running, waiting and ended
 	runs     map[string]int                // starts, by request ID
 	cancels  int
+	statuses int // status queries
 	crashes  int
 	stepping bool
 	faults   Faults
@@ -116,6 +117,8 @@
 	Runs    map[string]int // starts, by request ID
 	Cancels int
 	Crashes int
+	// StatusQueries counts GET /v1/requests/{id}.
+	StatusQueries int
 }
 
 func (s *Server) ask(ctx context.Context, q query) reply {
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -10,6 +10,7 @@
 	BreakAfter       int    // a stream breaks after this many tokens of its run; 0 is never
 	LoseLastEvent    bool   // streams break in place of the event that ends them
 	StopAt           int    // answers end by themselves at this position; 0 is never
+	PauseAt          int    // a request pauses at this position until it is resumed; 0 is never
 	Silent           bool   // streams go on without a byte on their connection
 	Duplicate        bool   // each event is sent twice
 	SkipEvent        int    // the event at this position is not sent; 0 is none
--- a/internal/standin/engine/handle.go
+++ b/internal/standin/engine/handle.go
@@ -66,7 +66,7 @@
 }
 
 func (s *Server) count() Counts {
-	c := Counts{Runs: make(map[string]int, len(s.runs)), Cancels: s.cancels, Crashes: s.crashes}
+	c := Counts{Runs: make(map[string]int, len(s.runs)), Cancels: s.cancels, Crashes: s.crashes, StatusQueries: s.statuses}
 	for id, n := range s.runs {
 		c.Runs[id] = n
 	}
--- a/internal/standin/engine/requests.go
+++ b/internal/standin/engine/requests.go
@@ -14,6 +14,9 @@
 
 // control carries out the command and returns the request's status.
 func (s *Server) control(c control) (m backendhttp.RequestMessage, known bool) {
+	if c.action == "" {
+		s.statuses++
+	}
 	g, known := s.known.Peek(c.id)
 	if !known {
 		return m, false
