--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -174,6 +174,7 @@
 	d.running--
 	d.observeEnd(e)
 	roomForSuspects := d.health.ended(e)
+	d.stopCopies()
 	if s := d.inProgress[e.Attempt.Call.Request.ID]; s != nil {
 		d.advance(s, e)
 	}
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -24,6 +24,7 @@
 type flight struct {
 	fingerprint uint64
 	incarnation string
+	order       uint64 // of the start, among all attempts of this daemon
 }
 
 // serverHealth is what attempts have shown about one server.
@@ -42,6 +43,8 @@
 	now      func() time.Time
 	servers  map[core.ServerID]*serverHealth
 	running  map[uint64]int // attempts in progress, by fingerprint
+	starts   uint64
+	copies   []attemptKey // further copies of new suspects, which are to be stopped
 }
 
 func newHealth(now func() time.Time) *health {
@@ -92,7 +95,8 @@
 
 func (h *health) started(a Attempt, fingerprint uint64) {
 	h.running[fingerprint]++
-	h.server(a.Server).inFlight[attemptKey{a.Call.Request.ID, a.Number}] = flight{fingerprint, a.Incarnation}
+	h.starts++
+	h.server(a.Server).inFlight[attemptKey{a.Call.Request.ID, a.Number}] = flight{fingerprint, a.Incarnation, h.starts}
 }
 
 // ended takes the end of an attempt and reports whether waiting suspects may
@@ -137,6 +141,36 @@
 		}
 	}
 	h.suspects.Crashed(inFlight, now)
+	for _, fingerprint := range distinct(inFlight) {
+		h.findCopies(fingerprint, state)
+	}
+}
+
+// findCopies notes the copies of a new suspect on the other servers, but for
+// the one that started first: each further copy would crash one more server.
+func (h *health) findCopies(fingerprint uint64, crashed *serverHealth) {
+	if h.running[fingerprint] <= 1 {
+		return
+	}
+	var kept attemptKey
+	var earliest uint64
+	for _, state := range h.servers {
+		if state == crashed {
+			continue
+		}
+		for key, f := range state.inFlight {
+			switch {
+			case f.fingerprint != fingerprint:
+			case earliest == 0:
+				kept, earliest = key, f.order
+			case f.order < earliest:
+				h.copies = append(h.copies, kept)
+				kept, earliest = key, f.order
+			default:
+				h.copies = append(h.copies, key)
+			}
+		}
+	}
 }
 
 // isAccepting reports whether the server is neither crashed nor asked for a wait.
--- a/internal/backend/quarantine.go
+++ b/internal/backend/quarantine.go
@@ -32,6 +32,21 @@
 	d.unpark()
 }
 
+// stopCopies ends the attempts at further copies of a new suspect. Their calls
+// wait until the suspect may run again. A call that must not be repeated goes on.
+func (d *Dispatch) stopCopies() {
+	for _, key := range d.health.copies {
+		s := d.inProgress[key.request]
+		if s == nil || !s.call.Request.Repeatable {
+			continue
+		}
+		if stop := s.running[key.number]; stop != nil {
+			stop()
+		}
+	}
+	d.health.copies = nil
+}
+
 // refuseConvicted ends the call when its content is convicted, and reports
 // whether it did. The verdict stays that of the attempts so far.
 func (d *Dispatch) refuseConvicted(s *callState) bool {
--- a/internal/backend/suspects_test.go
+++ b/internal/backend/suspects_test.go
@@ -27,6 +27,9 @@
 func (f *fleet) incarnation(id core.ServerID) string { return fmt.Sprint(f.crashes[id]) }
 
 func (f *fleet) exchange(a Attempt) AttemptEnd {
+	if a.Context.Err() != nil {
+		return broken(a)
+	}
 	if a.Call.Request.Fingerprint == poison {
 		f.total++
 		f.crashes[a.Server]++
@@ -74,6 +77,26 @@
 	}
 }
 
+// Guards against copies of a request that crash one server each, because they
+// all started before the first crash.
+func TestCopiesInFlightAreStopped(t *testing.T) {
+	f := newFleet(t)
+	var calls []*core.Call
+	for range 8 {
+		calls = append(calls, f.bench.submit(context.Background(), poison, true))
+	}
+	f.bench.run()
+	f.bench.advance(10 * time.Second)
+	if f.total > 3 {
+		t.Fatalf("%d crashes on %d servers, want at most 3", f.total, len(f.crashes))
+	}
+	for i, c := range calls {
+		if e := end(c); e == nil || e.Err.Code != core.CodeQuarantined {
+			t.Errorf("copy %d ended with %+v, want quarantined", i, e)
+		}
+	}
+}
+
 // Guards against a false verdict for the copies of a request that ran before
 // it was convicted.
 func TestVerdictOfConvictedRequestThatRan(t *testing.T) {
