--- a/internal/backend/backendhttp/exchange_test.go
+++ b/internal/backend/backendhttp/exchange_test.go
@@ -50,6 +50,11 @@
 }
 
 func newClient(t testing.TB) *backendhttp.Client {
+	t.Helper()
+	return newClientWith(t, silence)
+}
+
+func newClientWith(t testing.TB, silence time.Duration) *backendhttp.Client {
 	t.Helper()
 	c, err := backendhttp.NewClient(backendhttp.Options{Silence: silence, ProbeTimeout: waitLimit})
 	check(t, err)
@@ -252,6 +257,7 @@
 // code or verdict for a deadline or a caller that is gone.
 func TestEndOfContext(t *testing.T) {
 	r := newRig(t)
+	r.client = newClientWith(t, 2*waitLimit) // only closing ends a read in time
 	r.plain.SetFaults(r.ctx, plain.Faults{Silent: true})
 	defer r.plain.SetFaults(r.ctx, plain.Faults{})
 	gone, leave := context.WithCancel(r.ctx)
@@ -277,11 +283,13 @@
 	if end := r.client.Exchange(a); end.Verdict != core.MayHaveRun || end.Err.Code != core.CodeCancelled {
 		t.Errorf("caller gone during the attempt: %v %v", end.Verdict, end.Err)
 	}
+	check(t, r.ctx.Err())
 }
 
 // Guards against an engine that goes on for a caller that is gone.
 func TestCancelReachesEngine(t *testing.T) {
 	r := newRig(t)
+	r.client = newClientWith(t, 2*waitLimit) // only closing ends a read in time
 	r.engine.SetFaults(r.ctx, engine.Faults{Silent: true})
 	ctx, leave := context.WithCancel(r.ctx)
 	a := r.attempt(ctx, t, true, true)
--- a/internal/backend/dispatch_test.go
+++ b/internal/backend/dispatch_test.go
@@ -163,7 +163,9 @@
 // against the end of a call whose other attempt can still answer it.
 func TestFirstWholeAnswerEndsTheOtherAttempt(t *testing.T) {
 	b := newBench(t, 3, nil)
+	stopped := map[int]bool{}
 	b.exchange = func(a Attempt) AttemptEnd {
+		stopped[a.Number] = a.Context.Err() != nil
 		if a.Number == 1 {
 			return broken(a)
 		}
@@ -179,8 +181,8 @@
 	first, second := b.pending[0], b.pending[1]
 	first()
 	b.dispatch.loop.Step()
-	if e := end(call); e != nil {
-		t.Fatalf("end %+v while two attempts are in progress", e)
+	if e := end(call); e != nil || s.waiting {
+		t.Fatalf("end %+v, waiting for a retry %v, while two attempts are in progress", e, s.waiting)
 	}
 	second()
 	b.dispatch.loop.Step()
@@ -188,8 +190,8 @@
 		t.Fatalf("end %+v, want the answer of the second attempt", e)
 	}
 	b.pending[2]()
-	if loser := b.attempts[2]; loser.Context.Err() == nil {
-		t.Error("the third attempt was not stopped")
+	if !stopped[3] || stopped[2] {
+		t.Errorf("attempts stopped: %v, want only the third", stopped)
 	}
 }
 
--- a/internal/backend/suspects_test.go
+++ b/internal/backend/suspects_test.go
@@ -118,7 +118,7 @@
 	b.dispatch.health.suspects.Crashed([]uint64{1, 2, 3, 4, 5}, now)
 	var calls []*core.Call
 	for i := range 10 {
-		calls = append(calls, b.submit(context.Background(), uint64(1+i%5), true))
+		calls = append(calls, b.submit(context.Background(), uint64(1+i/2), true))
 	}
 	if len(b.pending) != 3 {
 		t.Fatalf("%d suspects run at once on 3 servers, want one on each", len(b.pending))
@@ -128,6 +128,11 @@
 			t.Errorf("server %s runs %d suspects, want 1", id, len(s.inFlight))
 		}
 	}
+	for fingerprint, copies := range b.dispatch.health.running {
+		if copies != 1 {
+			t.Errorf("%d copies of suspect %d run at once, want 1", copies, fingerprint)
+		}
+	}
 	b.run()
 	b.advance(time.Second)
 	for i, c := range calls {
