Count requests in flight until their last byte; add stand-in deployments

Cause: the HTTP library's shutdown does not wait for answers on kept connections, so a planned stop could cut off a caller; scenarios need several stand-ins with faults switched over an admin address. Change: transport counts a request until its answer is written and waits for zero at shutdown, and ends a handler's context when the client goes; internal/standin/deployment starts stand-ins from a YAML file.

--- /dev/null
+++ b/internal/standin/cmd/standins/main.go
@@ -0,0 +1,10 @@
+// Command standins runs the stand-ins of a deployment until it is interrupted.
+package main
+
+import (
+	"os"
+
+	"github.com/berylfall/berylfall/internal/standin/deployment"
+)
+
+func main() { os.Exit(deployment.Main(os.Args[1:])) }
--- /dev/null
+++ b/internal/standin/deployment/admin.go
@@ -0,0 +1,115 @@
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/standin/engine"
+	"github.com/berylfall/berylfall/internal/standin/objectapi"
+	"github.com/berylfall/berylfall/internal/standin/plain"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// platformName is the name of the platform's stand-in in fault requests.
+const platformName = "platform"
+
+// AddressesMessage is the content of the address file.
+type AddressesMessage struct {
+	Platform string            `json:"platform"`
+	Admin    string            `json:"admin"`
+	Hosts    map[string]string `json:"hosts"`
+}
+
+// RunsMessage is the answer to GET /runs/{name}.
+type RunsMessage struct {
+	Runs []plain.Run `json:"runs"`
+}
+
+// StateMessage is the body of POST /hosts/{name}.
+type StateMessage struct {
+	State platform.HostState `json:"state"`
+}
+
+// Addresses returns where the stand-ins listen.
+func (d *Deployment) Addresses() AddressesMessage {
+	m := AddressesMessage{Platform: d.PlatformURL(), Admin: d.AdminURL(), Hosts: map[string]string{}}
+	for _, h := range d.hosts {
+		m.Hosts[h.Name] = h.Address
+	}
+	return m
+}
+
+func (d *Deployment) startAdmin() error {
+	var err error
+	d.admin, err = transport.Listen(loopback, transport.ServerOptions{})
+	if err != nil {
+		return err
+	}
+	r := d.admin.Router()
+	r.POST("/faults/:name", d.handleFaults)
+	r.POST("/hosts/:name", d.handleState)
+	r.GET("/runs/:name", d.handleRuns)
+	return d.runner.Serve("standin.admin", d.admin.Serve, d.admin.Shutdown)
+}
+
+// handleFaults replaces the faults of one stand-in; the body is its Faults type as JSON.
+func (d *Deployment) handleFaults(ctx context.Context, c *app.RequestContext) {
+	name := c.Param("name")
+	if err := d.setFaults(ctx, name, c.Request.Body()); err != nil {
+		transport.WriteError(c, core.InvalidError("body", string(c.Request.Body()), "the faults of "+name+" as JSON", err.Error()))
+		return
+	}
+	c.SetStatusCode(consts.StatusOK)
+}
+
+func (d *Deployment) setFaults(ctx context.Context, name string, body []byte) error {
+	if name == platformName {
+		var f objectapi.Faults
+		err := json.Unmarshal(body, &f)
+		if err == nil {
+			d.api.SetFaults(ctx, f)
+		}
+		return err
+	}
+	if e := d.engines[name]; e != nil {
+		var f engine.Faults
+		err := json.Unmarshal(body, &f)
+		if err == nil {
+			e.SetFaults(ctx, f)
+		}
+		return err
+	}
+	if p := d.plains[name]; p != nil {
+		var f plain.Faults
+		err := json.Unmarshal(body, &f)
+		if err == nil {
+			p.SetFaults(ctx, f)
+		}
+		return err
+	}
+	return core.NotRunError(core.CodeNotFound, "no stand-in %q", name)
+}
+
+func (d *Deployment) handleState(ctx context.Context, c *app.RequestContext) {
+	var m StateMessage
+	if err := transport.ReadJSON(c, &m); err != nil {
+		transport.WriteError(c, err)
+		return
+	}
+	d.SetHostState(ctx, c.Param("name"), m.State)
+	c.SetStatusCode(consts.StatusOK)
+}
+
+func (d *Deployment) handleRuns(ctx context.Context, c *app.RequestContext) {
+	p := d.plains[c.Param("name")]
+	if p == nil {
+		transport.WriteError(c, core.NotRunError(core.CodeNotFound, "no plain service %q", c.Param("name")))
+		return
+	}
+	c.JSON(consts.StatusOK, RunsMessage{Runs: p.Runs(ctx)})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -42,6 +42,7 @@
 type Server struct {
 	hertz    *server.Hertz
 	listener net.Listener
+	inFlight *inFlight
 }
 
 // Listen opens the address, such as "127.0.0.1:0", without serving yet.
@@ -56,8 +57,11 @@
 	if o.ReadTimeout == 0 {
 		o.ReadTimeout = DefaultReadTimeout
 	}
+	counter := newInFlight()
 	options := []config.Option{
 		server.WithListener(listener),
+		server.WithTracer(counter),
+		server.WithSenseClientDisconnection(true),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(o.MaxBody),
 		server.WithReadTimeout(o.ReadTimeout),
@@ -69,7 +73,9 @@
 	if o.TLS != nil {
 		options = append(options, server.WithTLS(o.TLS))
 	}
-	return &Server{hertz: server.New(options...), listener: listener}, nil
+	s := &Server{hertz: server.New(options...), listener: listener, inFlight: counter}
+	s.hertz.Use(counter.handle)
+	return s, nil
 }
 
 // Router returns the routes, to which handlers are added before Serve.
@@ -81,8 +87,21 @@
 // Serve handles connections until Shutdown.
 func (s *Server) Serve() error { return s.hertz.Run() }
 
+// Drain makes the server ask clients to close their connections after their
+// next answer.
+func (s *Server) Drain() { s.inFlight.draining.Store(true) }
+
+// WaitIdle blocks until every answer has been written or ctx ends, and reports
+// whether all were.
+func (s *Server) WaitIdle(ctx context.Context) bool { return s.inFlight.wait(ctx) }
+
 // Shutdown stops accepting connections and waits for open requests until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.hertz.Shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	err := s.hertz.Shutdown(ctx)
+	s.WaitIdle(ctx)
+	return err
+}
 
 // ClientOptions changes how a client connects. Zero values take the defaults.
 type ClientOptions struct {
@@ -118,8 +137,10 @@
 	return c, nil
 }
 
+// The HTTP library logs each start and stop at info level by default.
+func init() { hlog.SetLevel(hlog.LevelWarn) }
+
 // UseLogger sends the HTTP library's own log lines to log.
 func UseLogger(log *logrus.Logger) {
 	hlog.SetOutput(log.WriterLevel(logrus.DebugLevel))
-	hlog.SetLevel(hlog.LevelWarn)
 }
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,98 @@
+package transport
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/ring"
+)
+
+const waitLimit = 30 * time.Second
+
+// Guards against a planned stop that cuts off an answer: Shutdown returns only
+// after a request that was in flight has its whole answer.
+func TestShutdownWaitsForRequestsInFlight(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	runner, err := duty.NewRunner(4)
+	check(t, err)
+	server, err := Listen("127.0.0.1:0", ServerOptions{})
+	check(t, err)
+	entered, release := ring.New[bool]("entered", 1), ring.New[bool]("release", 1)
+	server.Router().GET("/slow", func(ctx context.Context, c *app.RequestContext) {
+		entered.TryPut(true)
+		release.Take(ctx)
+		c.String(consts.StatusOK, `"whole"`)
+	})
+	check(t, runner.Serve("test", server.Serve, server.Shutdown))
+	client, err := NewClient(ClientOptions{})
+	check(t, err)
+	answers := ring.New[string]("answers", 1)
+	pool, err := duty.NewPool("test", 2)
+	check(t, err)
+	pool.TryGo(func() {
+		var body string
+		if err := DoJSON(ctx, client, Exchange{Method: "GET", URL: "http://" + server.Address() + "/slow"}, &body); err != nil {
+			body = err.Error()
+		}
+		answers.TryPut(body)
+	})
+	entered.Take(ctx)
+	stopped := ring.New[bool]("stopped", 1)
+	pool.TryGo(func() {
+		_ = server.Shutdown(ctx)
+		stopped.TryPut(true)
+	})
+	if server.WaitIdle(expired()) {
+		t.Error("WaitIdle reports idle with a request in flight")
+	}
+	release.TryPut(true)
+	if _, ok := stopped.Take(ctx); !ok {
+		t.Fatal("Shutdown did not return after the last answer")
+	}
+	if body, _ := answers.Take(ctx); body != "whole" {
+		t.Errorf("answer = %q, want the whole one", body)
+	}
+}
+
+// Guards against work that goes on for a caller that has gone away.
+func TestHandlerContextEndsWhenTheClientGoes(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	runner, err := duty.NewRunner(4)
+	check(t, err)
+	defer runner.Stop(ctx)
+	server, err := Listen("127.0.0.1:0", ServerOptions{})
+	check(t, err)
+	gone := ring.New[bool]("gone", 1)
+	server.Router().GET("/wait", func(ctx context.Context, _ *app.RequestContext) {
+		<-ctx.Done()
+		gone.TryPut(true)
+	})
+	check(t, runner.Serve("test", server.Serve, server.Shutdown))
+	client, err := NewClient(ClientOptions{})
+	check(t, err)
+	_ = DoJSON(ctx, client, Exchange{Method: "GET", URL: "http://" + server.Address() + "/wait", Timeout: 50 * time.Millisecond}, nil)
+	client.CloseIdleConnections()
+	if _, ok := gone.Take(ctx); !ok {
+		t.Error("the handler's context did not end")
+	}
+}
+
+func expired() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
