Stop stand-ins without waiting for waiting watches

Cause: a stopped stand-in waited up to 10 s for the watches it held. Change: stand-ins close their listener without waiting for open requests.

--- a/internal/standin/deployment/admin.go
+++ b/internal/standin/deployment/admin.go
@@ -54,7 +54,7 @@
 	r.POST("/faults/:name", d.handleFaults)
 	r.POST("/hosts/:name", d.handleState)
 	r.GET("/runs/:name", d.handleRuns)
-	return d.runner.Serve("standin.admin", d.admin.Serve, d.admin.Shutdown)
+	return d.runner.Serve("standin.admin", d.admin.Serve, d.admin.Close)
 }
 
 // handleFaults replaces the faults of one stand-in; the body is its Faults type as JSON.
--- a/internal/standin/objectapi/objectapi.go
+++ b/internal/standin/objectapi/objectapi.go
@@ -119,7 +119,7 @@
 	if err := runner.Start(s.loop); err != nil {
 		return nil, err
 	}
-	if err := runner.Serve("standin.objectapi.http", listener.Serve, listener.Shutdown); err != nil {
+	if err := runner.Serve("standin.objectapi.http", listener.Serve, listener.Close); err != nil {
 		return nil, err
 	}
 	return s, nil
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -84,7 +84,7 @@
 	if err := runner.Start(s.loop); err != nil {
 		return nil, err
 	}
-	return s, runner.Serve("standin.plain.http", listener.Serve, listener.Shutdown)
+	return s, runner.Serve("standin.plain.http", listener.Serve, listener.Close)
 }
 
 // Address returns the address that the service listens on.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -103,6 +103,9 @@
 	return err
 }
 
+// Close stops accepting connections without waiting for open requests.
+func (s *Server) Close(ctx context.Context) error { return s.hertz.Shutdown(ctx) }
+
 // ClientOptions changes how a client connects. Zero values take the defaults.
 type ClientOptions struct {
 	TLS         *tls.Config
