Run daemons and stand-ins as processes in scripted scenarios

Cause: nothing proved the path or a planned stop with separate processes. Change: testscript scenarios start, signal and query processes; the daemon writes the addresses in use to a file.

--- /dev/null
+++ b/internal/server/main.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/berylfall/berylfall/internal/settings"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// Exit codes of berylfalld.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// Main runs a daemon with the arguments until SIGTERM or SIGINT and returns its
+// exit code.
+func Main(args []string) int {
+	set, err := settings.Parse(args)
+	var flagError *flags.Error
+	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return ExitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "berylfalld:", err)
+		return ExitSettings
+	}
+	log := set.NewLogger()
+	transport.UseLogger(log)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	daemon, err := Start(set, log)
+	if err != nil {
+		log.WithError(err).Error("daemon cannot start")
+		return ExitFailure
+	}
+	if err := daemon.WriteAddresses(set.AddressFile); err != nil {
+		log.WithError(err).Error("address file cannot be written")
+		return ExitFailure
+	}
+	<-ctx.Done()
+	log.Info("daemon stops after the requests in flight")
+	stopping, stop := context.WithTimeout(context.Background(), set.StopTimeout)
+	defer stop()
+	daemon.Stop(stopping)
+	return ExitOK
+}
+
+// AddressesMessage is the content of the address file.
+type AddressesMessage struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+}
+
+// WriteAddresses writes the addresses in use to the file, for settings whose
+// port is 0. An empty name writes nothing. The file appears in one step, so
+// that a reader never sees a part of it.
+func (s *Server) WriteAddresses(file string) error {
+	if file == "" {
+		return nil
+	}
+	content, err := json.Marshal(AddressesMessage{Callers: s.CallerAddress(), Operators: s.OperatorAddress()})
+	if err != nil {
+		return err
+	}
+	partial := file + ".partial"
+	if err := os.WriteFile(partial, content, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(partial, file)
+}
--- /dev/null
+++ b/scenarios/commands_test.go
@@ -0,0 +1,281 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// waitLimit is a generous bound on events that take a second at most.
+const waitLimit = 60 * time.Second
+
+// retryPause is the pause between two looks at a condition.
+const retryPause = 50 * time.Millisecond
+
+type command = func(ts *testscript.TestScript, neg bool, args []string)
+
+func commands() map[string]command {
+	return map[string]command{
+		"start":    cmdStart,
+		"signal":   cmdSignal,
+		"ended":    cmdEnded,
+		"http":     cmdHTTP,
+		"httpbg":   cmdHTTPBackground,
+		"httpwait": cmdHTTPWait,
+		"until":    cmdUntil,
+		"runs":     cmdRuns,
+	}
+}
+
+// process is a program started by a scenario.
+type process struct {
+	cmd  *exec.Cmd
+	done sync.WaitGroup
+	err  error
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+type pending struct {
+	done   sync.WaitGroup
+	answer answer
+}
+
+var (
+	mu        sync.Mutex
+	processes = map[string]*process{}
+	requests  = map[string]*pending{}
+)
+
+func scoped(ts *testscript.TestScript, name string) string { return ts.Getenv("WORK") + "/" + name }
+
+// cmdStart runs a program in the background: start NAME PROGRAM ARG...
+// It adds --address-file and waits for the file, whose entries become
+// environment variables such as NAME_callers.
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARG...")
+	}
+	name, file := args[0], ts.MkAbs(args[0]+".json")
+	_ = os.Remove(file)
+	cmd := exec.Command(args[1], append(args[2:], "--address-file", file)...)
+	path, err := lookPath(ts, args[1])
+	ts.Check(err)
+	cmd.Path = path
+	cmd.Err = nil
+	cmd.Dir = ts.Getenv("WORK")
+	cmd.Env = []string{"PATH=" + ts.Getenv("PATH"), "HOME=" + ts.Getenv("WORK")}
+	log, err := os.Create(ts.MkAbs(name + ".log"))
+	ts.Check(err)
+	cmd.Stdout, cmd.Stderr = log, log
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd}
+	p.done.Go(func() { p.err = cmd.Wait() })
+	mu.Lock()
+	processes[scoped(ts, name)] = p
+	mu.Unlock()
+	ts.Defer(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		p.done.Wait()
+		_ = log.Close()
+	})
+	readAddresses(ts, name, file)
+}
+
+func lookPath(ts *testscript.TestScript, program string) (string, error) {
+	for _, dir := range strings.Split(ts.Getenv("PATH"), ":") {
+		path := dir + "/" + program
+		if info, err := os.Stat(path); err == nil && !info.IsDir() {
+			return path, nil
+		}
+	}
+	return "", fmt.Errorf("program %s not found", program)
+}
+
+func readAddresses(ts *testscript.TestScript, name, file string) {
+	var content []byte
+	await(ts, "addresses of "+name, func() error {
+		var err error
+		content, err = os.ReadFile(file)
+		return err
+	})
+	var addresses map[string]any
+	ts.Check(json.Unmarshal(content, &addresses))
+	for key, value := range addresses {
+		if text, ok := value.(string); ok {
+			ts.Setenv(name+"_"+key, text)
+		}
+	}
+	hosts, _ := addresses["hosts"].(map[string]any)
+	for host, address := range hosts {
+		ts.Setenv(strings.ReplaceAll(host, "-", "_"), fmt.Sprint(address))
+	}
+}
+
+func await(ts *testscript.TestScript, what string, try func() error) {
+	err := try()
+	for deadline := time.Now().Add(waitLimit); err != nil && time.Now().Before(deadline); err = try() {
+		time.Sleep(retryPause)
+	}
+	if err != nil {
+		ts.Fatalf("%s: %v", what, err)
+	}
+}
+
+func find(ts *testscript.TestScript, name string) *process {
+	mu.Lock()
+	defer mu.Unlock()
+	p := processes[scoped(ts, name)]
+	if p == nil {
+		ts.Fatalf("no process %q", name)
+	}
+	return p
+}
+
+// cmdSignal sends a signal: signal NAME TERM|KILL|STOP|CONT
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	if neg || len(args) != 2 || signals[args[1]] == 0 {
+		ts.Fatalf("usage: signal NAME TERM|KILL|STOP|CONT")
+	}
+	ts.Check(find(ts, args[0]).cmd.Process.Signal(signals[args[1]]))
+}
+
+// cmdEnded waits for a program to end and checks that its exit code is 0: ended NAME
+func cmdEnded(ts *testscript.TestScript, neg bool, args []string) {
+	p := find(ts, args[0])
+	p.done.Wait()
+	if (p.err != nil) != neg {
+		ts.Fatalf("%s ended with %v", args[0], p.err)
+	}
+}
+
+// cmdHTTP sends a request and prints status, verdict and body:
+// http METHOD URL [-H NAME:VALUE]... [-d BODY]
+func cmdHTTP(ts *testscript.TestScript, neg bool, args []string) {
+	printAnswer(ts, neg, send(args))
+}
+
+// cmdUntil repeats a request until it succeeds and the answer holds a text:
+// until TEXT METHOD URL ...
+func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
+	var a answer
+	await(ts, "until "+args[0], func() error {
+		a = send(args[1:])
+		if a.err != nil {
+			return a.err
+		}
+		if a.status >= http.StatusBadRequest || !strings.Contains(a.body, args[0]) {
+			return fmt.Errorf("status %d: %s", a.status, a.body)
+		}
+		return nil
+	})
+	printAnswer(ts, false, a)
+}
+
+// cmdHTTPBackground starts a request whose answer httpwait takes:
+// httpbg NAME METHOD URL ...
+func cmdHTTPBackground(ts *testscript.TestScript, _ bool, args []string) {
+	p := &pending{}
+	p.done.Go(func() { p.answer = send(args[1:]) })
+	mu.Lock()
+	requests[scoped(ts, args[0])] = p
+	mu.Unlock()
+}
+
+// cmdHTTPWait prints the answer of a request started by httpbg: httpwait NAME
+func cmdHTTPWait(ts *testscript.TestScript, neg bool, args []string) {
+	mu.Lock()
+	p := requests[scoped(ts, args[0])]
+	mu.Unlock()
+	if p == nil {
+		ts.Fatalf("no request %q", args[0])
+	}
+	p.done.Wait()
+	printAnswer(ts, neg, p.answer)
+}
+
+func printAnswer(ts *testscript.TestScript, neg bool, a answer) {
+	if a.err != nil {
+		_, _ = fmt.Fprintln(ts.Stdout(), "error:", a.err)
+	} else {
+		_, _ = fmt.Fprintf(ts.Stdout(), "status: %d\nverdict: %s\ncode: %s\n%s\n", a.status, a.header.Get("Berylfall-Verdict"), a.header.Get("Berylfall-Code"), a.body)
+	}
+	failed := a.err != nil || a.status >= http.StatusBadRequest
+	if failed != neg {
+		ts.Fatalf("request: %v, status %d: %s", a.err, a.status, a.body)
+	}
+}
+
+func send(args []string) answer {
+	method, url := args[0], args[1]
+	if !strings.Contains(url, "://") {
+		url = "http://" + url
+	}
+	var body []byte
+	headers := http.Header{}
+	for i := 2; i+1 < len(args); i += 2 {
+		switch args[i] {
+		case "-H":
+			name, value, _ := strings.Cut(args[i+1], ":")
+			headers.Set(name, value)
+		case "-d":
+			body = []byte(args[i+1])
+		}
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header = headers
+	client := &http.Client{Timeout: waitLimit}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+// cmdRuns checks how often a plain service carried out a key: runs NAME KEY COUNT
+func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	total := 0
+	for _, name := range strings.Split(args[0], ",") {
+		a := send([]string{"GET", ts.Getenv("standins_admin") + "/runs/" + name})
+		ts.Check(a.err)
+		var m struct {
+			Runs []struct{ Key string } `json:"runs"`
+		}
+		ts.Check(json.Unmarshal([]byte(a.body), &m))
+		for _, r := range m.Runs {
+			if r.Key == args[1] {
+				total++
+			}
+		}
+	}
+	if total != want {
+		ts.Fatalf("key %s ran %d times, want %d", args[1], total, want)
+	}
+}
