Score samples in batches, each once

Cause: samples need scores, and a scoring service may be down, slow, partial or answer twice. Change: the scorer duty, its HTTP encoding and a stand-in; trainers of a contract may name a scorer.

--- a/internal/core/contract.go
+++ b/internal/core/contract.go
@@ -90,6 +90,7 @@
 	Service      string  `json:"service" yaml:"service"`
 	Share        float64 `json:"share,omitempty" yaml:"share,omitempty"`               // of the customer's concurrency, 0 to 1
 	SpareSamples int     `json:"spareSamples,omitempty" yaml:"spareSamples,omitempty"` // extra samples per group against stragglers
+	Scorer       string  `json:"scorer,omitempty" yaml:"scorer,omitempty"`             // base URL of the scoring service; empty delivers without scores
 }
 
 // Objective is a service-level objective for the burn report.
--- /dev/null
+++ b/internal/scorer/scorer_test.go
@@ -0,0 +1,148 @@
+package scorer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+// waitLimit is a generous bound on events that take microseconds.
+const waitLimit = 30 * time.Second
+
+// fakeClient answers each batch by a function.
+type fakeClient func(url string, b Batch) ([]Score, error)
+
+func (f fakeClient) Score(_ context.Context, url string, b Batch) ([]Score, error) { return f(url, b) }
+
+// bench steps a scorer duty on a manual clock.
+type bench struct {
+	t      *testing.T
+	clock  *duty.ManualClock
+	scorer *Scorer
+	scores map[SampleID]int
+}
+
+func newBench(t *testing.T, client Client) *bench {
+	t.Helper()
+	pool, err := duty.NewPool("test", 16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	clock := duty.NewManualClock(time.Unix(0, 0))
+	return &bench{t: t, clock: clock, scorer: New(clock, client, pool), scores: map[SampleID]int{}}
+}
+
+func (b *bench) submit(url string, n int) {
+	for i := range n {
+		b.scorer.Submit(Request{
+			URL:    url,
+			Item:   Item{ID: SampleID(fmt.Sprintf("%s/%d", url, i))},
+			Done:   func(s Score) { b.scores[s.ID]++ },
+			Failed: func(e *core.Error) { b.t.Errorf("sample refused: %v", e) },
+		})
+		b.scorer.Loop().Step()
+	}
+}
+
+// runUntil advances the clock until the number of scored samples is reached.
+func (b *bench) runUntil(scored int) {
+	b.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for len(b.scores) < scored && time.Now().Before(deadline) {
+		b.clock.Advance(maxRetryDelay)
+		b.scorer.Loop().Step()
+		time.Sleep(100 * time.Microsecond) // lets pool workers finish their calls
+	}
+	if len(b.scores) != scored {
+		b.t.Fatalf("%d samples have a score, want %d", len(b.scores), scored)
+	}
+	for id, n := range b.scores {
+		if n != 1 {
+			b.t.Errorf("sample %s took %d scores, want 1", id, n)
+		}
+	}
+}
+
+func all(b Batch) []Score {
+	var scores []Score
+	for _, item := range b.Items {
+		scores = append(scores, Score{ID: item.ID})
+	}
+	return scores
+}
+
+// Guards against a sample that takes two scores when the service answers twice
+// or scores a batch whose first answer was lost.
+func TestSampleTakesOneScore(t *testing.T) {
+	failures := 3
+	b := newBench(t, fakeClient(func(_ string, batch Batch) ([]Score, error) {
+		if failures > 0 {
+			failures--
+			return nil, errors.New("answer lost")
+		}
+		return append(all(batch), all(batch)...), nil
+	}))
+	b.submit("a", 50)
+	b.runUntil(50)
+	if c := b.scorer.Counters(); c.Unknown != 50 {
+		t.Errorf("dropped scores = %d, want 50", c.Unknown)
+	}
+}
+
+// Guards against samples that are lost when a service scores part of a batch.
+func TestPartOfABatchIsSentAgain(t *testing.T) {
+	b := newBench(t, fakeClient(func(_ string, batch Batch) ([]Score, error) {
+		return all(batch)[:(len(batch.Items)+1)/2], nil
+	}))
+	b.submit("a", MaxBatch)
+	b.runUntil(MaxBatch)
+}
+
+// Guards against a service that is down and holds up the samples of another.
+func TestServiceThatIsDownHoldsUpOnlyItsOwnSamples(t *testing.T) {
+	b := newBench(t, fakeClient(func(url string, batch Batch) ([]Score, error) {
+		if url == "down" {
+			return nil, errors.New("connection refused")
+		}
+		return all(batch), nil
+	}))
+	b.submit("down", 3*MaxBatch)
+	b.submit("up", 3*MaxBatch)
+	b.runUntil(3 * MaxBatch)
+	for id := range b.scores {
+		if id[:2] != "up" {
+			t.Errorf("sample %s has a score from a service that is down", id)
+		}
+	}
+}
+
+// BenchmarkBatches compares calls to the service for 8,192 samples with the
+// baseline of one call per sample.
+func BenchmarkBatches(b *testing.B) {
+	const samples = 8192
+	pool, err := duty.NewPool("bench", 16)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer pool.Release()
+	for range b.N {
+		clock := duty.NewManualClock(time.Unix(0, 0))
+		s := New(clock, fakeClient(func(_ string, batch Batch) ([]Score, error) { return all(batch), nil }), pool)
+		scored := 0
+		for i := range samples {
+			s.Submit(Request{URL: "a", Item: Item{ID: SampleID(fmt.Sprint(i))}, Done: func(Score) { scored++ }})
+			s.Loop().Step()
+		}
+		for scored < samples {
+			clock.Advance(batchDelay)
+			s.Loop().Step()
+		}
+		b.ReportMetric(float64(s.Counters().Batches)/samples, "calls-ratio")
+	}
+}
--- /dev/null
+++ b/internal/scorer/scorerhttp/scorerhttp.go
@@ -0,0 +1,77 @@
+// Package scorerhttp encodes calls to scoring services as HTTP.
+package scorerhttp
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/berylfall/berylfall/internal/scorer"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// PathScore is the path of a scoring service.
+const PathScore = "/v1/score"
+
+// BatchMessage is the body of POST /v1/score.
+type BatchMessage struct {
+	BatchID string          `json:"batch_id"`
+	Samples []SampleMessage `json:"samples"`
+}
+
+// SampleMessage is one sample to score.
+type SampleMessage struct {
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+	Text   string `json:"text"`
+}
+
+// ScoresMessage is the answer to POST /v1/score.
+type ScoresMessage struct {
+	Scores []ScoreMessage `json:"scores"`
+}
+
+// ScoreMessage is the score of one sample.
+type ScoreMessage struct {
+	ID    string  `json:"id"`
+	Score float64 `json:"score"`
+}
+
+// Client sends batches over HTTP.
+type Client struct {
+	http *client.Client
+}
+
+var _ scorer.Client = (*Client)(nil)
+
+// NewClient returns a client for scoring services.
+func NewClient(o transport.ClientOptions) (*Client, error) {
+	c, err := transport.NewClient(o)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{http: c}, nil
+}
+
+// Score sends the batch to the scoring service at the base URL.
+func (c *Client) Score(ctx context.Context, url string, b scorer.Batch) ([]scorer.Score, error) {
+	m := BatchMessage{BatchID: b.ID, Samples: make([]SampleMessage, 0, len(b.Items))}
+	for _, item := range b.Items {
+		m.Samples = append(m.Samples, SampleMessage{ID: string(item.ID), Prompt: item.Prompt, Text: item.Text})
+	}
+	x := transport.Exchange{Method: consts.MethodPost, URL: url + PathScore, Body: m}
+	if deadline, ok := ctx.Deadline(); ok {
+		x.Timeout = time.Until(deadline)
+	}
+	var answer ScoresMessage
+	if err := transport.DoJSON(ctx, c.http, x, &answer); err != nil {
+		return nil, err
+	}
+	scores := make([]scorer.Score, 0, len(answer.Scores))
+	for _, s := range answer.Scores {
+		scores = append(scores, scorer.Score{ID: scorer.SampleID(s.ID), Value: s.Score})
+	}
+	return scores, nil
+}
--- /dev/null
+++ b/internal/standin/scorer/scorer.go
@@ -0,0 +1,139 @@
+// Package scorer is a stand-in for a scoring service.
+package scorer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/scorer/scorerhttp"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+const askCapacity = 1024
+
+// Faults switch on failures. The zero value has none.
+type Faults struct {
+	Down        bool          // batches are refused
+	LoseAnswers int           // this many next batches are scored and answered with 500
+	Twice       bool          // each score stands twice in the answer
+	Half        bool          // the second half of each batch gets no score
+	Delay       time.Duration // added to each batch
+}
+
+type query struct {
+	batch     *scorerhttp.BatchMessage
+	setFaults *Faults
+}
+
+type reply struct {
+	status int
+	scores scorerhttp.ScoresMessage
+	delay  time.Duration
+	counts map[string]int
+}
+
+// Server is the stand-in. One duty owns its state.
+type Server struct {
+	loop   *duty.Loop
+	asks   *duty.AskRing[query, reply]
+	http   *transport.Server
+	faults Faults
+	counts map[string]int // how often each sample was scored
+}
+
+// Start listens on the address and serves on the runner's threads.
+func Start(address string, clock duty.Clock, runner *duty.Runner) (*Server, error) {
+	listener, err := transport.Listen(address, transport.ServerOptions{})
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		loop:   duty.New("standin.scorer", clock),
+		asks:   duty.NewAskRing[query, reply]("scorer.asks", askCapacity),
+		http:   listener,
+		counts: map[string]int{},
+	}
+	duty.OnAsk(s.loop, s.asks, s.handle)
+	listener.Router().POST(scorerhttp.PathScore, s.score)
+	if err := runner.Start(s.loop); err != nil {
+		return nil, err
+	}
+	return s, runner.Serve("standin.scorer.http", listener.Serve, listener.Close)
+}
+
+// URL returns the base URL of the service.
+func (s *Server) URL() string { return "http://" + s.http.Address() }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(ctx context.Context, f Faults) {
+	_, _ = s.asks.Ask(ctx, query{setFaults: &f})
+}
+
+// Counts returns how often each sample was scored.
+func (s *Server) Counts(ctx context.Context) map[string]int {
+	r, _ := s.asks.Ask(ctx, query{})
+	return r.counts
+}
+
+func (s *Server) score(ctx context.Context, c *app.RequestContext) {
+	var m scorerhttp.BatchMessage
+	if err := transport.ReadJSON(c, &m); err != nil {
+		transport.WriteError(c, err)
+		return
+	}
+	r, err := s.asks.Ask(ctx, query{batch: &m})
+	if err != nil {
+		c.SetStatusCode(consts.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(r.delay)
+	if r.status != consts.StatusOK {
+		c.SetStatusCode(r.status)
+		return
+	}
+	c.JSON(r.status, r.scores)
+}
+
+func (s *Server) handle(ask duty.Ask[query, reply]) {
+	q := ask.Query
+	switch {
+	case q.setFaults != nil:
+		s.faults = *q.setFaults
+		ask.Reply(reply{status: consts.StatusOK})
+	case q.batch == nil:
+		counts := make(map[string]int, len(s.counts))
+		for id, n := range s.counts {
+			counts[id] = n
+		}
+		ask.Reply(reply{status: consts.StatusOK, counts: counts})
+	case s.faults.Down:
+		ask.Reply(reply{status: consts.StatusServiceUnavailable})
+	default:
+		ask.Reply(s.scoreBatch(q.batch))
+	}
+}
+
+func (s *Server) scoreBatch(m *scorerhttp.BatchMessage) reply {
+	samples := m.Samples
+	if s.faults.Half {
+		samples = samples[:(len(samples)+1)/2]
+	}
+	r := reply{status: consts.StatusOK, delay: s.faults.Delay}
+	for _, sample := range samples {
+		s.counts[sample.ID]++
+		score := scorerhttp.ScoreMessage{ID: sample.ID, Score: float64(len(sample.Text))}
+		r.scores.Scores = append(r.scores.Scores, score)
+		if s.faults.Twice {
+			r.scores.Scores = append(r.scores.Scores, score)
+		}
+	}
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		r.status = consts.StatusInternalServerError
+	}
+	return r
+}
