Roll out weight versions by copies between workers

Cause: loads from the weight store alone take 168 s for 56 workers; the target is 37 s on all workers, with enough of them up. Change: a plan per data centre with one load from the store and copies between workers, orders under a lease with fencing numbers, read-back and repair; stand-in for the weight store. Not wired into the daemon yet.

--- /dev/null
+++ b/internal/standin/weightstore/weightstore.go
@@ -0,0 +1,93 @@
+// Package weightstore is a stand-in for the platform's weight store.
+package weightstore
+
+import (
+	"context"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/transport"
+	"github.com/berylfall/berylfall/internal/weights/weightshttp"
+)
+
+const askCapacity = 1024
+
+// Faults switch on failures. The zero value has none.
+type Faults struct {
+	Down bool // every call is refused
+}
+
+type query struct {
+	model     string
+	publish   int64 // new version, if above 0
+	setFaults *Faults
+}
+
+type reply struct {
+	down    bool
+	version int64
+}
+
+// Server is the stand-in. One duty owns its state.
+type Server struct {
+	loop     *duty.Loop
+	asks     *duty.AskRing[query, reply]
+	http     *transport.Server
+	versions map[string]int64
+	faults   Faults
+}
+
+// Start listens on the address and serves on the runner's threads.
+func Start(address string, clock duty.Clock, runner *duty.Runner) (*Server, error) {
+	listener, err := transport.Listen(address, transport.ServerOptions{})
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		loop:     duty.New("standin.weightstore", clock),
+		asks:     duty.NewAskRing[query, reply]("weightstore.asks", askCapacity),
+		http:     listener,
+		versions: map[string]int64{},
+	}
+	duty.OnAsk(s.loop, s.asks, s.handle)
+	listener.Router().GET(weightshttp.PathLatest+":model", s.latest)
+	if err := runner.Start(s.loop); err != nil {
+		return nil, err
+	}
+	return s, runner.Serve("standin.weightstore.http", listener.Serve, listener.Close)
+}
+
+// URL returns the base URL of the store.
+func (s *Server) URL() string { return "http://" + s.http.Address() }
+
+// Publish makes a version the newest of the model.
+func (s *Server) Publish(ctx context.Context, model string, version int64) {
+	_, _ = s.asks.Ask(ctx, query{model: model, publish: version})
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(ctx context.Context, f Faults) {
+	_, _ = s.asks.Ask(ctx, query{setFaults: &f})
+}
+
+func (s *Server) latest(ctx context.Context, c *app.RequestContext) {
+	r, err := s.asks.Ask(ctx, query{model: c.Param("model")})
+	if err != nil || r.down {
+		c.SetStatusCode(consts.StatusServiceUnavailable)
+		return
+	}
+	c.JSON(consts.StatusOK, weightshttp.LatestMessage{Model: c.Param("model"), Version: r.version})
+}
+
+func (s *Server) handle(ask duty.Ask[query, reply]) {
+	q := ask.Query
+	if q.setFaults != nil {
+		s.faults = *q.setFaults
+	}
+	if q.publish > 0 {
+		s.versions[q.model] = q.publish
+	}
+	ask.Reply(reply{down: s.faults.Down, version: s.versions[q.model]})
+}
--- /dev/null
+++ b/internal/weights/plan.go
@@ -0,0 +1,153 @@
+// Package weights holds the decisions about new weight versions: which worker
+// loads a version when and from where, within the weight store's rate limit and
+// with enough workers left to serve. The wire encoding is in weightshttp.
+package weights
+
+import (
+	"sort"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// WorkerState says whether a worker can serve.
+type WorkerState int
+
+// States of workers.
+const (
+	StateReady   WorkerState = iota // serves the version it reported last
+	StateLoading                    // an order is in progress
+	StateUnknown                    // a load failed or was not read back; gets no work
+)
+
+// Worker is one engine as the roll-out sees it.
+type Worker struct {
+	ID          core.ServerID
+	Address     string
+	Service     string
+	Model       string
+	Incarnation string
+	ChecksFence bool // refuses orders with an old fencing number
+	Version     core.Version
+	State       WorkerState
+}
+
+// Limits bounds a roll-out in one data centre.
+type Limits struct {
+	StoreFetches    int     // loads from the weight store at once
+	CopiesPerSource int     // workers that copy from one worker at once
+	MinReady        float64 // share of the workers that stays ready, 0 to 1
+}
+
+// DefaultLimits leaves three quarters of the workers ready. With a load time of
+// 3 s it brings a version to 56 workers, the mean of a data centre at the
+// target size, within the target of 37 s; see BenchmarkRollOut.
+func DefaultLimits() Limits {
+	return Limits{StoreFetches: 1, CopiesPerSource: 2, MinReady: 0.75}
+}
+
+// Order tells one worker to load a version.
+type Order struct {
+	Worker  core.ServerID
+	Version core.Version
+	Source  core.ServerID // worker to copy from; empty is the weight store
+}
+
+// loads counts the loads in progress by source.
+type loads map[core.ServerID]int
+
+// Plan returns the orders that may start now. inProgress holds the orders that
+// have started and not ended. It changes nothing.
+func Plan(workers []Worker, inProgress []Order, target core.Version, l Limits) []Order {
+	if !target.Known() {
+		return nil
+	}
+	bySource := countLoads(inProgress)
+	sources := freeSources(workers, bySource, target, l.CopiesPerSource)
+	storeFree := l.StoreFetches - bySource[""]
+	down := unavailable(workers)
+	allowed := allowedDown(len(workers), l.MinReady)
+
+	var orders []Order
+	for _, w := range behind(workers, target) {
+		takesDown := w.State == StateReady
+		if takesDown && down >= allowed {
+			continue
+		}
+		order := Order{Worker: w.ID, Version: target}
+		switch {
+		case len(sources) > 0:
+			order.Source = sources[0]
+			sources = sources[1:]
+		case storeFree > 0:
+			storeFree--
+		default:
+			return orders
+		}
+		if takesDown {
+			down++
+		}
+		orders = append(orders, order)
+	}
+	return orders
+}
+
+func countLoads(orders []Order) loads {
+	counts := loads{}
+	for _, o := range orders {
+		counts[o.Source]++
+	}
+	return counts
+}
+
+// freeSources returns each worker that holds the target once for each copy it can still serve.
+func freeSources(workers []Worker, bySource loads, target core.Version, perSource int) []core.ServerID {
+	var free []core.ServerID
+	for _, w := range workers {
+		if w.State != StateReady || w.Version != target {
+			continue
+		}
+		for range perSource - bySource[w.ID] {
+			free = append(free, w.ID)
+		}
+	}
+	return free
+}
+
+func unavailable(workers []Worker) int {
+	n := 0
+	for _, w := range workers {
+		if w.State != StateReady {
+			n++
+		}
+	}
+	return n
+}
+
+// allowedDown is at least 1, since a roll-out to few workers must make progress.
+func allowedDown(workers int, minReady float64) int {
+	return max(1, int(float64(workers)*(1-minReady)))
+}
+
+// behind returns the workers that need the target: first those that serve
+// nothing, since their load costs no capacity, then the oldest versions.
+func behind(workers []Worker, target core.Version) []Worker {
+	var list []Worker
+	for _, w := range workers {
+		loading := w.State == StateLoading
+		current := w.State == StateReady && w.Version >= target
+		if !loading && !current {
+			list = append(list, w)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if (a.State == StateUnknown) != (b.State == StateUnknown) {
+			return a.State == StateUnknown
+		}
+		if a.Version != b.Version {
+			return a.Version < b.Version
+		}
+		return a.ID < b.ID
+	})
+	return list
+}
--- /dev/null
+++ b/internal/weights/rollout.go
@@ -0,0 +1,324 @@
+package weights
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/ring"
+)
+
+// Timings of the weights duty.
+const (
+	tickPeriod = 500 * time.Millisecond
+	// MaxOrderTime bounds one order from its check against the lease to its
+	// last byte. A new owner waits that long before it orders engines that do
+	// not check fencing numbers, so that an order of the old owner is not
+	// carried out after one of the new owner, unless the old owner was paused;
+	// read-back repairs that case.
+	MaxOrderTime  = 30 * time.Second
+	latestTimeout = 2 * time.Second
+	ringCapacity  = 4096
+	// staleAfter is how long a worker may go without a report before its
+	// version counts as unknown.
+	staleAfter = 10 * time.Second
+)
+
+// Orderer gives orders to engines. Its methods block.
+type Orderer interface {
+	// Load returns once the engine has loaded the version or the load has failed.
+	Load(ctx context.Context, w Worker, o Order, source string, fence int64) error
+}
+
+// Store is the weight store. Its methods block.
+type Store interface {
+	// Latest returns the newest version of the model.
+	Latest(ctx context.Context, model string) (core.Version, error)
+}
+
+// Report is what an engine says of itself.
+type Report struct {
+	Worker Worker // State is not used
+	At     time.Time
+}
+
+// Holding is this daemon's lease on the roll-outs of its data centre.
+type Holding struct {
+	Fence      int64
+	ValidUntil time.Time // on this host's monotonic clock
+}
+
+type orderEnd struct {
+	order Order
+	err   error
+}
+
+type latestResult struct {
+	model   string
+	version core.Version
+	err     error
+}
+
+// workerState is a worker with what the duty knows beyond its reports.
+type workerState struct {
+	Worker
+	reported time.Time
+	// loadEnded is when the last order to the worker ended. A report from
+	// before that says nothing about what the worker holds now.
+	loadEnded time.Time
+}
+
+// Rollout is the duty that brings new versions to the workers of a data centre.
+// It gives orders only while its daemon holds the lease.
+type Rollout struct {
+	loop    *duty.Loop
+	log     *logrus.Entry
+	orderer Orderer
+	store   Store
+	pool    *duty.Pool
+	limits  Limits
+
+	reports  *ring.Ring[[]Report]
+	holdings *ring.Ring[Holding]
+	ends     *ring.Ring[orderEnd]
+	latest   *ring.Ring[latestResult]
+
+	workers    map[core.ServerID]*workerState
+	targets    map[string]core.Version // by model
+	asking     map[string]bool         // models whose latest version is being read
+	inProgress map[core.ServerID]Order
+	holding    Holding
+	heldSince  time.Time // first moment of the holding's fencing number
+	listeners  []func(model string, v core.Version)
+
+	failures uint64
+	repairs  uint64
+}
+
+// NewRollout returns the weights duty. listeners are told of each new version
+// and must not wait.
+func NewRollout(clock duty.Clock, log *logrus.Entry, o Orderer, s Store, pool *duty.Pool, l Limits, listeners ...func(string, core.Version)) *Rollout {
+	r := &Rollout{
+		loop:       duty.New("weights", clock),
+		log:        log,
+		orderer:    o,
+		store:      s,
+		pool:       pool,
+		limits:     l,
+		reports:    ring.New[[]Report]("weights.reports", 16),
+		holdings:   ring.New[Holding]("weights.holdings", 16),
+		ends:       ring.New[orderEnd]("weights.ends", ringCapacity),
+		latest:     ring.New[latestResult]("weights.latest", ringCapacity),
+		workers:    map[core.ServerID]*workerState{},
+		targets:    map[string]core.Version{},
+		asking:     map[string]bool{},
+		inProgress: map[core.ServerID]Order{},
+		listeners:  listeners,
+	}
+	duty.On(r.loop, r.holdings, r.handleHolding)
+	duty.On(r.loop, r.reports, r.handleReports)
+	duty.On(r.loop, r.ends, r.handleEnd)
+	duty.On(r.loop, r.latest, r.handleLatest)
+	r.loop.Every(tickPeriod, r.tick)
+	return r
+}
+
+// Loop returns the duty's loop.
+func (r *Rollout) Loop() *duty.Loop { return r.loop }
+
+// SetReports takes what the engines of the data centre say of themselves.
+func (r *Rollout) SetReports(reports []Report) { r.reports.PutLatest(reports) }
+
+// SetHolding takes the lease of this daemon; the zero Holding says that it has none.
+func (r *Rollout) SetHolding(h Holding) { r.holdings.PutLatest(h) }
+
+func (r *Rollout) handleHolding(h Holding) {
+	if h.Fence != r.holding.Fence {
+		r.heldSince = r.loop.Clock().Now()
+	}
+	r.holding = h
+	r.order()
+}
+
+// handleReports takes over what the engines hold. A worker is ready again only
+// by a report from after its last order ended.
+func (r *Rollout) handleReports(reports []Report) {
+	for _, report := range reports {
+		w := r.workers[report.Worker.ID]
+		if w == nil {
+			w = &workerState{}
+			r.workers[report.Worker.ID] = w
+		}
+		r.applyReport(w, report)
+	}
+	r.order()
+}
+
+func (r *Rollout) applyReport(w *workerState, report Report) {
+	state := w.State
+	target := r.targets[report.Worker.Model]
+	if w.State == StateReady && w.Version == target && target.Known() && report.Worker.Version < target {
+		// Another owner's late order, or a restart, took the version away.
+		r.repairs++
+	}
+	if state != StateLoading && report.At.After(w.loadEnded) {
+		state = StateReady
+		if !report.Worker.Version.Known() {
+			state = StateUnknown
+		}
+	}
+	w.Worker = report.Worker
+	w.State = state
+	w.reported = report.At
+}
+
+func (r *Rollout) tick() {
+	r.dropSilent()
+	for _, model := range r.models() {
+		r.askLatest(model)
+	}
+	r.order()
+}
+
+// dropSilent forgets workers whose reports have stopped.
+func (r *Rollout) dropSilent() {
+	now := r.loop.Clock().Now()
+	for id, w := range r.workers {
+		if w.State != StateLoading && now.Sub(w.reported) > staleAfter {
+			delete(r.workers, id)
+		}
+	}
+}
+
+func (r *Rollout) models() []string {
+	seen := map[string]bool{}
+	var models []string
+	for _, w := range r.workers {
+		if !seen[w.Model] {
+			seen[w.Model] = true
+			models = append(models, w.Model)
+		}
+	}
+	return models
+}
+
+// askLatest reads the newest version, which only the owner needs.
+func (r *Rollout) askLatest(model string) {
+	if r.asking[model] || !r.isOwner() {
+		return
+	}
+	r.asking[model] = r.pool.TryGo(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), latestTimeout)
+		defer cancel()
+		version, err := r.store.Latest(ctx, model)
+		r.latest.TryPut(latestResult{model: model, version: version, err: err})
+	})
+}
+
+func (r *Rollout) handleLatest(l latestResult) {
+	r.asking[l.model] = false
+	if l.err != nil || l.version <= r.targets[l.model] {
+		return
+	}
+	r.targets[l.model] = l.version
+	for _, listener := range r.listeners {
+		listener(l.model, l.version)
+	}
+	r.order()
+}
+
+func (r *Rollout) isOwner() bool {
+	return r.holding.Fence > 0 && r.loop.Clock().Now().Before(r.holding.ValidUntil)
+}
+
+// order starts the orders that the plan allows now.
+func (r *Rollout) order() {
+	if !r.isOwner() {
+		return
+	}
+	for model, target := range r.targets {
+		for _, o := range Plan(r.workersOf(model), r.ordersOf(model), target, r.limits) {
+			r.start(o)
+		}
+	}
+}
+
+// workersOf returns the model's workers that may be ordered now.
+func (r *Rollout) workersOf(model string) []Worker {
+	var list []Worker
+	for _, w := range r.workers {
+		if w.Model != model || !r.mayOrder(w) {
+			continue
+		}
+		worker := w.Worker
+		if w.State == StateUnknown && !w.reported.After(w.loadEnded) {
+			// Not read back yet: it counts as down and gets no order.
+			worker.State = StateLoading
+		}
+		list = append(list, worker)
+	}
+	return list
+}
+
+// mayOrder keeps a new owner from ordering engines that do not check fencing
+// numbers while an order of the old owner may still be on its way.
+func (r *Rollout) mayOrder(w *workerState) bool {
+	return w.ChecksFence || r.loop.Clock().Now().Sub(r.heldSince) >= MaxOrderTime
+}
+
+func (r *Rollout) ordersOf(model string) []Order {
+	var list []Order
+	for id, o := range r.inProgress {
+		if w := r.workers[id]; w != nil && w.Model == model {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func (r *Rollout) start(o Order) {
+	w := r.workers[o.Worker]
+	source := ""
+	if s := r.workers[o.Source]; s != nil {
+		source = s.Address
+	}
+	worker, holding, clock := w.Worker, r.holding, r.loop.Clock()
+	started := r.pool.TryGo(func() {
+		r.ends.TryPut(orderEnd{order: o, err: r.carryOut(clock, holding, worker, o, source)})
+	})
+	if !started {
+		return
+	}
+	w.State = StateLoading
+	r.inProgress[o.Worker] = o
+}
+
+// carryOut runs on the pool. It checks the lease again right before the order
+// is sent, since the worker may have waited.
+func (r *Rollout) carryOut(clock duty.Clock, h Holding, w Worker, o Order, source string) error {
+	left := h.ValidUntil.Sub(clock.Now())
+	if left <= 0 {
+		return core.NotRunError(core.CodeConflict, "the lease on roll-outs has lapsed")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), MaxOrderTime)
+	defer cancel()
+	return r.orderer.Load(ctx, w, o, source, h.Fence)
+}
+
+// handleEnd leaves the worker out of work until a later report says what it
+// holds, whether the load seems to have succeeded or not.
+func (r *Rollout) handleEnd(e orderEnd) {
+	delete(r.inProgress, e.order.Worker)
+	if e.err != nil {
+		r.failures++
+		r.log.WithError(e.err).WithField("backend_server", e.order.Worker).Warn("order to load a version failed")
+	}
+	if w := r.workers[e.order.Worker]; w != nil {
+		w.State = StateUnknown
+		w.loadEnded = r.loop.Clock().Now()
+	}
+	r.order()
+}
--- /dev/null
+++ b/internal/weights/rollout_test.go
@@ -0,0 +1,215 @@
+package weights
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+// waitLimit is a generous bound on events that take microseconds.
+const waitLimit = 30 * time.Second
+
+type sentOrder struct {
+	order Order
+	fence int64
+}
+
+// engines is a fake of the workers and of the weight store.
+type engines struct {
+	mu      sync.Mutex
+	workers map[core.ServerID]*Worker
+	sent    []sentOrder
+	fail    map[core.ServerID]bool
+}
+
+func (e *engines) Load(_ context.Context, w Worker, o Order, _ string, fence int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sent = append(e.sent, sentOrder{order: o, fence: fence})
+	if e.fail[w.ID] {
+		e.workers[w.ID].Version = 0
+		return errors.New("load failed partway")
+	}
+	e.workers[w.ID].Version = o.Version
+	return nil
+}
+
+func (e *engines) Latest(context.Context, string) (core.Version, error) { return 2, nil }
+
+func (e *engines) orders() []sentOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]sentOrder{}, e.sent...)
+}
+
+type bench struct {
+	t       *testing.T
+	clock   *duty.ManualClock
+	engines *engines
+	rollout *Rollout
+}
+
+func newBench(t *testing.T, n int, checksFence bool) *bench {
+	t.Helper()
+	pool, err := duty.NewPool("test", 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := &engines{workers: map[core.ServerID]*Worker{}, fail: map[core.ServerID]bool{}}
+	for _, w := range newWorkers(n, 1) {
+		w.ChecksFence = checksFence
+		e.workers[w.ID] = &w
+	}
+	clock := duty.NewManualClock(time.Unix(1000, 0))
+	return &bench{
+		t:       t,
+		clock:   clock,
+		engines: e,
+		rollout: NewRollout(clock, logrus.NewEntry(log), e, e, pool, DefaultLimits()),
+	}
+}
+
+// report hands the engines' own reports to the duty.
+func (b *bench) report() {
+	b.engines.mu.Lock()
+	var reports []Report
+	for _, w := range b.engines.workers {
+		reports = append(reports, Report{Worker: *w, At: b.clock.Now()})
+	}
+	b.engines.mu.Unlock()
+	b.rollout.SetReports(reports)
+	b.rollout.Loop().Step()
+}
+
+// step lets one tick pass, with reports and with the calls on the pool ended.
+func (b *bench) step() {
+	b.report()
+	b.clock.Advance(tickPeriod)
+	b.rollout.Loop().Step()
+	time.Sleep(time.Millisecond) // lets pool workers finish their calls
+	b.rollout.Loop().Step()
+}
+
+func (b *bench) hold(fence int64) {
+	b.rollout.SetHolding(Holding{Fence: fence, ValidUntil: b.clock.Now().Add(time.Hour)})
+	b.rollout.Loop().Step()
+}
+
+func (b *bench) until(what string, reached func() bool) {
+	b.t.Helper()
+	for deadline := time.Now().Add(waitLimit); !reached(); {
+		if time.Now().After(deadline) {
+			b.t.Fatalf("not reached: %s", what)
+		}
+		b.step()
+	}
+}
+
+func (b *bench) allAt(v core.Version) func() bool {
+	return func() bool {
+		b.engines.mu.Lock()
+		defer b.engines.mu.Unlock()
+		for _, w := range b.engines.workers {
+			if w.Version != v {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against a roll-out that stops before every worker has the version.
+func TestRolloutReachesEveryWorker(t *testing.T) {
+	b := newBench(t, 12, true)
+	b.hold(7)
+	b.until("version 2 on every worker", b.allAt(2))
+	for _, s := range b.engines.orders() {
+		if s.fence != 7 {
+			t.Errorf("order to %s carries fencing number %d, want 7", s.order.Worker, s.fence)
+		}
+	}
+}
+
+// Guards against a worker that gets work while it is unknown what it holds
+// after a load that failed partway.
+func TestFailedLoadKeepsTheWorkerOutUntilReadBack(t *testing.T) {
+	b := newBench(t, 1, true)
+	b.engines.fail["w000"] = true
+	b.hold(1)
+	b.until("an order", func() bool { return len(b.engines.orders()) > 0 })
+	b.until("the order's end", func() bool { return b.rollout.workers["w000"].State == StateUnknown })
+	b.step()
+	if b.rollout.workers["w000"].State == StateReady {
+		t.Error("the worker is ready though its version is unknown")
+	}
+	b.engines.mu.Lock()
+	b.engines.fail["w000"] = false
+	b.engines.mu.Unlock()
+	b.until("repair", b.allAt(2))
+	b.until("ready", func() bool { return b.rollout.workers["w000"].State == StateReady })
+}
+
+// Guards against orders by a daemon whose lease has lapsed.
+func TestNoOrdersWithoutTheLease(t *testing.T) {
+	b := newBench(t, 4, true)
+	b.rollout.SetHolding(Holding{Fence: 1, ValidUntil: b.clock.Now().Add(tickPeriod / 2)})
+	for range 20 {
+		b.step()
+	}
+	if sent := b.engines.orders(); len(sent) > 0 {
+		t.Errorf("%d orders were sent without a valid lease", len(sent))
+	}
+}
+
+// Guards against an order that is sent by a worker that was paused past the
+// end of the lease.
+func TestPausedWorkerDoesNotSend(t *testing.T) {
+	b := newBench(t, 1, true)
+	h := Holding{Fence: 1, ValidUntil: b.clock.Now().Add(time.Second)}
+	b.clock.Advance(2 * time.Second)
+	if err := b.rollout.carryOut(b.clock, h, Worker{ID: "w000"}, Order{Worker: "w000", Version: 2}, ""); err == nil {
+		t.Error("an order was sent after the lease had lapsed")
+	}
+}
+
+// Guards against a new owner whose orders cross those of the old owner at
+// engines that do not check fencing numbers.
+func TestNewOwnerWaitsForEnginesThatDoNotCheck(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.hold(5)
+	for passed := tickPeriod; passed < MaxOrderTime; passed += tickPeriod {
+		b.step()
+	}
+	if sent := b.engines.orders(); len(sent) > 0 {
+		t.Fatalf("%d orders were sent before %v had passed", len(sent), MaxOrderTime)
+	}
+	b.until("version 2 on every worker", b.allAt(2))
+}
+
+// Guards against a late order of a paused former owner that takes a version
+// back at an engine that does not check fencing numbers.
+func TestLateOrderIsRepaired(t *testing.T) {
+	b := newBench(t, 4, false)
+	b.hold(5)
+	b.until("version 2 on every worker", b.allAt(2))
+	b.until("all ready", func() bool { return unavailable(b.rollout.workersOf("wear")) == 0 })
+	b.engines.mu.Lock()
+	b.engines.workers["w001"].Version = 1
+	b.engines.mu.Unlock()
+	b.step()
+	b.until("repair", b.allAt(2))
+	if b.rollout.repairs != 1 {
+		t.Errorf("repairs = %d, want 1", b.rollout.repairs)
+	}
+}
