--- /dev/null
+++ b/internal/platform/lease.go
@@ -0,0 +1,150 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// LeasePrefix is the prefix of lease objects in the object API. Lease objects
+// are never deleted, so that fencing numbers never start again.
+const LeasePrefix = "leases/"
+
+// Rules of leases, as parts of the duration. The difference between the time
+// until a holder stops and the time until another daemon takes over covers
+// clocks that run at different speeds.
+const (
+	// DefaultLeaseDuration is used when LeaseOptions gives none.
+	DefaultLeaseDuration = 10 * time.Second
+	usableNumerator      = 3 // a holder uses 3/4 of the duration
+	usableDenominator    = 4
+	renewDivisor         = 4 // renewals are sent each quarter of the duration
+	driftDivisor         = 8 // a contender waits the duration and another eighth
+	pollDivisor          = 3 // a contender reads the lease three times in a duration
+)
+
+// ErrLeaseNotFound means that the lessor does not follow the lease.
+var ErrLeaseNotFound = errors.New("platform: lease not found")
+
+// Holding is the right to act as the holder of a lease until a deadline. It is
+// immutable: another duty keeps the newest one and checks it before each use.
+type Holding struct {
+	Name     string
+	Fence    int64     // fencing number, larger than that of every earlier holder
+	Deadline time.Time // on the clock of the lessor, with a monotonic reading
+}
+
+// ValidAt reports whether the lease may be used at now. now comes from the
+// same clock as the lessor's and is read right before the use.
+func (h Holding) ValidAt(now time.Time) bool { return h.Fence > 0 && now.Before(h.Deadline) }
+
+// LeaseEventKind says what happened to a lease.
+type LeaseEventKind int
+
+// Kinds of lease event.
+const (
+	LeaseGained   LeaseEventKind = iota // Holding is valid and its fencing number is new
+	LeaseRenewed                        // Holding has the same number and a later deadline
+	LeaseLost                           // Holding must no longer be used
+	LeaseObserved                       // Holder or its fencing number was seen to change
+)
+
+// String returns the name of the kind.
+func (k LeaseEventKind) String() string {
+	switch k {
+	case LeaseGained:
+		return "gained"
+	case LeaseRenewed:
+		return "renewed"
+	case LeaseLost:
+		return "lost"
+	case LeaseObserved:
+		return "observed"
+	default:
+		return fmt.Sprintf("LeaseEventKind(%d)", int(k))
+	}
+}
+
+// LeaseEvent is one change of a lease.
+type LeaseEvent struct {
+	Kind    LeaseEventKind
+	Holding Holding // of this daemon; for LeaseObserved only Name and Fence are set
+	Holder  string  // who holds the lease as far as known; empty after a release
+}
+
+// LeaseOptions says how a lease is held.
+type LeaseOptions struct {
+	Duration time.Duration // 0 takes DefaultLeaseDuration; every contender uses the same
+	// Listener is called on the lessor's goroutine and must not wait.
+	Listener func(LeaseEvent)
+}
+
+// leaseRecord is the value of a lease object.
+type leaseRecord struct {
+	Holder     string `json:"holder"` // empty after a release
+	Fence      int64  `json:"fence"`
+	DurationMs int64  `json:"durationMs"`
+	Renewals   int64  `json:"renewals"`
+}
+
+func decodeLease(o Object) (leaseRecord, error) {
+	var r leaseRecord
+	if o.Deleted {
+		return r, fmt.Errorf("lease object %s was deleted; its fencing number is lost", o.Key)
+	}
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return r, fmt.Errorf("decode lease object %s: %w", o.Key, err)
+	}
+	return r, nil
+}
+
+func (r leaseRecord) encode() []byte {
+	// A struct of strings and integers always encodes.
+	value, _ := json.Marshal(r)
+	return value
+}
+
+// leaseState is what the lessor knows of one lease.
+type leaseState struct {
+	name     string
+	duration time.Duration
+	listener func(LeaseEvent)
+	wanted   bool // acquire it; otherwise only observe
+	leaving  bool // release it, then forget it
+
+	// Last state read or written.
+	known   bool
+	record  leaseRecord
+	version int64
+	seenAt  time.Time // when this version was first seen
+	readAt  time.Time // when the lease was last read
+
+	holding Holding // valid while held
+	held    bool
+	renewAt time.Time
+
+	busy    bool // an operation is in progress
+	retryAt time.Time
+	retry   *retryDelay
+	timer   uint64 // number of the timer in force
+
+	stopTimer func() bool
+}
+
+// claimableAt returns when this daemon may take the lease.
+func (s *leaseState) claimableAt(self string) time.Time {
+	free := s.record.Holder == ""
+	// The holder's name is unique to this run of the daemon, and s.held is
+	// false: whatever this daemon wrote before, nothing here uses it.
+	own := s.record.Holder == self
+	if free || own {
+		return s.seenAt
+	}
+	duration := max(s.duration, time.Duration(s.record.DurationMs)*time.Millisecond)
+	return s.seenAt.Add(duration + duration/driftDivisor)
+}
+
+func usable(duration time.Duration) time.Duration {
+	return duration / usableDenominator * usableNumerator
+}
--- /dev/null
+++ b/internal/platform/lessor.go
@@ -0,0 +1,519 @@
+package platform
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/ring"
+)
+
+// Limits of the lessor duty.
+const (
+	maxLeases         = 4096 // one operation each may be in progress
+	lessorRequests    = 1024
+	lessorSnapshots   = 64
+	leaseRetryFirst   = 50 * time.Millisecond
+	leaseRetryLongest = time.Second
+	renewJitter       = 0.2 // part of the time between renewals
+)
+
+// Submitter is what the lessor needs of the store duty.
+type Submitter interface {
+	Submit(op Op) bool
+}
+
+// LessorStats are the counters of a lessor.
+type LessorStats struct {
+	Gained, Lost, Renewed, Failed int64
+	Held                          int64 // leases held now
+}
+
+type lessorCounters struct {
+	gained, lost, renewed, failed, held metrics.Counter
+}
+
+type leaseRequest struct {
+	kind    leaseRequestKind
+	name    string
+	options LeaseOptions
+}
+
+type leaseRequestKind int
+
+const (
+	requestAcquire leaseRequestKind = iota
+	requestObserve
+	requestRelease
+)
+
+// leaseOp is what a store operation was sent for.
+type leaseOp int
+
+const (
+	leaseRead leaseOp = iota
+	leaseAcquire
+	leaseRenew
+	leaseRelease
+)
+
+type leaseDone struct {
+	state  *leaseState
+	op     leaseOp
+	sentAt time.Time
+	record leaseRecord // written, unless op is leaseRead
+	result Result
+}
+
+// Lessor is the duty that acquires, renews, releases and observes leases.
+//
+// At most one lessor has a valid Holding of a lease at any time, as long as
+// clocks run at speeds that differ by less than a quarter. Fencing numbers grow
+// with every holding gained, also when the same lessor gains it again.
+type Lessor struct {
+	loop      *duty.Loop
+	store     Submitter
+	self      string
+	requests  *ring.Ring[leaseRequest]
+	results   *ring.Ring[leaseDone]
+	snapshots *ring.Ring[Snapshot]
+	random    *rand.Rand
+	counters  lessorCounters
+
+	leases map[string]*leaseState
+	// inFlight counts operations in progress. It stays below the capacity of
+	// results, so that no result is refused.
+	inFlight int
+}
+
+// NewLessor returns the lessor duty. self names this run of the daemon; a
+// daemon that starts again uses another name. random is used for jitter and
+// may be nil.
+func NewLessor(clock duty.Clock, store Submitter, self string, random *rand.Rand) *Lessor {
+	if random == nil {
+		random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	l := &Lessor{
+		loop:      duty.New("leases", clock),
+		store:     store,
+		self:      self,
+		requests:  ring.New[leaseRequest]("leases.requests", lessorRequests),
+		results:   ring.New[leaseDone]("leases.results", maxLeases),
+		snapshots: ring.New[Snapshot]("leases.snapshots", lessorSnapshots),
+		random:    random,
+		leases:    map[string]*leaseState{},
+		counters: lessorCounters{
+			gained: metrics.NewCounter(), lost: metrics.NewCounter(), renewed: metrics.NewCounter(),
+			failed: metrics.NewCounter(), held: metrics.NewCounter(),
+		},
+	}
+	duty.On(l.loop, l.results, l.handleDone)
+	duty.On(l.loop, l.requests, l.handleRequest)
+	duty.On(l.loop, l.snapshots, l.handleSnapshot)
+	return l
+}
+
+// Loop returns the duty's loop.
+func (l *Lessor) Loop() *duty.Loop { return l.loop }
+
+// Stats returns the counters. Any goroutine may call it.
+func (l *Lessor) Stats() LessorStats {
+	c := l.counters
+	return LessorStats{
+		Gained: c.gained.Count(), Lost: c.lost.Count(), Renewed: c.renewed.Count(),
+		Failed: c.failed.Count(), Held: c.held.Count(),
+	}
+}
+
+// Acquire takes the lease as soon as it is free and holds it until Release.
+// Any goroutine may call it. False means that nothing was done.
+func (l *Lessor) Acquire(name string, o LeaseOptions) bool {
+	return l.requests.TryPut(leaseRequest{kind: requestAcquire, name: name, options: o})
+}
+
+// Observe reports the changes of the holder without taking the lease.
+func (l *Lessor) Observe(name string, o LeaseOptions) bool {
+	return l.requests.TryPut(leaseRequest{kind: requestObserve, name: name, options: o})
+}
+
+// Release gives the lease up and stops following it. The caller first makes
+// sure that nobody uses its Holding any more, because the next holder does not
+// wait for the deadline of a released one.
+func (l *Lessor) Release(name string) bool {
+	return l.requests.TryPut(leaseRequest{kind: requestRelease, name: name})
+}
+
+// Deliver takes a snapshot of LeasePrefix from a Watcher. It is optional:
+// without it leases are read on a timer.
+func (l *Lessor) Deliver(s Snapshot) { l.snapshots.PutLatest(s) }
+
+// Check returns the fencing number of the lease and whether it may be used
+// now. Only the lessor's goroutine, such as a listener, may call it; other
+// duties keep a Holding.
+func (l *Lessor) Check(name string) (fence int64, ok bool) {
+	h, err := l.Holding(name)
+	if err != nil || !h.ValidAt(l.loop.Clock().Now()) {
+		return 0, false
+	}
+	return h.Fence, true
+}
+
+// Holding returns the current holding; it is invalid if there is none. The
+// same rule as for Check applies to callers.
+func (l *Lessor) Holding(name string) (Holding, error) {
+	s, ok := l.leases[name]
+	if !ok {
+		return Holding{Name: name}, ErrLeaseNotFound
+	}
+	if !s.held {
+		return Holding{Name: name}, nil
+	}
+	return s.holding, nil
+}
+
+func (l *Lessor) handleRequest(r leaseRequest) {
+	s, followed := l.leases[r.name]
+	if r.kind == requestRelease {
+		if followed {
+			l.startRelease(s)
+		}
+		return
+	}
+	if !followed {
+		if len(l.leases) >= maxLeases {
+			l.counters.failed.Inc(1)
+			l.notify(r.options.Listener, LeaseEvent{Kind: LeaseLost, Holding: Holding{Name: r.name}})
+			return
+		}
+		s = &leaseState{
+			name:      r.name,
+			retry:     newRetryDelay(leaseRetryFirst, leaseRetryLongest, l.random),
+			stopTimer: func() bool { return false },
+		}
+		l.leases[r.name] = s
+	}
+	s.duration = r.options.Duration
+	if s.duration <= 0 {
+		s.duration = DefaultLeaseDuration
+	}
+	s.listener = r.options.Listener
+	s.wanted = r.kind == requestAcquire
+	s.leaving = false
+	l.step(s)
+}
+
+func (l *Lessor) startRelease(s *leaseState) {
+	s.wanted = false
+	s.leaving = true
+	l.step(s)
+}
+
+func (l *Lessor) notify(listener func(LeaseEvent), e LeaseEvent) {
+	if listener != nil {
+		listener(e)
+	}
+}
+
+// step does what is due for the lease and sets the timer for what comes next.
+func (l *Lessor) step(s *leaseState) {
+	now := l.loop.Clock().Now()
+	if s.held && !s.holding.ValidAt(now) {
+		l.lose(s)
+	}
+	switch {
+	case s.busy:
+		l.waitWhileBusy(s)
+	case now.Before(s.retryAt):
+		l.waitForRetry(s)
+	case s.leaving:
+		l.leave(s)
+	case s.held:
+		l.renewOrWait(s, now)
+	default:
+		l.readOrClaim(s, now)
+	}
+}
+
+func (l *Lessor) waitWhileBusy(s *leaseState) {
+	if s.held {
+		l.wakeAt(s, s.holding.Deadline)
+	}
+}
+
+// waitForRetry sets the timer, but not past the end of a holding.
+func (l *Lessor) waitForRetry(s *leaseState) {
+	at := s.retryAt
+	if s.held && s.holding.Deadline.Before(at) {
+		at = s.holding.Deadline
+	}
+	l.wakeAt(s, at)
+}
+
+func (l *Lessor) renewOrWait(s *leaseState, now time.Time) {
+	if now.Before(s.renewAt) {
+		l.wakeAt(s, s.renewAt)
+		return
+	}
+	next := s.record
+	next.Renewals++
+	next.DurationMs = s.duration.Milliseconds()
+	l.write(s, leaseRenew, next)
+}
+
+func (l *Lessor) readOrClaim(s *leaseState, now time.Time) {
+	pollAt := s.readAt.Add(s.duration / pollDivisor)
+	if !s.known || !now.Before(pollAt) {
+		l.send(s, leaseDone{op: leaseRead}, Op{Kind: OpGet, Key: LeasePrefix + s.name})
+		return
+	}
+	claimAt := s.claimableAt(l.self)
+	if s.wanted && !now.Before(claimAt) {
+		l.write(s, leaseAcquire, leaseRecord{
+			Holder:     l.self,
+			Fence:      s.record.Fence + 1,
+			DurationMs: s.duration.Milliseconds(),
+		})
+		return
+	}
+	if s.wanted && claimAt.Before(pollAt) {
+		l.wakeAt(s, claimAt)
+		return
+	}
+	l.wakeAt(s, pollAt)
+}
+
+// leave releases the lease if it is held, then forgets it.
+func (l *Lessor) leave(s *leaseState) {
+	if !s.held {
+		delete(l.leases, s.name)
+		return
+	}
+	// The use ends before the write is sent, because another daemon may take
+	// the lease as soon as the write takes effect.
+	l.lose(s)
+	next := s.record
+	next.Holder = ""
+	l.write(s, leaseRelease, next)
+}
+
+// wakeAt calls step at the time, in place of the timer set before.
+func (l *Lessor) wakeAt(s *leaseState, at time.Time) {
+	s.stopTimer()
+	s.timer++
+	number := s.timer
+	s.stopTimer = l.loop.After(at.Sub(l.loop.Clock().Now()), func() {
+		if s.timer == number && l.leases[s.name] == s {
+			l.step(s)
+		}
+	})
+}
+
+func (l *Lessor) write(s *leaseState, kind leaseOp, next leaseRecord) {
+	l.send(s, leaseDone{op: kind, record: next}, Op{
+		Kind:      OpPut,
+		Key:       LeasePrefix + s.name,
+		Value:     next.encode(),
+		IfVersion: s.version,
+	})
+}
+
+// send submits the operation. Validity counts from now, before anything is sent.
+func (l *Lessor) send(s *leaseState, d leaseDone, op Op) {
+	now := l.loop.Clock().Now()
+	d.state = s
+	d.sentAt = now
+	op.Urgent = true
+	op.Timeout = s.duration / renewDivisor
+	op.Reply = func(r Result) {
+		d.result = r
+		l.results.TryPut(d)
+	}
+	if l.inFlight >= maxLeases || !l.store.Submit(op) {
+		l.counters.failed.Inc(1)
+		l.backOff(s, now)
+		return
+	}
+	l.inFlight++
+	s.busy = true
+	l.waitWhileBusy(s)
+}
+
+// backOff delays the next operation.
+func (l *Lessor) backOff(s *leaseState, now time.Time) {
+	s.retryAt = now.Add(s.retry.next())
+	l.waitForRetry(s)
+}
+
+func (l *Lessor) handleDone(d leaseDone) {
+	l.inFlight--
+	s := d.state
+	s.busy = false
+	if l.leases[s.name] != s {
+		return
+	}
+	now := l.loop.Clock().Now()
+	if s.held && !s.holding.ValidAt(now) {
+		l.lose(s)
+	}
+	if d.op == leaseRead {
+		l.afterRead(s, d, now)
+	} else {
+		l.afterWrite(s, d, now)
+	}
+}
+
+func (l *Lessor) afterRead(s *leaseState, d leaseDone, now time.Time) {
+	switch {
+	case d.result.Err == nil:
+		l.see(s, d.result.Object, now)
+	case errors.Is(d.result.Err, ErrNotFound):
+		l.seeAbsent(s, now)
+	default:
+		l.counters.failed.Inc(1)
+		l.backOff(s, now)
+		return
+	}
+	s.readAt = now
+	if s.known {
+		s.retry.reset()
+	}
+	l.step(s)
+}
+
+// see takes note of the stored state of the lease.
+func (l *Lessor) see(s *leaseState, o Object, now time.Time) {
+	record, err := decodeLease(o)
+	if err != nil {
+		// A lease that cannot be read is neither taken nor held: its fencing
+		// number is not known.
+		s.known = false
+		l.counters.failed.Inc(1)
+		s.retryAt = now.Add(s.retry.next())
+		return
+	}
+	if s.known && o.Version <= s.version {
+		return
+	}
+	changed := record.Holder != s.record.Holder || record.Fence != s.record.Fence
+	s.known = true
+	s.record = record
+	s.version = o.Version
+	s.seenAt = now
+	if s.held && (record.Holder != l.self || record.Fence != s.holding.Fence) {
+		l.lose(s)
+	}
+	if changed {
+		l.notify(s.listener, LeaseEvent{
+			Kind:    LeaseObserved,
+			Holding: Holding{Name: s.name, Fence: record.Fence},
+			Holder:  record.Holder,
+		})
+	}
+}
+
+// seeAbsent takes note that there is no lease object. A record seen before
+// stays in force: a deleted object neither ends a holding nor starts fencing
+// numbers again.
+func (l *Lessor) seeAbsent(s *leaseState, now time.Time) {
+	if s.known && s.version == Absent {
+		return
+	}
+	s.known = true
+	s.version = Absent
+	s.seenAt = now
+}
+
+func (l *Lessor) afterWrite(s *leaseState, d leaseDone, now time.Time) {
+	if d.result.Err != nil {
+		l.counters.failed.Inc(1)
+		// The version may have changed, by this write or by another's; the next
+		// step reads it. A holder that can still renew reads it as well.
+		l.reread(s, now)
+		return
+	}
+	if s.known && d.result.Object.Version < s.version {
+		// A snapshot has already told of a later state.
+		l.step(s)
+		return
+	}
+	s.record = d.record
+	s.version = d.result.Object.Version
+	s.seenAt = now
+	s.readAt = now
+	s.retry.reset()
+	s.renewAt = d.sentAt.Add(l.renewalDelay(s.duration))
+	granted := Holding{Name: s.name, Fence: d.record.Fence, Deadline: d.sentAt.Add(usable(s.duration))}
+	l.grant(s, d, granted, now)
+	l.step(s)
+}
+
+// renewalDelay is spread a little, so that leases gained together are not
+// renewed together for ever.
+func (l *Lessor) renewalDelay(duration time.Duration) time.Duration {
+	delay := duration / renewDivisor
+	return delay - time.Duration(renewJitter*l.random.Float64()*float64(delay))
+}
+
+// grant starts or extends the holding that a write has brought.
+func (l *Lessor) grant(s *leaseState, d leaseDone, granted Holding, now time.Time) {
+	switch {
+	case d.op == leaseRelease || !granted.ValidAt(now):
+		// The answer came too late to be used; the lease is taken again with a
+		// new fencing number.
+		return
+	case d.op == leaseAcquire:
+		s.holding = granted
+		s.held = true
+		l.counters.gained.Inc(1)
+		l.counters.held.Inc(1)
+		l.notify(s.listener, LeaseEvent{Kind: LeaseGained, Holding: granted, Holder: l.self})
+	case s.held:
+		// A renewal whose holding was lost meanwhile does not bring it back,
+		// since its users were told to stop.
+		s.holding = granted
+		l.counters.renewed.Inc(1)
+		l.notify(s.listener, LeaseEvent{Kind: LeaseRenewed, Holding: granted, Holder: l.self})
+	}
+}
+
+// reread reads the lease after a failed write, at once or after a delay.
+func (l *Lessor) reread(s *leaseState, now time.Time) {
+	if s.leaving && !s.held {
+		// A release that failed is not repeated; the lease ends by its duration.
+		delete(l.leases, s.name)
+		return
+	}
+	s.readAt = time.Time{}
+	if !s.held {
+		l.backOff(s, now)
+		return
+	}
+	s.retryAt = now.Add(s.retry.next())
+	l.send(s, leaseDone{op: leaseRead}, Op{Kind: OpGet, Key: LeasePrefix + s.name})
+}
+
+func (l *Lessor) lose(s *leaseState) {
+	ended := s.holding
+	s.held = false
+	s.holding = Holding{}
+	l.counters.lost.Inc(1)
+	l.counters.held.Dec(1)
+	l.notify(s.listener, LeaseEvent{Kind: LeaseLost, Holding: ended, Holder: s.record.Holder})
+}
+
+func (l *Lessor) handleSnapshot(snapshot Snapshot) {
+	now := l.loop.Clock().Now()
+	for _, o := range snapshot.Objects {
+		s, followed := l.leases[strings.TrimPrefix(o.Key, LeasePrefix)]
+		if !followed || s.busy {
+			// The result of the operation in progress tells the newest state.
+			continue
+		}
+		l.see(s, o, now)
+		l.step(s)
+	}
+}
--- a/internal/platform/objectapi.go
+++ b/internal/platform/objectapi.go
@@ -25,6 +25,9 @@
 	ErrCompacted = errors.New("platform: revision compacted")
 	// ErrTooLarge means that the value is over MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
+	// ErrRejected means that the platform refused the call as invalid; nothing
+	// changed, and the same call will be refused again.
+	ErrRejected = errors.New("platform: call rejected as invalid")
 )
 
 // MaxValueBytes is the largest value that the object API holds.
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -140,7 +140,11 @@
 		return platform.ErrTooLarge
 	case consts.StatusServiceUnavailable:
 		return platform.ErrUnavailable
+	case consts.StatusBadRequest, consts.StatusUnauthorized, consts.StatusForbidden, consts.StatusMethodNotAllowed:
+		return fmt.Errorf("%w: %w", platform.ErrRejected, err)
 	default:
+		// Any other status may come from a proxy on the way, after the store has
+		// carried out the call.
 		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
 	}
 }
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -3,62 +3,130 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sort"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/ring"
 )
 
 // Watch timings.
 const (
-	watchTimeout    = 30 * time.Second
-	watchRetryDelay = 250 * time.Millisecond
+	// DefaultWatchBound is the longest wait for the answer to one watch. A watch
+	// that is quiet for this long is replaced whether it hangs or has nothing to
+	// tell, so a hung one delays a change by at most this bound. It is below the
+	// 4 s within which an accepted contract is in force.
+	DefaultWatchBound = 3 * time.Second
+	defaultListBound  = 5 * time.Second
+	// callGrace is how long after its bound an abandoned call may still hold a
+	// worker of the pool.
+	callGrace         = time.Second
+	watchRetryFirst   = 100 * time.Millisecond
+	watchRetryLongest = 2 * time.Second
+	watchRing         = 64 // answers of abandoned calls included
 )
 
 // Snapshot is the state of a prefix, or the newest changes of it.
 type Snapshot struct {
-	Objects  []Object // tombstones included
+	// Objects are ordered by revision, tombstones included. When a full
+	// snapshot lacks an object that was delivered before, it holds a tombstone
+	// for it, with a version above the last one delivered.
+	Objects  []Object
 	Revision int64
 	Full     bool // Objects is the whole prefix, not only changes
 }
 
+// WatcherOptions sets the limits of a watcher. Zero values take the defaults.
+type WatcherOptions struct {
+	Budget   *Budget       // shared with the store duty; nil is no limit
+	Bound    time.Duration // longest wait for one watch
+	Inactive bool          // start without watching until SetActive(true)
+	Random   *rand.Rand    // for jitter
+}
+
+// WatcherStats are the counters of a watcher.
+type WatcherStats struct {
+	Lists    int64
+	Watches  int64
+	Replaced int64 // calls abandoned at their bound
+	Failed   int64
+	Revision int64
+}
+
+type watcherCounters struct {
+	lists, watches, replaced, failed metrics.Counter
+	revision                         metrics.Gauge
+}
+
 type watchResult struct {
+	call    uint64 // number of the call that this answers
 	listing Listing
 	full    bool
 	err     error
 }
 
+// held is what the reader has been told about a key.
+type held struct {
+	version int64
+	deleted bool
+}
+
 // Watcher is the duty that follows one prefix of the object API.
 type Watcher struct {
-	loop    *duty.Loop
-	api     ObjectAPI
-	pool    *duty.Pool
-	prefix  string
-	deliver func(Snapshot)
-	results *ring.Ring[watchResult]
+	loop     *duty.Loop
+	api      ObjectAPI
+	pool     Pool
+	prefix   string
+	options  WatcherOptions
+	deliver  func(Snapshot)
+	results  *ring.Ring[watchResult]
+	switches *ring.Ring[bool]
+	counters watcherCounters
 
 	revision int64
 	listed   bool
 	active   bool
+	call     uint64 // number of the call in progress
 	calling  bool
+	pausing  bool // a timer will call next
 	cancel   context.CancelFunc
+	known    map[string]held
+	retry    *retryDelay
 }
 
 // NewWatcher returns the duty that follows prefix. deliver is called on the
-// duty's goroutine and must not wait.
-func NewWatcher(clock duty.Clock, api ObjectAPI, pool *duty.Pool, prefix string, deliver func(Snapshot)) *Watcher {
+// duty's goroutine and must not wait. At most one WatcherOptions is used.
+func NewWatcher(clock duty.Clock, api ObjectAPI, pool Pool, prefix string, deliver func(Snapshot), options ...WatcherOptions) *Watcher {
+	var o WatcherOptions
+	if len(options) > 0 {
+		o = options[0]
+	}
+	if o.Bound <= 0 {
+		o.Bound = DefaultWatchBound
+	}
 	w := &Watcher{
-		loop:    duty.New("watch."+prefix, clock),
-		api:     api,
-		pool:    pool,
-		prefix:  prefix,
-		deliver: deliver,
-		results: ring.New[watchResult]("watch.results", 4),
-		active:  true,
-		cancel:  func() {},
+		loop:     duty.New("watch."+prefix, clock),
+		api:      api,
+		pool:     pool,
+		prefix:   prefix,
+		options:  o,
+		deliver:  deliver,
+		results:  ring.New[watchResult]("watch.results", watchRing),
+		switches: ring.New[bool]("watch.switches", 1),
+		counters: watcherCounters{
+			lists: metrics.NewCounter(), watches: metrics.NewCounter(),
+			replaced: metrics.NewCounter(), failed: metrics.NewCounter(), revision: metrics.NewGauge(),
+		},
+		active: !o.Inactive,
+		cancel: func() {},
+		known:  map[string]held{},
+		retry:  newRetryDelay(watchRetryFirst, watchRetryLongest, o.Random),
 	}
 	duty.On(w.loop, w.results, w.handleResult)
+	duty.On(w.loop, w.switches, w.handleSwitch)
 	w.loop.After(0, w.next)
 	w.loop.OnStop(func() { w.cancel() })
 	return w
@@ -67,60 +135,173 @@
 // Loop returns the duty's loop.
 func (w *Watcher) Loop() *duty.Loop { return w.loop }
 
+// SetActive starts or stops the watching. Any goroutine may call it. A watcher
+// that starts again continues after the last revision that it has seen.
+func (w *Watcher) SetActive(active bool) { w.switches.PutLatest(active) }
+
+// Stats returns the counters. Any goroutine may call it.
+func (w *Watcher) Stats() WatcherStats {
+	c := w.counters
+	return WatcherStats{
+		Lists: c.lists.Count(), Watches: c.watches.Count(), Replaced: c.replaced.Count(),
+		Failed: c.failed.Count(), Revision: c.revision.Value(),
+	}
+}
+
+func (w *Watcher) handleSwitch(active bool) {
+	w.active = active
+	if !active {
+		w.abandon()
+		return
+	}
+	w.next()
+}
+
+// abandon ends the wait for the call in progress; its answer is ignored.
+func (w *Watcher) abandon() {
+	w.calling = false
+	w.call++
+	w.cancel()
+}
+
 func (w *Watcher) next() {
-	if w.calling || !w.active {
+	if w.calling || w.pausing || !w.active {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), watchTimeout)
-	listed, after := w.listed, w.revision
+	if b := w.options.Budget; b != nil {
+		if wait := b.TakeRead(w.loop.Clock().Now()); wait > 0 {
+			w.pause(wait)
+			return
+		}
+	}
+	w.call++
+	number, listed, after := w.call, w.listed, w.revision
+	bound := w.options.Bound
+	if !listed {
+		bound = defaultListBound
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bound+callGrace)
 	started := w.pool.TryGo(func() {
 		defer cancel()
-		w.results.TryPut(w.call(ctx, listed, after))
+		r := w.ask(ctx, listed, after)
+		r.call = number
+		// The ring can be full only of answers to abandoned calls. A lost answer
+		// is then found by the bound.
+		w.results.TryPut(r)
 	})
 	if !started {
 		cancel()
-		w.loop.After(watchRetryDelay, w.next)
+		w.pause(w.retry.next())
 		return
 	}
 	w.calling = true
 	w.cancel = cancel
+	w.loop.After(bound, func() { w.checkBound(number) })
 }
 
-// call runs on the pool.
-func (w *Watcher) call(ctx context.Context, listed bool, after int64) watchResult {
+// pause calls next after d.
+func (w *Watcher) pause(d time.Duration) {
+	w.pausing = true
+	w.loop.After(d, func() {
+		w.pausing = false
+		w.next()
+	})
+}
+
+// checkBound replaces the call if it has not been answered.
+func (w *Watcher) checkBound(number uint64) {
+	if !w.calling || w.call != number {
+		return
+	}
+	w.counters.replaced.Inc(1)
+	w.abandon()
+	w.next()
+}
+
+// ask runs on the pool.
+func (w *Watcher) ask(ctx context.Context, listed bool, after int64) watchResult {
 	if !listed {
+		w.counters.lists.Inc(1)
 		listing, err := w.api.List(ctx, w.prefix)
 		return watchResult{listing: listing, full: true, err: err}
 	}
+	w.counters.watches.Inc(1)
 	listing, err := w.api.Watch(ctx, w.prefix, after)
 	return watchResult{listing: listing, err: err}
 }
 
 func (w *Watcher) handleResult(r watchResult) {
-	w.calling = false
-	if errors.Is(r.err, ErrCompacted) {
-		w.listed = false
-		w.next()
+	if !w.calling || r.call != w.call {
 		return
 	}
+	w.calling = false
 	if r.err != nil {
-		w.loop.After(watchRetryDelay, w.next)
+		// A compacted revision needs a list. The delay keeps a store that
+		// compacts all the time from being listed all the time.
+		w.listed = w.listed && !errors.Is(r.err, ErrCompacted)
+		w.counters.failed.Inc(1)
+		w.pause(w.retry.next())
+		return
+	}
+	if r.listing.Revision < w.revision {
+		// A store that answers from an older state is asked again; an older
+		// state is never delivered.
+		w.listed = false
+		w.counters.failed.Inc(1)
+		w.pause(w.retry.next())
 		return
 	}
+	w.retry.reset()
 	w.listed = true
-	if r.listing.Revision >= w.revision {
-		w.revision = r.listing.Revision
-		w.publish(r)
+	w.revision = r.listing.Revision
+	w.counters.revision.Update(w.revision)
+	if r.full {
+		w.publishFull(r.listing)
+	} else {
+		w.publishChanges(r.listing)
 	}
 	w.next()
 }
 
-func (w *Watcher) publish(r watchResult) {
-	if len(r.listing.Objects) == 0 && !r.full {
-		return
+// publishFull delivers a list, with tombstones for the objects that were
+// deleted while nobody watched.
+func (w *Watcher) publishFull(l Listing) {
+	objects := append([]Object{}, l.Objects...)
+	listed := make(map[string]held, len(objects))
+	for _, o := range objects {
+		listed[o.Key] = held{version: o.Version, deleted: o.Deleted}
 	}
-	sort.Slice(r.listing.Objects, func(i, j int) bool {
-		return r.listing.Objects[i].Revision < r.listing.Objects[j].Revision
-	})
-	w.deliver(Snapshot{Objects: r.listing.Objects, Revision: r.listing.Revision, Full: r.full})
+	for key, h := range w.known {
+		if _, present := listed[key]; present {
+			continue
+		}
+		if !h.deleted {
+			// Versions grow over deletes, so the true tombstone has at least this version.
+			h = held{version: h.version + 1, deleted: true}
+		}
+		listed[key] = h
+		objects = append(objects, Object{Key: key, Version: h.version, Revision: l.Revision, Deleted: true})
+	}
+	w.known = listed
+	w.send(Snapshot{Objects: objects, Revision: l.Revision, Full: true})
+}
+
+// publishChanges delivers the changes that the reader does not know.
+func (w *Watcher) publishChanges(l Listing) {
+	var objects []Object
+	for _, o := range l.Objects {
+		if h, ok := w.known[o.Key]; ok && o.Version <= h.version {
+			continue
+		}
+		w.known[o.Key] = held{version: o.Version, deleted: o.Deleted}
+		objects = append(objects, o)
+	}
+	if len(objects) > 0 {
+		w.send(Snapshot{Objects: objects, Revision: l.Revision})
+	}
+}
+
+func (w *Watcher) send(s Snapshot) {
+	sort.SliceStable(s.Objects, func(i, j int) bool { return s.Objects[i].Revision < s.Objects[j].Revision })
+	w.deliver(s)
 }
--- a/internal/standin/objectapi/objectapi.go
+++ b/internal/standin/objectapi/objectapi.go
@@ -18,21 +18,16 @@
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
+// hangBound ends a call that a fault leaves without an answer, so that the
+// stand-in's handlers do not pile up.
+const hangBound = 30 * time.Second
+
 // askCapacity bounds the calls that wait for the stand-in's duty.
 const askCapacity = 8192
 
 // keptChanges is how many changes a watch can go back.
 const keptChanges = 4096
 
-// Faults switch on failures. The zero value has none.
-type Faults struct {
-	Down          bool          // every call is refused with 503
-	LoseAnswers   int           // this many next writes take effect and answer 500
-	Delay         time.Duration // added to every call
-	FreezeHosts   bool          // the host list stops following changes
-	RatePerSecond float64       // calls above it are refused with 429; 0 is no limit
-}
-
 type method int
 
 const (
@@ -45,6 +40,7 @@
 	methodSetHosts
 	methodSetFaults
 	methodCounts
+	methodCompact
 )
 
 type query struct {
@@ -79,6 +75,7 @@
 	ask    duty.Ask[query, answer]
 	prefix string
 	after  int64
+	hung   bool // never told of changes
 }
 
 // Server is the stand-in. One duty owns its state.
@@ -93,11 +90,14 @@
 	compacted int64 // highest revision that a watch can no longer go back to
 	waiters   map[int]waiter
 	nextID    int
+	forgotten map[string]bool // keys whose tombstones were compacted
 	hosts     []platform.Host
+	listed    []platform.Host // what the host list shows, which may lag behind hosts
 	faults    Faults
 	counts    Counts
-	tokens    float64
-	refilled  time.Time
+	total     bucket
+	reads     bucket
+	writes    bucket
 }
 
 // Start listens on the address and serves on the runner's threads.
@@ -107,12 +107,13 @@
 		return nil, err
 	}
 	s := &Server{
-		loop:     duty.New("standin.objectapi", clock),
-		asks:     duty.NewAskRing[query, answer]("objectapi.asks", askCapacity),
-		http:     listener,
-		objects:  map[string]platform.Object{},
-		waiters:  map[int]waiter{},
-		refilled: clock.Now(),
+		loop:    duty.New("standin.objectapi", clock),
+		asks:    duty.NewAskRing[query, answer]("objectapi.asks", askCapacity),
+		http:    listener,
+		objects: map[string]platform.Object{},
+		waiters: map[int]waiter{},
+
+		forgotten: map[string]bool{},
 	}
 	duty.OnAsk(s.loop, s.asks, s.handle)
 	s.routes()
@@ -138,6 +139,10 @@
 	s.ask(ctx, query{method: methodSetHosts, hosts: hosts})
 }
 
+// Compact forgets the changes up to now and the tombstones, so that a watch
+// from an earlier revision must list again.
+func (s *Server) Compact(ctx context.Context) { s.ask(ctx, query{method: methodCompact}) }
+
 // Counts returns the calls so far.
 func (s *Server) Counts(ctx context.Context) Counts {
 	return s.ask(ctx, query{method: methodCounts}).counts
@@ -227,12 +232,15 @@
 	q := ask.Query
 	switch q.method {
 	case methodSetHosts:
-		s.hosts = q.hosts
+		s.setHosts(q.hosts)
 		ask.Reply(answer{status: consts.StatusOK})
 		return
 	case methodSetFaults:
-		s.faults = q.faults
-		s.tokens = q.faults.RatePerSecond
+		s.setFaults(q.faults)
+		ask.Reply(answer{status: consts.StatusOK})
+		return
+	case methodCompact:
+		s.compact()
 		ask.Reply(answer{status: consts.StatusOK})
 		return
 	case methodCounts:
@@ -246,7 +254,11 @@
 		ask.Reply(answer{status: consts.StatusServiceUnavailable})
 		return
 	}
-	if !s.takeToken() {
+	if s.faults.Hang {
+		s.hang(ask)
+		return
+	}
+	if !s.takeToken(q.method) {
 		s.counts.Refused++
 		ask.Reply(answer{status: consts.StatusTooManyRequests})
 		return
@@ -254,21 +266,6 @@
 	s.carryOut(ask)
 }
 
-func (s *Server) takeToken() bool {
-	rate := s.faults.RatePerSecond
-	if rate <= 0 {
-		return true
-	}
-	now := s.loop.Clock().Now()
-	s.tokens = min(rate, s.tokens+rate*now.Sub(s.refilled).Seconds())
-	s.refilled = now
-	if s.tokens < 1 {
-		return false
-	}
-	s.tokens--
-	return true
-}
-
 func (s *Server) carryOut(ask duty.Ask[query, answer]) {
 	q := ask.Query
 	switch q.method {
@@ -285,11 +282,7 @@
 		ask.Reply(answer{status: consts.StatusOK, listing: s.list(q.key), delay: s.faults.Delay})
 	case methodPut, methodDelete:
 		s.counts.Writes++
-		a := s.write(q)
-		if a.status == consts.StatusOK && s.faults.LoseAnswers > 0 {
-			s.faults.LoseAnswers--
-			a.status = consts.StatusInternalServerError
-		}
+		a := s.writeWithFaults(q)
 		a.delay = s.faults.Delay
 		ask.Reply(a)
 	case methodWatch:
@@ -297,14 +290,14 @@
 		s.watch(ask)
 	case methodHosts:
 		s.counts.Reads++
-		ask.Reply(answer{status: consts.StatusOK, hosts: append([]platform.Host{}, s.hosts...), delay: s.faults.Delay})
+		ask.Reply(answer{status: consts.StatusOK, hosts: append([]platform.Host{}, s.listed...), delay: s.faults.Delay})
 	}
 }
 
 func (s *Server) list(prefix string) platform.Listing {
 	l := platform.Listing{Objects: []platform.Object{}, Revision: s.revision}
 	for key, o := range s.objects {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && !s.forgotten[key] {
 			l.Objects = append(l.Objects, o)
 		}
 	}
@@ -334,6 +327,7 @@
 		Deleted:  q.method == methodDelete,
 	}
 	s.objects[q.key] = next
+	delete(s.forgotten, q.key)
 	s.record(next)
 	return answer{status: consts.StatusOK, object: next}
 }
@@ -345,7 +339,7 @@
 		s.changes = s.changes[1:]
 	}
 	for id, w := range s.waiters {
-		if strings.HasPrefix(o.Key, w.prefix) {
+		if strings.HasPrefix(o.Key, w.prefix) && !w.hung {
 			delete(s.waiters, id)
 			w.ask.Reply(answer{status: consts.StatusOK, listing: s.since(w.prefix, w.after)})
 		}
@@ -364,6 +358,10 @@
 
 func (s *Server) watch(ask duty.Ask[query, answer]) {
 	q := ask.Query
+	if s.faults.HangWatches {
+		s.wait(ask, true)
+		return
+	}
 	if q.after < s.compacted {
 		ask.Reply(answer{status: consts.StatusGone})
 		return
@@ -372,10 +370,20 @@
 		ask.Reply(answer{status: consts.StatusOK, listing: l})
 		return
 	}
+	s.wait(ask, false)
+}
+
+// wait keeps the watch until a change or the end of its time.
+func (s *Server) wait(ask duty.Ask[query, answer], hung bool) {
+	q := ask.Query
 	s.nextID++
 	id := s.nextID
-	s.waiters[id] = waiter{ask: ask, prefix: q.key, after: q.after}
-	s.loop.After(platformhttp.WatchWait, func() {
+	s.waiters[id] = waiter{ask: ask, prefix: q.key, after: q.after, hung: hung}
+	bound := platformhttp.WatchWait
+	if hung {
+		bound = hangBound
+	}
+	s.loop.After(bound, func() {
 		if w, waiting := s.waiters[id]; waiting {
 			delete(s.waiters, id)
 			w.ask.Reply(answer{status: consts.StatusOK, listing: platform.Listing{Revision: w.after}})
