--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -17,11 +17,13 @@
 const (
 	// DefaultLeaseDuration is used when LeaseOptions gives none.
 	DefaultLeaseDuration = 10 * time.Second
-	usableNumerator      = 3 // a holder uses 3/4 of the duration
-	usableDenominator    = 4
-	renewDivisor         = 4 // renewals are sent each quarter of the duration
-	driftDivisor         = 8 // a contender waits the duration and another eighth
-	pollDivisor          = 3 // a contender reads the lease three times in a duration
+	// MinLeaseDuration leaves time for a renewal that meets a short outage.
+	MinLeaseDuration  = time.Second
+	usableNumerator   = 3 // a holder uses 3/4 of the duration
+	usableDenominator = 4
+	renewDivisor      = 4 // renewals are sent each quarter of the duration
+	driftDivisor      = 8 // a contender waits the duration and another eighth
+	pollDivisor       = 3 // a contender reads the lease three times in a duration
 )
 
 // ErrLeaseNotFound means that the lessor does not follow the lease.
@@ -75,7 +77,7 @@
 
 // LeaseOptions says how a lease is held.
 type LeaseOptions struct {
-	Duration time.Duration // 0 takes DefaultLeaseDuration; every contender uses the same
+	Duration time.Duration // 0 takes DefaultLeaseDuration; less than MinLeaseDuration is raised to it
 	// Listener is called on the lessor's goroutine and must not wait.
 	Listener func(LeaseEvent)
 }
--- a/internal/platform/lessor.go
+++ b/internal/platform/lessor.go
@@ -196,8 +196,8 @@
 		}
 		l.leases[r.name] = s
 	}
-	s.duration = r.options.Duration
-	if s.duration <= 0 {
+	s.duration = max(r.options.Duration, MinLeaseDuration)
+	if r.options.Duration <= 0 {
 		s.duration = DefaultLeaseDuration
 	}
 	s.listener = r.options.Listener
@@ -444,7 +444,6 @@
 	s.version = d.result.Object.Version
 	s.seenAt = now
 	s.readAt = now
-	s.retry.reset()
 	s.renewAt = d.sentAt.Add(l.renewalDelay(s.duration))
 	granted := Holding{Name: s.name, Fence: d.record.Fence, Deadline: d.sentAt.Add(usable(s.duration))}
 	l.grant(s, d, granted, now)
@@ -461,11 +460,16 @@
 // grant starts or extends the holding that a write has brought.
 func (l *Lessor) grant(s *leaseState, d leaseDone, granted Holding, now time.Time) {
 	switch {
-	case d.op == leaseRelease || !granted.ValidAt(now):
+	case d.op == leaseRelease:
+		return
+	case !granted.ValidAt(now):
 		// The answer came too late to be used; the lease is taken again with a
-		// new fencing number.
+		// new fencing number. The delay keeps a store slower than the lease from
+		// being written all the time.
+		s.retryAt = now.Add(s.retry.next())
 		return
 	case d.op == leaseAcquire:
+		s.retry.reset()
 		s.holding = granted
 		s.held = true
 		l.counters.gained.Inc(1)
@@ -474,6 +478,7 @@
 	case s.held:
 		// A renewal whose holding was lost meanwhile does not bring it back,
 		// since its users were told to stop.
+		s.retry.reset()
 		s.holding = granted
 		l.counters.renewed.Inc(1)
 		l.notify(s.listener, LeaseEvent{Kind: LeaseRenewed, Holding: granted, Holder: l.self})
