--- /dev/null
+++ b/internal/standin/objectapi/objectapi_test.go
@@ -0,0 +1,217 @@
+package objectapi
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/platform/platformhttp"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+const (
+	waitLimit = 30 * time.Second
+	// silence is how long a call without an answer is waited for. It is not a
+	// bound on a call that is answered.
+	silence = 50 * time.Millisecond
+)
+
+type rig struct {
+	t      *testing.T
+	ctx    context.Context
+	clock  *duty.ManualClock
+	server *Server
+	client *platformhttp.Client
+}
+
+func newRig(t *testing.T) *rig {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	runner, err := duty.NewRunner(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := duty.NewManualClock(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	server, err := Start("127.0.0.1:0", clock, runner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := platformhttp.NewClient(server.URL(), transport.ClientOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		clock.Advance(hangBound) // ends the calls that hang
+		runner.Stop(ctx)
+		cancel()
+	})
+	return &rig{t: t, ctx: ctx, clock: clock, server: server, client: client}
+}
+
+func (r *rig) want(what string, err, want error) {
+	r.t.Helper()
+	if !errors.Is(err, want) {
+		r.t.Fatalf("%s: error %v, want %v", what, err, want)
+	}
+}
+
+func (r *rig) get(want error) platform.Object {
+	r.t.Helper()
+	o, err := r.client.Get(r.ctx, "c/a")
+	r.want("get", err, want)
+	return o
+}
+
+func (r *rig) put(ifVersion int64, token string, want error) {
+	r.t.Helper()
+	_, err := r.client.Put(r.ctx, platform.Write{Key: "c/a", IfVersion: ifVersion, Token: token, Value: []byte(token)})
+	r.want("put "+token, err, want)
+}
+
+// watch starts a watch and returns once it waits at the stand-in.
+func (r *rig) watch(timeout time.Duration) chan error {
+	done := make(chan error, 1)
+	revision := r.server.Counts(r.ctx).Revision
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, timeout)
+		defer cancel()
+		_, err := r.client.Watch(ctx, "c/", revision)
+		done <- err
+	}()
+	for r.server.Counts(r.ctx).Waiting == 0 {
+		if r.ctx.Err() != nil {
+			r.t.Fatal("the watch never waits")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return done
+}
+
+// Guards against a stand-in whose lost or late writes are not what they claim,
+// and a client that takes a lost answer for a definite one.
+func TestWriteFaults(t *testing.T) {
+	r := newRig(t)
+	r.server.SetFaults(r.ctx, Faults{LoseWrites: 1})
+	r.put(platform.Absent, "lost before", platform.ErrUnknownOutcome)
+	r.get(platform.ErrNotFound)
+	r.server.SetFaults(r.ctx, Faults{LoseAnswers: 1})
+	r.put(platform.Absent, "lost after", platform.ErrUnknownOutcome)
+	if o := r.get(nil); o.Token != "lost after" {
+		t.Fatalf("object %+v", o)
+	}
+	r.server.SetFaults(r.ctx, Faults{LateWrites: 2, LateBy: time.Second})
+	r.put(1, "late", platform.ErrUnknownOutcome)
+	r.put(1, "later", platform.ErrUnknownOutcome)
+	if o := r.get(nil); o.Version != 1 {
+		t.Fatalf("before the delay: %+v", o)
+	}
+	r.clock.Advance(time.Second)
+	if o := r.get(nil); o.Version != 2 || o.Token != "late" {
+		t.Fatalf("after the delay: %+v", o)
+	}
+	r.put(1, "old condition", platform.ErrConflict)
+}
+
+// Guards against outages, hung calls and compaction that the client confuses.
+func TestOutageHangAndCompaction(t *testing.T) {
+	r := newRig(t)
+	r.put(platform.Absent, "first", nil)
+	done := r.watch(waitLimit)
+	r.server.SetFaults(r.ctx, Faults{Down: true})
+	r.want("watch in an outage", <-done, platform.ErrUnavailable)
+	r.get(platform.ErrUnavailable)
+
+	r.server.SetFaults(r.ctx, Faults{Hang: true})
+	ctx, cancel := context.WithTimeout(r.ctx, silence)
+	defer cancel()
+	_, err := r.client.Get(ctx, "c/a")
+	r.want("hung call", err, platform.ErrUnknownOutcome)
+
+	r.server.SetFaults(r.ctx, Faults{HangWatches: true})
+	done = r.watch(silence)
+	r.put(1, "second", nil)
+	r.want("hung watch", <-done, platform.ErrUnknownOutcome)
+
+	r.server.SetFaults(r.ctx, Faults{})
+	_, err = r.client.Delete(r.ctx, platform.Write{Key: "c/a", IfVersion: 2})
+	r.want("delete", err, nil)
+	r.server.Compact(r.ctx)
+	_, err = r.client.Watch(r.ctx, "c/", 1)
+	r.want("watch after compaction", err, platform.ErrCompacted)
+	if l, err := r.client.List(r.ctx, "c/"); err != nil || len(l.Objects) != 0 || l.Revision != 3 {
+		t.Fatalf("list after compaction: %+v, %v", l, err)
+	}
+}
+
+// Guards against a rate limit that forgets waiting watches, and one that mixes
+// reads with writes.
+func TestRateLimits(t *testing.T) {
+	r := newRig(t)
+	r.server.SetFaults(r.ctx, Faults{ReadsPerSecond: 2, WritesPerSecond: 1})
+	r.put(platform.Absent, "first", nil)
+	r.put(1, "over the rate", platform.ErrRateLimited)
+	r.get(nil)
+	r.watch(waitLimit)
+	r.get(platform.ErrRateLimited)
+	r.clock.Advance(time.Second)
+	r.get(nil) // one of two calls; the waiting watch is the other
+	r.get(platform.ErrRateLimited)
+}
+
+// Guards against a host list that does not lag as the fault says.
+func TestHostListFaults(t *testing.T) {
+	r := newRig(t)
+	state := func(want platform.HostState) {
+		t.Helper()
+		hosts, err := r.client.Hosts(r.ctx)
+		if err != nil || len(hosts) != 1 || hosts[0].State != want {
+			t.Fatalf("hosts %+v, %v; want %s", hosts, err, want)
+		}
+	}
+	set := func(s platform.HostState) { r.server.SetHosts(r.ctx, []platform.Host{{Name: "a", State: s}}) }
+	set(platform.HostLive)
+	r.server.SetFaults(r.ctx, Faults{HostLag: time.Second})
+	set(platform.HostLeaving)
+	state(platform.HostLive)
+	r.clock.Advance(time.Second)
+	state(platform.HostLeaving)
+	r.server.SetFaults(r.ctx, Faults{FreezeHosts: true})
+	set(platform.HostLive)
+	state(platform.HostLeaving)
+	r.server.SetFaults(r.ctx, Faults{})
+	state(platform.HostLive)
+}
+
+// Guards against faults that the store duty does not survive over the real
+// protocol: an answer lost before and after the change, and a late write.
+func TestStoreDutyOverHTTP(t *testing.T) {
+	r := newRig(t)
+	runner, err := duty.NewRunner(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool, err := duty.NewPool("store", 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Release()
+	store := platform.NewStore(duty.SystemClock{}, r.client, pool)
+	if err := runner.Start(store.Loop()); err != nil {
+		t.Fatal(err)
+	}
+	defer runner.Stop(r.ctx)
+	faults := []Faults{{LoseAnswers: 1}, {LoseWrites: 1}, {LateWrites: 1, LateBy: time.Second}}
+	for i, f := range faults {
+		r.server.SetFaults(r.ctx, f)
+		result := store.Do(r.ctx, platform.Op{
+			Kind: platform.OpPut, Key: "c/a", Value: []byte{byte(i)}, IfVersion: int64(i), Timeout: waitLimit,
+		})
+		r.want("write", result.Err, nil)
+		r.clock.Advance(time.Second) // the late copy arrives
+		if o := r.get(nil); o.Version != int64(i+1) || o.Token != result.Object.Token {
+			t.Fatalf("%+v: stored %+v, answered %+v", f, o, result.Object)
+		}
+	}
+}
