Make the stand-in's tests independent of the speed of the machine

The hung call and the hung watch are now ended by the manual clock in place of a timeout of 50 ms, and the test that a hung watch is not told of a change reads the stand-in's counter, which is at least as strict.

--- a/internal/standin/objectapi/objectapi_test.go
+++ b/internal/standin/objectapi/objectapi_test.go
@@ -12,12 +12,8 @@
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
-const (
-	waitLimit = 30 * time.Second
-	// silence is how long a call without an answer is waited for. It is not a
-	// bound on a call that is answered.
-	silence = 50 * time.Millisecond
-)
+// waitLimit is a generous bound on events that take milliseconds.
+const waitLimit = 30 * time.Second
 
 type rig struct {
 	t      *testing.T
@@ -70,25 +66,28 @@
 	r.want("put "+token, err, want)
 }
 
-// watch starts a watch and returns once it waits at the stand-in.
-func (r *rig) watch(timeout time.Duration) chan error {
+// start makes the call and returns once the stand-in's counters show it.
+func (r *rig) start(call func() error, arrived func(Counts) bool) chan error {
 	done := make(chan error, 1)
-	revision := r.server.Counts(r.ctx).Revision
-	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, timeout)
-		defer cancel()
-		_, err := r.client.Watch(ctx, "c/", revision)
-		done <- err
-	}()
-	for r.server.Counts(r.ctx).Waiting == 0 {
+	go func() { done <- call() }()
+	for !arrived(r.server.Counts(r.ctx)) {
 		if r.ctx.Err() != nil {
-			r.t.Fatal("the watch never waits")
+			r.t.Fatal("the call never arrives")
 		}
 		time.Sleep(time.Millisecond)
 	}
 	return done
 }
 
+// watch starts a watch and returns once it waits at the stand-in.
+func (r *rig) watch() chan error {
+	revision := r.server.Counts(r.ctx).Revision
+	return r.start(func() error {
+		_, err := r.client.Watch(r.ctx, "c/", revision)
+		return err
+	}, func(c Counts) bool { return c.Waiting == 1 })
+}
+
 // Guards against a stand-in whose lost or late writes are not what they claim,
 // and a client that takes a lost answer for a definite one.
 func TestWriteFaults(t *testing.T) {
@@ -118,24 +117,34 @@
 func TestOutageHangAndCompaction(t *testing.T) {
 	r := newRig(t)
 	r.put(platform.Absent, "first", nil)
-	done := r.watch(waitLimit)
+	done := r.watch()
 	r.server.SetFaults(r.ctx, Faults{Down: true})
 	r.want("watch in an outage", <-done, platform.ErrUnavailable)
 	r.get(platform.ErrUnavailable)
 
 	r.server.SetFaults(r.ctx, Faults{Hang: true})
-	ctx, cancel := context.WithTimeout(r.ctx, silence)
-	defer cancel()
-	_, err := r.client.Get(ctx, "c/a")
-	r.want("hung call", err, platform.ErrUnknownOutcome)
+	refused := r.server.Counts(r.ctx).Refused
+	done = r.start(func() error {
+		_, err := r.client.Get(r.ctx, "c/a")
+		return err
+	}, func(c Counts) bool { return c.Refused > refused })
+	if len(done) != 0 {
+		t.Fatal("the hung call was answered")
+	}
+	r.clock.Advance(hangBound)
+	r.want("hung call", <-done, platform.ErrUnknownOutcome)
 
 	r.server.SetFaults(r.ctx, Faults{HangWatches: true})
-	done = r.watch(silence)
+	done = r.watch()
 	r.put(1, "second", nil)
-	r.want("hung watch", <-done, platform.ErrUnknownOutcome)
+	if waiting := r.server.Counts(r.ctx).Waiting; waiting != 1 {
+		t.Fatal("the hung watch was told of a change")
+	}
+	r.clock.Advance(hangBound)
+	r.want("end of the hung watch", <-done, nil)
 
 	r.server.SetFaults(r.ctx, Faults{})
-	_, err = r.client.Delete(r.ctx, platform.Write{Key: "c/a", IfVersion: 2})
+	_, err := r.client.Delete(r.ctx, platform.Write{Key: "c/a", IfVersion: 2})
 	r.want("delete", err, nil)
 	r.server.Compact(r.ctx)
 	_, err = r.client.Watch(r.ctx, "c/", 1)
@@ -153,7 +162,7 @@
 	r.put(platform.Absent, "first", nil)
 	r.put(1, "over the rate", platform.ErrRateLimited)
 	r.get(nil)
-	r.watch(waitLimit)
+	r.watch()
 	r.get(platform.ErrRateLimited)
 	r.clock.Advance(time.Second)
 	r.get(nil) // one of two calls; the waiting watch is the other
@@ -197,7 +206,9 @@
 		t.Fatal(err)
 	}
 	defer pool.Release()
-	store := platform.NewStore(duty.SystemClock{}, r.client, pool)
+	store := platform.NewStoreWith(duty.SystemClock{}, r.client, pool, platform.StoreOptions{
+		CallTimeout: waitLimit, SettleTimeout: waitLimit,
+	})
 	if err := runner.Start(store.Loop()); err != nil {
 		t.Fatal(err)
 	}
