--- /dev/null
+++ b/internal/operator/decode.go
@@ -0,0 +1,299 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// MaxContractBytes bounds a contract file and a contract sent to a daemon.
+const MaxContractBytes = 256 << 10
+
+// Problem is one fault of a contract. Line and Column count from 1; they are 0
+// when the contract did not come from a file.
+type Problem struct {
+	File   string
+	Line   int
+	Column int
+	Err    *core.Error
+}
+
+// String returns the problem in the form file:line:column: field: reason.
+func (p Problem) String() string {
+	if p.Line == 0 {
+		return p.Err.Error()
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", p.File, p.Line, p.Column, p.Err.Error())
+}
+
+func (p Problem) before(other Problem) bool {
+	if p.Line != other.Line {
+		return p.Line < other.Line
+	}
+	return p.Column < other.Column
+}
+
+// Problems are all faults found in one contract. As an error it is invalid input.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, 0, len(p))
+	for _, problem := range p {
+		lines = append(lines, problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the problems' errors.
+func (p Problems) Unwrap() []error {
+	list := make([]error, 0, len(p))
+	for _, problem := range p {
+		list = append(list, problem.Err)
+	}
+	return list
+}
+
+// ParseContract reads a contract file. The error, if any, is Problems, with
+// every unknown field, wrong type and value out of range in it.
+func ParseContract(file string, data []byte) (*core.Contract, error) {
+	d := decoder{file: file, places: map[string]*token.Position{}}
+	contract := &core.Contract{}
+	root := d.parse(data)
+	if root == nil {
+		return nil, d.problems
+	}
+	d.decode(root, "", reflect.ValueOf(contract).Elem())
+	for _, e := range CheckContract(contract) {
+		if !d.failed(e.Field) {
+			d.add(d.place(e.Field), e)
+		}
+	}
+	if len(d.problems) > 0 {
+		sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].before(d.problems[j]) })
+		return nil, d.problems
+	}
+	return contract, nil
+}
+
+// decoder fills a struct from a YAML tree. Unlike the library's strict mode it
+// goes on after a fault, so that one run shows all of them.
+type decoder struct {
+	file     string
+	places   map[string]*token.Position // by field path, such as services[0].name
+	problems Problems
+}
+
+func (d *decoder) add(at *token.Position, e *core.Error) {
+	p := Problem{File: d.file, Line: 1, Column: 1, Err: e}
+	if at != nil {
+		p.Line, p.Column = at.Line, at.Column
+	}
+	d.problems = append(d.problems, p)
+}
+
+// failed reports whether the decoder has a problem at the field or above it,
+// so that the checks of values do not report it a second time.
+func (d *decoder) failed(field string) bool {
+	for _, p := range d.problems {
+		at := p.Err.Field
+		if at == field || strings.HasPrefix(field, at+".") || strings.HasPrefix(field, at+"[") {
+			return true
+		}
+	}
+	return false
+}
+
+// place returns the position of the field, or of the nearest field above it.
+func (d *decoder) place(field string) *token.Position {
+	for field != "" {
+		if at := d.places[field]; at != nil {
+			return at
+		}
+		field = field[:max(0, strings.LastIndexAny(field, ".["))]
+	}
+	return d.places[""]
+}
+
+func (d *decoder) parse(data []byte) ast.Node {
+	if len(data) > MaxContractBytes {
+		d.add(nil, core.InvalidError("file", fmt.Sprint(len(data), " bytes"), fmt.Sprintf("up to %d bytes", MaxContractBytes), "is too large"))
+		return nil
+	}
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		d.add(syntaxPlace(err))
+		return nil
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		d.add(nil, core.InvalidError("file", fmt.Sprint(len(file.Docs), " documents"), "one YAML document with one contract", "does not hold one contract"))
+		return nil
+	}
+	return file.Docs[0].Body
+}
+
+func syntaxPlace(err error) (*token.Position, *core.Error) {
+	var located yaml.Error
+	if errors.As(err, &located) && located.GetToken() != nil {
+		return located.GetToken().Position, core.InvalidError("file", "", "YAML", "is not valid YAML: "+located.GetMessage())
+	}
+	return nil, core.InvalidError("file", "", "YAML", "is not valid YAML: "+err.Error())
+}
+
+func (d *decoder) decode(n ast.Node, path string, v reflect.Value) {
+	if path != "" || d.places[path] == nil {
+		d.places[path] = n.GetToken().Position
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(n, path, v)
+	case reflect.Slice:
+		d.decodeSlice(n, path, v)
+	default:
+		d.decodeScalar(n, path, v)
+	}
+}
+
+func (d *decoder) decodeStruct(n ast.Node, path string, v reflect.Value) {
+	var entries []*ast.MappingValueNode
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		entries = m.Values
+	case *ast.MappingValueNode:
+		entries = []*ast.MappingValueNode{m}
+	default:
+		d.wrongType(n, path, "fields: "+strings.Join(fieldNames(v.Type()), ", "))
+		return
+	}
+	seen := map[string]bool{}
+	for _, entry := range entries {
+		name := entry.Key.GetToken().Value
+		field := join(path, name)
+		at := entry.Key.GetToken().Position
+		index, known := fieldIndex(v.Type(), name)
+		if !known {
+			d.add(at, core.InvalidError(field, valueText(entry.Value), "one of "+strings.Join(fieldNames(v.Type()), ", "), "is not a field of a contract"))
+			continue
+		}
+		if seen[name] {
+			d.add(at, core.InvalidError(field, valueText(entry.Value), "each field once", "is given twice"))
+			continue
+		}
+		seen[name] = true
+		d.decode(entry.Value, field, v.Field(index))
+	}
+}
+
+func (d *decoder) decodeSlice(n ast.Node, path string, v reflect.Value) {
+	list, ok := n.(*ast.SequenceNode)
+	if !ok {
+		d.wrongType(n, path, "a list")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values)))
+	for i, item := range list.Values {
+		d.decode(item, fmt.Sprintf("%s[%d]", path, i), v.Index(i))
+	}
+}
+
+func (d *decoder) decodeScalar(n ast.Node, path string, v reflect.Value) {
+	if !fits(n, v.Type()) {
+		d.wrongType(n, path, allowedType(v.Type()))
+		return
+	}
+	if err := yaml.NodeToValue(n, v.Addr().Interface()); err != nil {
+		d.wrongType(n, path, allowedType(v.Type()))
+		return
+	}
+	if v.Type() == reflect.TypeFor[core.Duration]() && v.IsZero() {
+		d.add(n.GetToken().Position, core.InvalidError(path, valueText(n), "above 0, or leave the field out", "is out of range"))
+	}
+}
+
+// fits reports whether the node has the kind that the type needs. The library
+// alone would turn quoted numbers into numbers, cut 1.5 to 1 and drop nulls.
+func fits(n ast.Node, t reflect.Type) bool {
+	switch n.(type) {
+	case *ast.StringNode, *ast.LiteralNode:
+		return t.Kind() == reflect.String || t == reflect.TypeFor[core.Duration]()
+	case *ast.IntegerNode:
+		return t.Kind() == reflect.Int || t.Kind() == reflect.Float64
+	case *ast.FloatNode, *ast.NanNode, *ast.InfinityNode:
+		return t.Kind() == reflect.Float64
+	case *ast.BoolNode:
+		return t.Kind() == reflect.Bool
+	}
+	return false
+}
+
+func (d *decoder) wrongType(n ast.Node, path, allowed string) {
+	field := path
+	if field == "" {
+		field = "file"
+	}
+	d.add(n.GetToken().Position, core.InvalidError(field, valueText(n), allowed, "has a value of the wrong type"))
+}
+
+func allowedType(t reflect.Type) string {
+	if t == reflect.TypeFor[core.Duration]() {
+		return "a duration with its unit, such as 250ms, 5s or 2m"
+	}
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "text"
+	}
+}
+
+// valueText returns the value as it is written, cut to one short line.
+func valueText(n ast.Node) string {
+	const maxShown = 60 // bytes
+	text := strings.Join(strings.Fields(n.String()), " ")
+	if len(text) > maxShown {
+		text = strings.ToValidUTF8(text[:maxShown], "") + "..."
+	}
+	return text
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func yamlName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+func fieldIndex(t reflect.Type, name string) (int, bool) {
+	for i := range t.NumField() {
+		if yamlName(t.Field(i)) == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		names = append(names, yamlName(t.Field(i)))
+	}
+	return names
+}
