--- a/internal/core/errors.go
+++ b/internal/core/errors.go
@@ -13,6 +13,7 @@
 // Codes of errors that reach callers. docs/api.md maps them to HTTP statuses.
 const (
 	CodeInvalid        Code = "invalid"         // the request or setting is malformed
+	CodeTooLarge       Code = "too-large"       // the body is over the limit
 	CodeUnauthorized   Code = "unauthorized"    // no valid credentials
 	CodeForbidden      Code = "forbidden"       // valid credentials for another customer
 	CodeNotFound       Code = "not-found"       // no such customer, service, object or request
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -25,6 +25,7 @@
 type source interface {
 	// drain handles up to limit entries and returns how many it handled.
 	drain(limit int) int
+	stats() ring.Stats
 }
 
 // Loop is the event loop of one duty. Rings and tickers are bound before Run.
@@ -94,6 +95,18 @@
 	return limit
 }
 
+func (b binding[T]) stats() ring.Stats { return b.in.Stats() }
+
+// Rings returns the counters of the rings that the loop reads. Any goroutine
+// may call it once the rings are bound.
+func (l *Loop) Rings() []ring.Stats {
+	list := make([]ring.Stats, 0, len(l.sources))
+	for _, s := range l.sources {
+		list = append(list, s.stats())
+	}
+	return list
+}
+
 // On makes handle the reader of r within the loop's goroutine.
 func On[T any](l *Loop, r *ring.Ring[T], handle func(T)) {
 	l.sources = append(l.sources, binding[T]{in: r, handle: handle})
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -9,6 +9,7 @@
 	"github.com/berylfall/berylfall/internal/caller"
 	"github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/operator"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/platform/platformhttp"
 	"github.com/berylfall/berylfall/internal/settings"
@@ -29,6 +30,8 @@
 	admission      *caller.Admission
 	trainers       *trainer.Trainer
 	config         *daemon.Config
+	status         *operator.Status
+	metrics        *settings.Metrics
 }
 
 func (b *builder) build() error {
@@ -36,6 +39,7 @@
 		peer  string
 		build func() error
 	}{
+		{"status", b.buildStatus},
 		{"platform", b.buildPlatform},
 		{"backend", b.buildBackend},
 		{"caller", b.buildCaller},
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	b.dispatch = backend.NewDispatch(b.clock, b.random(), client, exchanges)
-	poller := backend.NewPoller(b.clock, hostSource{b.platformClient}, client, probes, b.dispatch.SetServers)
+	poller := backend.NewPoller(b.clock, hostSource{b.platformClient}, client, probes, b.reportServers(b.dispatch.SetServers))
 	return b.start(b.dispatch.Loop(), poller.Loop())
 }
 
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// Ranges of settings.
+const (
+	minBody           = 1 << 10  // bytes
+	maxCallerBody     = 64 << 20 // bytes
+	maxOperatorBody   = 1 << 20  // bytes; the object API holds no larger value
+	maxExchanges      = 16384    // the dispatch duty's bound on attempts
+	maxStoreCalls     = 1024
+	maxSamples        = 4096
+	minStopTimeout    = time.Second
+	maxStopTimeout    = 24 * time.Hour
+	maxPeers          = 1024
+	allowedAddress    = "an IP address and a port, such as 10.0.0.1:7300"
+	allowedName       = "1 to 63 of a-z, A-Z, 0-9, '-', '.', '_', starting with a letter or digit"
+	allowedURL        = "an http or https URL without query, such as http://10.0.0.1:7000"
+	allowedDataFolder = "an existing folder, or empty"
+)
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+
+// Check returns every setting that is not allowed, joined into one error. Each
+// names the flag, the value and what is allowed.
+func (d *Daemon) Check() error {
+	k := &checker{}
+	k.name("--name", d.Name)
+	k.name("--data-centre", d.DataCentre)
+	k.name("--region", d.Region)
+	k.listeners(d)
+	k.peers(d)
+	k.platformURL(d.PlatformURL)
+	k.dataFolder(d.DataFolder)
+	k.integer("--caller-max-body", d.CallerMaxBody, minBody, maxCallerBody)
+	k.integer("--operator-max-body", d.OperatorMaxBody, minBody, maxOperatorBody)
+	k.integer("--exchanges", d.Exchanges, 1, maxExchanges)
+	k.integer("--store-calls", d.StoreCalls, 1, maxStoreCalls)
+	k.integer("--samples", d.Samples, 1, maxSamples)
+	if d.StopTimeout < minStopTimeout || d.StopTimeout > maxStopTimeout {
+		k.fail("--stop-timeout", d.StopTimeout.String(), fmt.Sprintf("%v to %v", minStopTimeout, maxStopTimeout), "is out of range")
+	}
+	k.tls(d)
+	if d.TokenFile != "" {
+		if err := NewTokens(d.TokenFile, time.Now).Reload(); err != nil {
+			k.wrap("--token-file", d.TokenFile, "a readable file of tokens", err)
+		}
+	}
+	return errors.Join(k.errors...)
+}
+
+type checker struct {
+	errors []error
+}
+
+func (k *checker) fail(flag, value, allowed, reason string) {
+	k.errors = append(k.errors, core.InvalidError(flag, value, allowed, reason))
+}
+
+func (k *checker) wrap(flag, value, allowed string, err error) {
+	e := core.InvalidError(flag, value, allowed, "cannot be used")
+	e.Err = err
+	k.errors = append(k.errors, e)
+}
+
+func (k *checker) name(flag, value string) {
+	if !namePattern.MatchString(value) {
+		k.fail(flag, value, allowedName, "is not a valid name")
+	}
+}
+
+func (k *checker) integer(flag string, value, low, high int) {
+	if value < low || value > high {
+		k.fail(flag, strconv.Itoa(value), fmt.Sprintf("%d to %d", low, high), "is out of range")
+	}
+}
+
+func (k *checker) address(flag, value string) bool {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		k.fail(flag, value, allowedAddress, "is not an address")
+		return false
+	}
+	return true
+}
+
+func (k *checker) listeners(d *Daemon) {
+	listeners := []struct{ flag, address string }{
+		{"--caller-address", d.CallerAddress},
+		{"--operator-address", d.OperatorAddress},
+		{"--peer-address", d.PeerAddress},
+	}
+	used := map[netip.AddrPort]string{}
+	for _, l := range listeners {
+		if !k.address(l.flag, l.address) {
+			continue
+		}
+		at := netip.MustParseAddrPort(l.address)
+		if other := used[at]; other != "" && at.Port() != 0 {
+			k.fail(l.flag, l.address, "an address of its own", "is used by "+other+" too")
+		}
+		used[at] = l.flag
+	}
+}
+
+func (k *checker) peers(d *Daemon) {
+	if len(d.Peers) > maxPeers {
+		k.fail("--peers", strconv.Itoa(len(d.Peers)), fmt.Sprintf("up to %d peers", maxPeers), "are too many")
+	}
+	for _, peer := range d.Peers {
+		if k.address("--peers", peer) && netip.MustParseAddrPort(peer).Port() == 0 {
+			k.fail("--peers", peer, "a port from 1 to 65535", "has port 0")
+		}
+	}
+}
+
+func (k *checker) platformURL(value string) {
+	u, err := url.Parse(value)
+	valid := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" && u.Fragment == "" && u.User == nil
+	if !valid {
+		k.fail("--platform-url", value, allowedURL, "is not a base URL")
+	}
+}
+
+func (k *checker) dataFolder(value string) {
+	if value == "" {
+		return
+	}
+	info, err := os.Stat(value)
+	if err != nil {
+		k.wrap("--data-folder", value, allowedDataFolder, err)
+	} else if !info.IsDir() {
+		k.fail("--data-folder", value, allowedDataFolder, "is not a folder")
+	}
+}
+
+func (k *checker) tls(d *Daemon) {
+	if d.TLSCertificate == "" && d.TLSKey == "" {
+		return
+	}
+	if d.TLSKey == "" {
+		k.fail("--tls-key", "", "a PEM file, since --tls-certificate is set", "is required")
+		return
+	}
+	if d.TLSCertificate == "" {
+		k.fail("--tls-certificate", "", "a PEM file, since --tls-key is set", "is required")
+		return
+	}
+	if err := NewCertificate(d.TLSCertificate, d.TLSKey).Reload(); err != nil {
+		k.wrap("--tls-certificate", d.TLSCertificate, "a PEM certificate that matches --tls-key "+d.TLSKey, err)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,8 +1,11 @@
 // Package settings holds a daemon's static configuration: flags, environment
-// variables, their checks, and the logger.
+// variables, their checks, the token and certificate files, the logger and the
+// metrics registry.
 package settings
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -19,11 +22,18 @@
 	CallerAddress   string        `long:"caller-address" env:"BERYLFALL_CALLER_ADDRESS" default:"127.0.0.1:7300" description:"IP address and port for callers and trainers"`
 	OperatorAddress string        `long:"operator-address" env:"BERYLFALL_OPERATOR_ADDRESS" default:"127.0.0.1:7301" description:"IP address and port for operators and metrics"`
 	PeerAddress     string        `long:"peer-address" env:"BERYLFALL_PEER_ADDRESS" default:"127.0.0.1:7302" description:"IP address and port for other daemons"`
+	Peers           []string      `long:"peers" env:"BERYLFALL_PEERS" env-delim:"," description:"IP address and port of another daemon's peer listener; repeat the flag for each (in the environment: separated by commas)"`
 	PlatformURL     string        `long:"platform-url" env:"BERYLFALL_PLATFORM_URL" default:"http://127.0.0.1:7000" description:"base URL of the platform's object API and host list"`
+	DataFolder      string        `long:"data-folder" env:"BERYLFALL_DATA_FOLDER" description:"folder for bulk data on a local disk; empty keeps nothing on disk"`
+	TLSCertificate  string        `long:"tls-certificate" env:"BERYLFALL_TLS_CERTIFICATE" description:"PEM file of the certificate chain for callers and operators; empty serves without TLS; read again when it changes"`
+	TLSKey          string        `long:"tls-key" env:"BERYLFALL_TLS_KEY" description:"PEM file of the certificate's private key; read again when it changes"`
+	TokenFile       string        `long:"token-file" env:"BERYLFALL_TOKEN_FILE" description:"YAML file of bearer tokens; empty lets every client act as an operator; read again when it changes"`
+	CallerMaxBody   int           `long:"caller-max-body" env:"BERYLFALL_CALLER_MAX_BODY" default:"8388608" description:"largest body of a caller's request in bytes, 1024 to 67108864"`
+	OperatorMaxBody int           `long:"operator-max-body" env:"BERYLFALL_OPERATOR_MAX_BODY" default:"524288" description:"largest body of an operator's request in bytes, 1024 to 1048576"`
 	Exchanges       int           `long:"exchanges" env:"BERYLFALL_EXCHANGES" default:"2048" description:"most exchanges with backend servers at once, 1 to 16384"`
 	StoreCalls      int           `long:"store-calls" env:"BERYLFALL_STORE_CALLS" default:"32" description:"most calls of the object API at once, 1 to 1024"`
 	Samples         int           `long:"samples" env:"BERYLFALL_SAMPLES" default:"512" description:"most samples for trainers at once, 1 to 4096"`
-	StopTimeout     time.Duration `long:"stop-timeout" env:"BERYLFALL_STOP_TIMEOUT" default:"10m" description:"longest wait for requests in flight at a planned stop, such as 10m"`
+	StopTimeout     time.Duration `long:"stop-timeout" env:"BERYLFALL_STOP_TIMEOUT" default:"10m" description:"longest wait for requests in flight at a planned stop, 1s to 24h"`
 	LogLevel        string        `long:"log-level" env:"BERYLFALL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe level that is logged"`
 	LogFormat       string        `long:"log-format" env:"BERYLFALL_LOG_FORMAT" default:"text" choice:"text" choice:"json" description:"format of the log"`
 }
@@ -32,18 +42,15 @@
 func Parse(args []string) (*Daemon, error) {
 	d := &Daemon{}
 	parser := flags.NewParser(d, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.ParseArgs(args); err != nil {
+	parser.Name = "berylfalld"
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
 		return nil, err
 	}
-	return d, d.Check()
-}
-
-// Check reports the first setting that is not allowed.
-func (d *Daemon) Check() error {
-	if d.Exchanges < 1 || d.Exchanges > 16384 {
-		return core.InvalidError("--exchanges", "", "1 to 16384", "is out of range")
+	if len(rest) > 0 {
+		return nil, core.InvalidError("arguments", strings.Join(rest, " "), "flags only", "are not known")
 	}
-	return nil
+	return d, d.Check()
 }
 
 // NewLogger returns the daemon's logger.
@@ -53,7 +60,16 @@
 		log.SetLevel(level)
 	}
 	if d.LogFormat == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	} else {
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	}
 	return log
 }
+
+// String returns the flag names and values for a log line. No setting is secret:
+// tokens and keys are in files.
+func (d *Daemon) String() string {
+	return fmt.Sprintf("name=%s data-centre=%s region=%s platform-url=%s peers=%s",
+		d.Name, d.DataCentre, d.Region, d.PlatformURL, strings.Join(d.Peers, ","))
+}
--- /dev/null
+++ b/internal/transport/auth.go
@@ -0,0 +1,136 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// Authenticator turns a bearer token into the principal that it was issued to.
+type Authenticator interface {
+	Authenticate(token string) (core.Principal, *core.Error)
+}
+
+const (
+	headerAuthorization = "Authorization"
+	bearerPrefix        = "Bearer "
+	principalKey        = "berylfall.principal"
+)
+
+// Authenticate refuses requests without a valid bearer token and keeps the
+// principal for PrincipalOf. A nil authenticator takes every client as an operator.
+// Requests for the open paths need no token.
+func Authenticate(a Authenticator, open ...string) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		if isOpen(string(c.Path()), open) {
+			c.Next(ctx)
+			return
+		}
+		principal, err := authenticate(a, string(c.GetHeader(headerAuthorization)))
+		if err != nil {
+			c.Response.Header.Set("WWW-Authenticate", "Bearer")
+			refuse(c, err)
+			return
+		}
+		c.Set(principalKey, principal)
+		c.Next(ctx)
+	}
+}
+
+func isOpen(path string, open []string) bool {
+	for _, p := range open {
+		if p == path {
+			return true
+		}
+	}
+	return false
+}
+
+func authenticate(a Authenticator, header string) (core.Principal, *core.Error) {
+	if a == nil {
+		return core.Principal{Name: "anonymous", Role: core.RoleOperator}, nil
+	}
+	if len(header) <= len(bearerPrefix) || !strings.EqualFold(header[:len(bearerPrefix)], bearerPrefix) {
+		return core.Principal{}, core.NotRunError(core.CodeUnauthorized, "the request carries no bearer token")
+	}
+	return a.Authenticate(header[len(bearerPrefix):])
+}
+
+// PrincipalOf returns the principal that Authenticate found. Without one it
+// returns the zero principal, which may do nothing.
+func PrincipalOf(c *app.RequestContext) core.Principal {
+	p, _ := c.Value(principalKey).(core.Principal)
+	return p
+}
+
+// OwnCustomer refuses requests whose customer header names another customer
+// than the principal's. A caller that names none acts for its own.
+func OwnCustomer() app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		principal := PrincipalOf(c)
+		named := string(c.GetHeader(HeaderCustomer))
+		if named == "" && principal.Role == core.RoleCaller {
+			named = string(principal.Customer)
+			c.Request.Header.Set(HeaderCustomer, named)
+		}
+		if err := principal.CheckCustomer(core.CustomerID(named)); err != nil {
+			refuse(c, err)
+			return
+		}
+		c.Next(ctx)
+	}
+}
+
+// LimitBody refuses bodies over limit bytes. The server must be opened with
+// StreamBody, since it otherwise drops such requests before any handler.
+func LimitBody(limit int) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		if err := readBody(c, limit); err != nil {
+			// The rest of the body is still on the connection.
+			c.SetConnectionClose()
+			refuse(c, err)
+			return
+		}
+		c.Next(ctx)
+	}
+}
+
+func readBody(c *app.RequestContext, limit int) *core.Error {
+	length := c.Request.Header.ContentLength()
+	if length > limit {
+		return tooLarge(strconv.Itoa(length), limit)
+	}
+	if !c.Request.IsBodyStream() {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(c.Request.BodyStream(), int64(limit)+1))
+	if err != nil {
+		return &core.Error{Code: core.CodeInvalid, Verdict: core.NotRun, Field: "body", Reason: "ended early", Err: err}
+	}
+	if len(body) > limit {
+		return tooLarge("over "+strconv.Itoa(limit), limit)
+	}
+	c.Request.SetBody(body)
+	return nil
+}
+
+func tooLarge(got string, limit int) *core.Error {
+	e := core.InvalidError("body", got+" bytes", "up to "+strconv.Itoa(limit)+" bytes", "is too large")
+	e.Code = core.CodeTooLarge
+	return e
+}
+
+func refuse(c *app.RequestContext, e *core.Error) {
+	WriteError(c, e)
+	c.Abort()
+}
+
+// NoRoute answers requests for paths that the server does not have.
+func NoRoute(_ context.Context, c *app.RequestContext) {
+	WriteError(c, core.NotRunError(core.CodeNotFound, "no such path: %s %s", c.Method(), c.Path()))
+}
--- a/internal/transport/json.go
+++ b/internal/transport/json.go
@@ -50,6 +50,7 @@
 // statusOf maps error codes to HTTP statuses.
 var statusOf = map[core.Code]int{
 	core.CodeInvalid:        consts.StatusBadRequest,
+	core.CodeTooLarge:       consts.StatusRequestEntityTooLarge,
 	core.CodeUnauthorized:   consts.StatusUnauthorized,
 	core.CodeForbidden:      consts.StatusForbidden,
 	core.CodeNotFound:       consts.StatusNotFound,
@@ -117,10 +118,13 @@
 // ResponseError is an answer with an HTTP status of 400 or above.
 type ResponseError struct {
 	Status  int
-	Headers map[string]string // the headers Retry-After and Request-Started, if sent
+	Headers map[string]string // those of keptHeaders that were sent
 	Body    []byte
 }
 
+// keptHeaders are the headers that a ResponseError keeps.
+var keptHeaders = []string{HeaderRetryAfter, HeaderRequestStarted, HeaderVerdict, HeaderRequestID}
+
 // Error returns the status and the start of the body.
 func (e *ResponseError) Error() string {
 	const maxShown = 200 // bytes
@@ -187,7 +191,7 @@
 // NewResponseError copies what an error answer says.
 func NewResponseError(resp *protocol.Response) *ResponseError {
 	e := &ResponseError{Status: resp.StatusCode(), Headers: map[string]string{}}
-	for _, name := range []string{HeaderRetryAfter, HeaderRequestStarted} {
+	for _, name := range keptHeaders {
 		if value := resp.Header.Get(name); value != "" {
 			e.Headers[name] = value
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -36,6 +36,9 @@
 	TLS         *tls.Config
 	MaxBody     int           // bytes
 	ReadTimeout time.Duration // for one read of a request
+	// StreamBody leaves bodies over MaxBody to the handlers, so that
+	// LimitBody can refuse them with a verdict.
+	StreamBody bool
 }
 
 // Server is an HTTP server on one listener.
@@ -60,6 +63,7 @@
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(o.MaxBody),
+		server.WithStreamBody(o.StreamBody),
 		server.WithReadTimeout(o.ReadTimeout),
 		server.WithIdleTimeout(DefaultIdleTimeout),
 		server.WithMaxHeaderBytes(DefaultHeaderLimit),
