--- /dev/null
+++ b/internal/cli/contract.go
@@ -0,0 +1,384 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/goccy/go-yaml"
+	"github.com/rogpeppe/go-internal/diff"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/operator"
+	"github.com/berylfall/berylfall/internal/operator/operatorhttp"
+	"github.com/berylfall/berylfall/internal/platform"
+)
+
+type fileOption struct {
+	File string `short:"f" long:"file" required:"yes" value-name:"FILE" description:"contract file"`
+}
+
+type versionOption struct {
+	IfVersion *int64 `long:"if-version" value-name:"N" description:"make the change only if this version is stored; 0: none is stored; -1: whatever is stored"`
+}
+
+func (v versionOption) check() error {
+	if v.IfVersion != nil && *v.IfVersion < platform.AnyVersion {
+		return usageError("--if-version", strconv.FormatInt(*v.IfVersion, 10), "a version, 0 for a new contract, -1 for any version")
+	}
+	return nil
+}
+
+type customerArgument struct {
+	Args struct {
+		Customer string `positional-arg-name:"CUSTOMER" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+func (s *session) readContract(file string) (*core.Contract, error) {
+	data, err := s.app.ReadFile(file)
+	if err != nil {
+		return nil, invalidFile("--file", file, err)
+	}
+	return operator.ParseContract(file, data)
+}
+
+func contractPath(customer string) string {
+	return operatorhttp.PathContracts + "/" + url.PathEscape(customer)
+}
+
+// stored reads the stored contract; without one the version is 0.
+func (s *session) stored(customer string) (operatorhttp.ContractMessage, error) {
+	var message operatorhttp.ContractMessage
+	err := s.getAny(contractPath(customer), &message)
+	if err != nil && core.CodeOf(err) == core.CodeNotFound {
+		return operatorhttp.ContractMessage{}, nil
+	}
+	return message, err
+}
+
+type validateCommand struct {
+	Files   []string `short:"f" long:"file" required:"yes" value-name:"FILE" description:"contract file; repeat it for several"`
+	session *session
+}
+
+// Execute checks all files before it reports.
+func (c *validateCommand) Execute([]string) error {
+	var problems operator.Problems
+	for _, file := range c.Files {
+		contract, err := c.session.readContract(file)
+		var found operator.Problems
+		switch {
+		case errors.As(err, &found):
+			problems = append(problems, found...)
+		case err != nil:
+			return err
+		default:
+			c.session.printf("%s: valid contract of customer %s\n", file, contract.Customer)
+		}
+	}
+	if len(problems) > 0 {
+		return fmt.Errorf("%d problems\n%w", len(problems), problems)
+	}
+	return nil
+}
+
+type applyCommand struct {
+	fileOption
+	versionOption
+	outputOption
+	DryRun  bool `long:"dry-run" description:"check everything and print the differences, but change nothing"`
+	session *session
+}
+
+// Execute checks the file, then sends it.
+func (c *applyCommand) Execute([]string) error {
+	s := c.session
+	if err := c.check(); err != nil {
+		return err
+	}
+	contract, err := s.readContract(c.File)
+	if err != nil {
+		return err
+	}
+	before, err := s.stored(string(contract.Customer))
+	if err != nil {
+		return err
+	}
+	expected := before.Version
+	if c.IfVersion != nil {
+		expected = *c.IfVersion
+	}
+	query := url.Values{operatorhttp.QueryIfVersion: {strconv.FormatInt(expected, 10)}}
+	if c.DryRun {
+		query.Set(operatorhttp.QueryDryRun, "true")
+	}
+	var after operatorhttp.ContractMessage
+	err = s.change(consts.MethodPut, contractPath(string(contract.Customer))+"?"+query.Encode(), contract, &after)
+	if core.CodeOf(orInternal(err)) == core.CodeConflict {
+		s.showConflict(contract)
+	}
+	if err != nil {
+		return err
+	}
+	return c.print(before, after, contract)
+}
+
+// orInternal lets CodeOf take a nil error.
+func orInternal(err error) error {
+	if err == nil {
+		return &core.Error{Code: core.CodeInternal}
+	}
+	return err
+}
+
+// showConflict prints what is stored against what the operator wants.
+func (s *session) showConflict(ours *core.Contract) {
+	stored, err := s.stored(string(ours.Customer))
+	if err != nil {
+		s.warnf("the stored contract cannot be read: %v\n", err)
+		return
+	}
+	s.warnf("%s", contractDiff(stored, ours, "ours"))
+}
+
+func (c *applyCommand) print(before, after operatorhttp.ContractMessage, contract *core.Contract) error {
+	s := c.session
+	if after.Warning != "" {
+		s.warnf("warning: %s\n", after.Warning)
+	}
+	if c.Output == "json" {
+		return s.printJSON(after)
+	}
+	if after.DryRun {
+		s.printf("%scontract of %s is valid; version %d is stored; nothing changed\n", contractDiff(before, contract, "file"), contract.Customer, after.Version)
+		return nil
+	}
+	s.printf("contract of %s is stored as version %d\n", after.Customer, after.Version)
+	return nil
+}
+
+// contractDiff returns the differences from the stored contract, or "".
+func contractDiff(stored operatorhttp.ContractMessage, ours *core.Contract, name string) string {
+	old, err := contractText(stored.Contract)
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	updated, err := contractText(ours)
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	return string(diff.Diff(fmt.Sprintf("stored version %d", stored.Version), old, name, updated))
+}
+
+func contractText(contract *core.Contract) ([]byte, error) {
+	if contract == nil {
+		return nil, nil
+	}
+	return yaml.Marshal(contract)
+}
+
+type getCommand struct {
+	outputOption
+	customerArgument
+	session *session
+}
+
+// Execute prints the contract as a contract file.
+func (c *getCommand) Execute([]string) error {
+	var message operatorhttp.ContractMessage
+	if err := c.session.getAny(contractPath(c.Args.Customer), &message); err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return c.session.printJSON(message)
+	}
+	text, err := contractText(message.Contract)
+	if err != nil {
+		return err
+	}
+	c.session.printf("# version %d\n%s", message.Version, text)
+	return nil
+}
+
+type listCommand struct {
+	outputOption
+	session *session
+}
+
+// Execute prints one line for each contract.
+func (c *listCommand) Execute([]string) error {
+	var message operatorhttp.ListMessage
+	if err := c.session.getAny(operatorhttp.PathContracts, &message); err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return c.session.printJSON(message)
+	}
+	table := tabwriter.NewWriter(c.session.app.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "CUSTOMER\tVERSION\tSERVICES")
+	for _, m := range message.Contracts {
+		names := make([]string, 0, len(m.Contract.Services))
+		for _, service := range m.Contract.Services {
+			names = append(names, service.Name)
+		}
+		fmt.Fprintf(table, "%s\t%d\t%s\n", m.Customer, m.Version, strings.Join(names, ", "))
+	}
+	return table.Flush()
+}
+
+type diffCommand struct {
+	fileOption
+	outputOption
+	session *session
+}
+
+// Execute prints what apply would change.
+func (c *diffCommand) Execute([]string) error {
+	contract, err := c.session.readContract(c.File)
+	if err != nil {
+		return err
+	}
+	stored, err := c.session.stored(string(contract.Customer))
+	if err != nil {
+		return err
+	}
+	text := contractDiff(stored, contract, c.File)
+	if c.Output == "json" {
+		return c.session.printJSON(struct {
+			Customer core.CustomerID `json:"customer"`
+			Version  int64           `json:"version"`
+			Diff     string          `json:"diff"`
+		}{contract.Customer, stored.Version, text})
+	}
+	if text == "" {
+		text = fmt.Sprintf("no difference from stored version %d\n", stored.Version)
+	}
+	c.session.printf("%s", text)
+	return nil
+}
+
+type deleteCommand struct {
+	versionOption
+	customerArgument
+	session *session
+}
+
+// Execute deletes the contract that is stored when the command starts.
+func (c *deleteCommand) Execute([]string) error {
+	s := c.session
+	if err := c.check(); err != nil {
+		return err
+	}
+	var stored operatorhttp.ContractMessage
+	if err := s.getAny(contractPath(c.Args.Customer), &stored); err != nil {
+		return err
+	}
+	expected := stored.Version
+	if c.IfVersion != nil {
+		expected = *c.IfVersion
+	}
+	var after operatorhttp.ContractMessage
+	path := contractPath(c.Args.Customer) + "?" + operatorhttp.QueryIfVersion + "=" + strconv.FormatInt(expected, 10)
+	if err := s.change(consts.MethodDelete, path, nil, &after); err != nil {
+		return err
+	}
+	if after.Warning != "" {
+		s.warnf("warning: %s\n", after.Warning)
+	}
+	s.printf("contract of %s is deleted; its tombstone is version %d\n", after.Customer, after.Version)
+	return nil
+}
+
+type historyCommand struct {
+	outputOption
+	customerArgument
+	session *session
+}
+
+// Execute prints the recorded changes, newest last.
+func (c *historyCommand) Execute([]string) error {
+	var history operator.History
+	if err := c.session.getAny(contractPath(c.Args.Customer)+"/history", &history); err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return c.session.printJSON(history)
+	}
+	table := tabwriter.NewWriter(c.session.app.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "VERSION\tTIME\tWHO\tDIGEST\tCHANGE")
+	for i, e := range history.Entries {
+		if i > 0 && e.Version > history.Entries[i-1].Version+1 {
+			fmt.Fprintf(table, "(versions between %d and %d: not recorded)\n", history.Entries[i-1].Version, e.Version)
+		}
+		const shownDigest = 12 // hexadecimal digits
+		what, digest := "applied", e.Digest
+		if e.Deleted {
+			what, digest = "deleted", "-"
+		}
+		fmt.Fprintf(table, "%d\t%s\t%s\t%.*s\t%s\n", e.Version, e.Time.UTC().Format(time.RFC3339), e.Who, shownDigest, digest, what)
+	}
+	return table.Flush()
+}
+
+type waitCommand struct {
+	Version int64         `long:"version" description:"version to wait for; 0: the version that is stored when the command starts"`
+	For     time.Duration `long:"for" default:"30s" description:"longest wait, up to 1h"`
+	customerArgument
+	session *session
+}
+
+// waitPeriod is the pause between two rounds of asking the daemons.
+const waitPeriod = 200 * time.Millisecond
+
+// Execute asks the daemons until each has the version in force.
+func (c *waitCommand) Execute([]string) error {
+	s := c.session
+	if c.Version < 0 {
+		return usageError("--version", strconv.FormatInt(c.Version, 10), "0 or more")
+	}
+	if c.For < 0 || c.For > time.Hour {
+		return usageError("--for", c.For.String(), "0 to 1h")
+	}
+	version := c.Version
+	if version == 0 {
+		var stored operatorhttp.ContractMessage
+		if err := s.getAny(contractPath(c.Args.Customer), &stored); err != nil {
+			return err
+		}
+		version = stored.Version
+	}
+	deadline := time.Now().Add(c.For)
+	for {
+		lagging := c.lagging(version)
+		if len(lagging) == 0 {
+			s.printf("version %d of %s is in force on %d daemons\n", version, c.Args.Customer, len(s.options.Address))
+			return nil
+		}
+		if !time.Now().Before(deadline) || s.ctx.Err() != nil {
+			return core.NotRunError(core.CodeDeadline, "version %d of %s is not in force on %d of %d daemons:\n%s",
+				version, c.Args.Customer, len(lagging), len(s.options.Address), strings.Join(lagging, "\n"))
+		}
+		s.app.Sleep(waitPeriod)
+	}
+}
+
+func (c *waitCommand) lagging(version int64) []string {
+	var list []string
+	for _, base := range c.session.options.Address {
+		var report operator.StatusReport
+		if err := c.session.get(base, operatorhttp.PathStatus, &report); err != nil {
+			list = append(list, fmt.Sprintf("  %s: %v", base, err))
+			continue
+		}
+		if has := report.InForce(core.CustomerID(c.Args.Customer)); has < version {
+			list = append(list, fmt.Sprintf("  %s (%s): has version %d", base, report.Daemon, has))
+		}
+	}
+	return list
+}
