--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -141,10 +141,13 @@
 	result.Verdict = verdict
 	if err != nil || verdict != core.Ran {
 		failure := exchangeError(x, transport.NewResponseError(resp))
-		if result.Request != "" {
-			failure = fmt.Errorf("request %s, verdict %s: %w", result.Request, verdict, failure)
+		if err != nil {
+			return result, failure
 		}
-		return result, failure
+		if result.Request == "" {
+			return result, fmt.Errorf("verdict %s: %w", verdict, failure)
+		}
+		return result, fmt.Errorf("request %s, verdict %s: %w", result.Request, verdict, failure)
 	}
 	var completion callerhttp.CompletionResponse
 	if err := json.Unmarshal(resp.Body(), &completion); err == nil && completion.Object != "" && len(completion.Choices) == 1 {
--- /dev/null
+++ b/internal/operator/burn_test.go
@@ -0,0 +1,338 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"image/png"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+var start = time.Date(2027, 1, 4, 12, 0, 0, 0, time.UTC)
+
+var lookups = core.Objective{
+	Name: "lookups", Service: "card-desk", Class: core.ClassInteractive,
+	Latency: core.Duration(250 * time.Millisecond), Availability: 0.999,
+}
+
+func bookWith(objectives ...core.Objective) *burnBook {
+	b := newBurnBook()
+	b.setContracts(&core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{
+		"prairie": {Customer: "prairie", Version: 1, Contract: &core.Contract{Customer: "prairie", Objectives: objectives}},
+	}})
+	return b
+}
+
+func lookup(change func(*Ended)) Ended {
+	e := Ended{Customer: "prairie", Service: "card-desk", Class: core.ClassInteractive, Verdict: core.Ran, Latency: core.Duration(time.Millisecond)}
+	if change != nil {
+		change(&e)
+	}
+	return e
+}
+
+// Guards against requests that are judged wrongly: a refused caller must not
+// spend the budget, a slow or failed answer must.
+func TestScore(t *testing.T) {
+	cases := []struct {
+		name         string
+		change       func(*Ended)
+		counts, good bool
+	}{
+		{"whole answer", nil, true, true},
+		{"at the latency target", func(e *Ended) { e.Latency = lookups.Latency }, true, true},
+		{"slow", func(e *Ended) { e.Latency = lookups.Latency + 1 }, true, false},
+		{"may have run", func(e *Ended) { e.Verdict, e.Code = core.MayHaveRun, core.CodeBroken }, true, false},
+		{"overloaded", func(e *Ended) { e.Verdict, e.Code = core.NotRun, core.CodeOverloaded }, true, false},
+		{"no server", func(e *Ended) { e.Verdict, e.Code = core.NotRun, core.CodeNoCapability }, true, false},
+		{"service failed", func(e *Ended) { e.Status = 503 }, true, false},
+		{"service refused the content", func(e *Ended) { e.Status = 422 }, true, true},
+		{"over the contract's limit", func(e *Ended) { e.Verdict, e.Code = core.NotRun, core.CodeLimited }, false, false},
+		{"invalid", func(e *Ended) { e.Verdict, e.Code = core.NotRun, core.CodeInvalid }, false, false},
+		{"other class", func(e *Ended) { e.Class = core.ClassBackground }, false, false},
+		{"other service", func(e *Ended) { e.Service = "wear-model" }, false, false},
+	}
+	for _, c := range cases {
+		counts, good := score(lookups, lookup(c.change))
+		if counts != c.counts || good != c.good {
+			t.Errorf("%s: counts %v, good %v, want %v, %v", c.name, counts, good, c.counts, c.good)
+		}
+	}
+}
+
+// Guards against wrong arithmetic. Computed by hand: 1,000 requests with 18 bad
+// in the last 5 min and 1,000 good ones 20 min before. The objective allows
+// 0.1% bad. 5 min: 18/1000/0.001 = 18. 30 min and more: 18/2000/0.001 = 9.
+func TestBurnRatesByHand(t *testing.T) {
+	b := bookWith(lookups)
+	for range 1000 {
+		b.add(start.Add(-20*time.Minute), lookup(nil))
+	}
+	for i := range 1000 {
+		b.add(start, lookup(func(e *Ended) {
+			if i < 18 {
+				e.Status = 500
+			}
+		}))
+	}
+	got := b.report(start)[0]
+	want := []WindowBurn{
+		{core.Duration(5 * time.Minute), 1000, 18, 18},
+		{core.Duration(30 * time.Minute), 2000, 18, 9},
+		{core.Duration(time.Hour), 2000, 18, 9},
+		{core.Duration(6 * time.Hour), 2000, 18, 9},
+		{core.Duration(72 * time.Hour), 2000, 18, 9},
+	}
+	for i, w := range got.Windows {
+		sameCounts := w.Window == want[i].Window && w.Total == want[i].Total && w.Bad == want[i].Bad
+		if !sameCounts || math.Abs(w.Rate-want[i].Rate) > 1e-9 {
+			t.Errorf("window %d = %+v, want %+v", i, w, want[i])
+		}
+	}
+	// Fast: 1 h has 9, below 14.4. Slow: 6 h and 30 min have 9, above 6.
+	if len(got.Alerts) != 1 || got.Alerts[0] != AlertSlow {
+		t.Errorf("alerts = %v, want slow-burn only", got.Alerts)
+	}
+}
+
+// Guards against requests that stay in a window for ever or leave it early.
+// The windows reach back between the window less one bucket and the window.
+func TestBurnWindowsForget(t *testing.T) {
+	b := bookWith(lookups)
+	b.add(start, lookup(func(e *Ended) { e.Status = 500 }))
+	for i, window := range burnWindows {
+		width := fineWidth
+		if window > fineSpan {
+			width = coarseWidth
+		}
+		inside := b.report(start.Add(window - width))[0].Windows[i]
+		outside := b.report(start.Add(window))[0].Windows[i]
+		if inside.Total != 1 || outside.Total != 0 {
+			t.Errorf("window %v: %d inside, %d outside, want 1 and 0", window, inside.Total, outside.Total)
+		}
+	}
+}
+
+// Guards against an alert that stays after the fault has ended, and one that
+// never comes: every request is bad for an hour, then all are good.
+func TestBurnAlerts(t *testing.T) {
+	b := bookWith(lookups)
+	now := start
+	minute := func(bad bool) {
+		now = now.Add(time.Minute)
+		b.add(now, lookup(func(e *Ended) {
+			if bad {
+				e.Status = 500
+			}
+		}))
+	}
+	for range 60 {
+		minute(true)
+	}
+	if got := b.report(now)[0].Alerts; len(got) != 2 {
+		t.Errorf("alerts during the fault = %v, want both", got)
+	}
+	for range 6 {
+		minute(false)
+	}
+	if got := b.report(now)[0].Alerts; len(got) != 1 || got[0] != AlertSlow {
+		t.Errorf("alerts 6 min after the fault = %v, want slow-burn only", got)
+	}
+	for range 30 {
+		minute(false)
+	}
+	if got := b.report(now)[0].Alerts; len(got) != 0 {
+		t.Errorf("alerts 36 min after the fault = %v, want none", got)
+	}
+}
+
+// Guards against counts of an old target that are judged by a new one, and
+// against memory that grows with each change of a contract.
+func TestBurnFollowsContracts(t *testing.T) {
+	b := bookWith(lookups)
+	b.add(start, lookup(nil))
+	stricter := lookups
+	stricter.Availability = 0.9999
+	set := &core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{
+		"prairie": {Contract: &core.Contract{Objectives: []core.Objective{stricter}}},
+		"gone":    {Deleted: true},
+	}}
+	b.setContracts(set)
+	got := b.report(start)
+	if len(got) != 1 || len(b.series) != 1 || got[0].Objective != stricter || got[0].Windows[0].Total != 0 {
+		t.Errorf("report = %+v, want the new objective without counts", got)
+	}
+}
+
+// Guards against rates that are averaged: 10 of 10 bad at one daemon and 0 of
+// 990 at the other are 1%, which is 10 times the budget of 0.1%.
+func TestMergeBurnAddsCounts(t *testing.T) {
+	bad, good := bookWith(lookups), bookWith(lookups)
+	for range 10 {
+		bad.add(start, lookup(func(e *Ended) { e.Status = 500 }))
+	}
+	for range 990 {
+		good.add(start, lookup(nil))
+	}
+	reports := []BurnReport{
+		{At: start, Daemons: []string{"d1"}, Missed: 1, Objectives: bad.report(start)},
+		{At: start.Add(time.Second), Daemons: []string{"d2"}, Missed: 2, Objectives: good.report(start)},
+	}
+	merged := MergeBurn(reports)
+	w := merged.Objectives[0].Windows[0]
+	if len(merged.Objectives) != 1 || w.Total != 1000 || w.Bad != 10 || math.Abs(w.Rate-10) > 1e-9 {
+		t.Errorf("merged = %+v, want one objective with 10 of 1000 bad and rate 10", merged.Objectives)
+	}
+	if merged.Missed != 3 || len(merged.Daemons) != 2 || !merged.At.Equal(start.Add(time.Second)) {
+		t.Errorf("merged = %+v, want 3 missed, 2 daemons and the later time", merged)
+	}
+	if reports[0].Objectives[0].Windows[0].Total != 10 {
+		t.Error("merging changed its input")
+	}
+}
+
+// Guards against a chart that cannot be drawn: without objectives, with more
+// than there are colours, with rates of 0 and of the highest possible value.
+// BERYLFALL_CHART names a file that keeps the last image for a look at it.
+func TestWriteChart(t *testing.T) {
+	many := BurnReport{At: start, Daemons: []string{"d1"}}
+	for i := range 15 {
+		o := lookups
+		o.Name = strings.Repeat("x", i+1)
+		burn := ObjectiveBurn{Customer: "prairie", Objective: o}
+		for j, w := range burnWindows {
+			burn.Windows = append(burn.Windows, WindowBurn{Window: core.Duration(w), Rate: float64(i*j) / 2})
+		}
+		many.Objectives = append(many.Objectives, burn)
+	}
+	many.Objectives[14].Windows[0].Rate = 1 / (1 - maxAvailability)
+	two := BurnReport{At: start, Daemons: []string{"d1", "d2"}}
+	for _, o := range []struct {
+		customer core.CustomerID
+		name     string
+		rates    []float64
+	}{
+		{"prairie", "lookups", []float64{22, 18, 9, 2.5, 0.6}},
+		{"prairie", "wear-advice", []float64{0, 0, 0.2, 0.4, 0.5}},
+		{"kartvel", "bookings", []float64{3, 7, 8, 6.5, 1.2}},
+		{"kartvel", "diagnosis", []float64{0.3, 0.5, 0.4, 0.4, 0.3}},
+	} {
+		burn := ObjectiveBurn{Customer: o.customer, Objective: core.Objective{Name: o.name, Availability: 0.999}}
+		for i, w := range burnWindows {
+			burn.Windows = append(burn.Windows, WindowBurn{Window: core.Duration(w), Rate: o.rates[i]})
+		}
+		two.Objectives = append(two.Objectives, burn)
+	}
+	for _, report := range []BurnReport{{At: start}, many, two} {
+		var image, vector bytes.Buffer
+		if err := report.WriteChart(&image, ChartPNG); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := png.Decode(bytes.NewReader(image.Bytes())); err != nil {
+			t.Error(err)
+		}
+		if err := report.WriteChart(&vector, ChartSVG); err != nil || !strings.Contains(vector.String(), "<svg") {
+			t.Errorf("SVG: error %v", err)
+		}
+		if path := os.Getenv("BERYLFALL_CHART"); path != "" {
+			if err := os.WriteFile(path, image.Bytes(), 0o600); err != nil {
+				t.Error(err)
+			}
+			path = path + ".many.png"
+			if len(report.Objectives) > maxChartSeries {
+				_ = os.WriteFile(path, image.Bytes(), 0o600)
+			}
+		}
+	}
+}
+
+// Guards against records that use unbounded memory or hide a newer request.
+func TestRecordBook(t *testing.T) {
+	b := newRecordBook(2)
+	for _, id := range []core.RequestID{"a", "b", "a", "c"} {
+		b.add(Ended{ID: id, Attempts: b.next})
+	}
+	if _, found := b.find("b"); found {
+		t.Error("the oldest record is still found")
+	}
+	for _, id := range []core.RequestID{"a", "c"} {
+		if got, found := b.find(id); !found || got.ID != id {
+			t.Errorf("record %s = %+v, found %v", id, got, found)
+		}
+	}
+	if len(b.byID) != 2 {
+		t.Errorf("%d records are indexed, want 2", len(b.byID))
+	}
+	long := strings.Repeat("é", 10000)
+	call := core.NewCall(context.Background(), &core.Request{ID: core.RequestID(long), Model: long, Customer: core.CustomerID(long)})
+	for range 1000 {
+		call.Trace = append(call.Trace, long)
+	}
+	e := newEnded(call, core.End{Err: core.NotRunError(core.CodeInvalid, "%s", long)}, start, start)
+	if len(e.ID)+len(e.Model)+len(e.Customer)+len(e.Reason) > 4*maxTraceLineBytes || len(e.Trace) != maxTraceLines || len(e.Trace[0]) > maxTraceLineBytes {
+		t.Error("a record keeps more than its bounds")
+	}
+}
+
+type fakeSubmitter struct {
+	calls  []*core.Call
+	refuse bool
+}
+
+func (f *fakeSubmitter) Submit(c *core.Call) bool {
+	if f.refuse {
+		return false
+	}
+	f.calls = append(f.calls, c)
+	return true
+}
+
+// Guards against a drain that refuses too early, interrupts a request or
+// forgets one, and against an end that is not reported.
+func TestGate(t *testing.T) {
+	clock := duty.NewManualClock(start)
+	next := &fakeSubmitter{}
+	var ends []Ended
+	g := NewGate(clock, next, func(e Ended) { ends = append(ends, e) })
+	submit := func() *core.Call {
+		c := core.NewCall(context.Background(), &core.Request{ID: "r"})
+		if !g.Submit(c) {
+			t.Fatal("the gate left a call without an answer")
+		}
+		return c
+	}
+	submit()
+	g.Drain(true)
+	clock.Advance(DrainGrace - 1)
+	submit()
+	clock.Advance(1)
+	g.Drain(true) // a second order must not start the grace again
+	refused := submit()
+	if len(next.calls) != 2 || g.State() != (DrainState{Draining: true, InFlight: 2}) {
+		t.Fatalf("%d calls passed, state %+v, want 2 in flight", len(next.calls), g.State())
+	}
+	_, end, _ := refused.Answer.Next(context.Background())
+	if end == nil || end.Verdict != core.NotRun || end.Err.Code != core.CodeDraining {
+		t.Errorf("end of the refused call = %+v, want draining, not run", end)
+	}
+	clock.Advance(time.Second)
+	for _, c := range next.calls {
+		c.End(core.End{Verdict: core.Ran})
+		c.End(core.End{Verdict: core.Ran})
+	}
+	if g.State().InFlight != 0 || len(ends) != 3 || time.Duration(ends[1].Latency) != DrainGrace+time.Second {
+		t.Errorf("state %+v, ends %+v, want none in flight and 3 ends", g.State(), ends)
+	}
+	g.Drain(false)
+	next.refuse = true
+	_, end, _ = submit().Answer.Next(context.Background())
+	if end == nil || end.Err.Code != core.CodeOverloaded || end.Verdict != core.NotRun || g.State() != (DrainState{}) {
+		t.Errorf("end = %+v, state %+v, want overloaded, not run", end, g.State())
+	}
+}
