--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -105,16 +105,16 @@
 	var flagError *flags.Error
 	if errors.As(err, &flagError) {
 		if flagError.Type == flags.ErrHelp {
-			fmt.Fprintln(a.Stdout, err)
+			_, _ = fmt.Fprintln(a.Stdout, err)
 			return ExitDone
 		}
-		fmt.Fprintln(a.Stderr, "berylfall:", err)
+		_, _ = fmt.Fprintln(a.Stderr, "berylfall:", err)
 		return ExitInvalid
 	}
 	if err == nil {
 		return ExitDone
 	}
-	fmt.Fprintln(a.Stderr, "berylfall:", err)
+	_, _ = fmt.Fprintln(a.Stderr, "berylfall:", err)
 	return exitCode(err)
 }
 
@@ -199,9 +199,9 @@
 }
 
 func (s *session) printf(format string, args ...any) {
-	fmt.Fprintf(s.app.Stdout, format, args...)
+	_, _ = fmt.Fprintf(s.app.Stdout, format, args...)
 }
 
 func (s *session) warnf(format string, args ...any) {
-	fmt.Fprintf(s.app.Stderr, format, args...)
+	_, _ = fmt.Fprintf(s.app.Stderr, format, args...)
 }
--- a/internal/cli/contract.go
+++ b/internal/cli/contract.go
@@ -221,13 +221,13 @@
 		return c.session.printJSON(message)
 	}
 	table := tabwriter.NewWriter(c.session.app.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "CUSTOMER\tVERSION\tSERVICES")
+	_, _ = fmt.Fprintln(table, "CUSTOMER\tVERSION\tSERVICES")
 	for _, m := range message.Contracts {
 		names := make([]string, 0, len(m.Contract.Services))
 		for _, service := range m.Contract.Services {
 			names = append(names, service.Name)
 		}
-		fmt.Fprintf(table, "%s\t%d\t%s\n", m.Customer, m.Version, strings.Join(names, ", "))
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%s\n", m.Customer, m.Version, strings.Join(names, ", "))
 	}
 	return table.Flush()
 }
@@ -311,17 +311,17 @@
 		return c.session.printJSON(history)
 	}
 	table := tabwriter.NewWriter(c.session.app.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "VERSION\tTIME\tWHO\tDIGEST\tCHANGE")
+	_, _ = fmt.Fprintln(table, "VERSION\tTIME\tWHO\tDIGEST\tCHANGE")
 	for i, e := range history.Entries {
 		if i > 0 && e.Version > history.Entries[i-1].Version+1 {
-			fmt.Fprintf(table, "(versions between %d and %d: not recorded)\n", history.Entries[i-1].Version, e.Version)
+			_, _ = fmt.Fprintf(table, "(versions between %d and %d: not recorded)\n", history.Entries[i-1].Version, e.Version)
 		}
 		const shownDigest = 12 // hexadecimal digits
 		what, digest := "applied", e.Digest
 		if e.Deleted {
 			what, digest = "deleted", "-"
 		}
-		fmt.Fprintf(table, "%d\t%s\t%s\t%.*s\t%s\n", e.Version, e.Time.UTC().Format(time.RFC3339), e.Who, shownDigest, digest, what)
+		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%.*s\t%s\n", e.Version, e.Time.UTC().Format(time.RFC3339), e.Who, shownDigest, digest, what)
 	}
 	return table.Flush()
 }
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -181,7 +181,7 @@
 func runSettings(ts *testscript.TestScript, _ bool, args []string) {
 	_, err := settings.Parse(args[1:])
 	if err != nil {
-		fmt.Fprintln(ts.Stderr(), err)
+		_, _ = fmt.Fprintln(ts.Stderr(), err)
 	}
 	if (args[0] == "0") != (err == nil) {
 		ts.Fatalf("error %v, want exit code %s", err, args[0])
@@ -229,7 +229,7 @@
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	ts.Check(err)
-	fmt.Fprintf(ts.Stdout(), "verdict=%s\n%s\n", resp.Header.Get("Berylfall-Verdict"), text)
+	_, _ = fmt.Fprintf(ts.Stdout(), "verdict=%s\n%s\n", resp.Header.Get("Berylfall-Verdict"), text)
 	if strconv.Itoa(resp.StatusCode) != args[0] {
 		ts.Fatalf("status %d, want %s: %s", resp.StatusCode, args[0], text)
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -50,26 +50,26 @@
 	s.printf("daemon %s  data centre %s  region %s  version %s  up %s\n", r.Daemon, r.DataCentre, r.Region, r.Version, time.Duration(r.Uptime).Round(time.Second))
 	s.printf("draining: %t  requests in flight: %d\n", r.Drain.Draining, r.Drain.InFlight)
 	table := tabwriter.NewWriter(s.app.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "\nCONTRACT\tVERSION IN FORCE")
+	_, _ = fmt.Fprintln(table, "\nCONTRACT\tVERSION IN FORCE")
 	for _, c := range r.Contracts {
 		deleted := ""
 		if c.Deleted {
 			deleted = " (deleted)"
 		}
-		fmt.Fprintf(table, "%s\t%d%s\n", c.Customer, c.Version, deleted)
+		_, _ = fmt.Fprintf(table, "%s\t%d%s\n", c.Customer, c.Version, deleted)
 	}
-	fmt.Fprintln(table, "\nBACKEND SERVER\tADDRESS\tDATA CENTRE\tSERVICE\tKIND\tSTATE")
+	_, _ = fmt.Fprintln(table, "\nBACKEND SERVER\tADDRESS\tDATA CENTRE\tSERVICE\tKIND\tSTATE")
 	for _, b := range r.Servers {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", b.ID, b.Address, b.DataCentre, b.Service, b.Kind, b.State)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", b.ID, b.Address, b.DataCentre, b.Service, b.Kind, b.State)
 	}
-	fmt.Fprintln(table, "\nLEASE\tFENCING NUMBER\tUNTIL")
+	_, _ = fmt.Fprintln(table, "\nLEASE\tFENCING NUMBER\tUNTIL")
 	for _, l := range r.Leases {
-		fmt.Fprintf(table, "%s\t%d\t%s\n", l.Name, l.Fencing, l.Until.UTC().Format(time.RFC3339))
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%s\n", l.Name, l.Fencing, l.Until.UTC().Format(time.RFC3339))
 	}
-	fmt.Fprintln(table, "\nDUTY\tRING\tDEPTH\tPEAK\tCAPACITY\tREFUSED\tDROPPED")
+	_, _ = fmt.Fprintln(table, "\nDUTY\tRING\tDEPTH\tPEAK\tCAPACITY\tREFUSED\tDROPPED")
 	for _, d := range r.Duties {
 		for _, ring := range d.Rings {
-			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", d.Name, ring.Name, ring.Depth, ring.Peak, ring.Capacity, ring.Refused, ring.Dropped)
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", d.Name, ring.Name, ring.Depth, ring.Peak, ring.Capacity, ring.Refused, ring.Dropped)
 		}
 	}
 	_ = table.Flush()
--- a/internal/operator/burn_test.go
+++ b/internal/operator/burn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"image/png"
 	"math"
 	"os"
@@ -199,7 +200,7 @@
 
 // Guards against a chart that cannot be drawn: without objectives, with more
 // than there are colours, with rates of 0 and of the highest possible value.
-// BERYLFALL_CHART names a file that keeps the last image for a look at it.
+// BERYLFALL_CHART names the start of file names that keep the images for a look at them.
 func TestWriteChart(t *testing.T) {
 	many := BurnReport{At: start, Daemons: []string{"d1"}}
 	for i := range 15 {
@@ -229,7 +230,7 @@
 		}
 		two.Objectives = append(two.Objectives, burn)
 	}
-	for _, report := range []BurnReport{{At: start}, many, two} {
+	for i, report := range []BurnReport{{At: start}, many, two} {
 		var image, vector bytes.Buffer
 		if err := report.WriteChart(&image, ChartPNG); err != nil {
 			t.Fatal(err)
@@ -241,13 +242,9 @@
 			t.Errorf("SVG: error %v", err)
 		}
 		if path := os.Getenv("BERYLFALL_CHART"); path != "" {
-			if err := os.WriteFile(path, image.Bytes(), 0o600); err != nil {
+			if err := os.WriteFile(fmt.Sprintf("%s-%d.png", path, i), image.Bytes(), 0o600); err != nil {
 				t.Error(err)
 			}
-			path = path + ".many.png"
-			if len(report.Objectives) > maxChartSeries {
-				_ = os.WriteFile(path, image.Bytes(), 0o600)
-			}
 		}
 	}
 }
--- a/internal/operator/burn_text.go
+++ b/internal/operator/burn_text.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"sort"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -22,7 +23,7 @@
 		header = append(header, "BURN "+windowName(core.Duration(w)))
 	}
 	header = append(header, "BAD/TOTAL 3d", "ALERT")
-	fmt.Fprintln(table, strings.Join(header, "\t"))
+	_, _ = fmt.Fprintln(table, strings.Join(header, "\t"))
 	for _, o := range r.Objectives {
 		row := []string{string(o.Customer), o.Objective.Name, o.Objective.Service, fmt.Sprint(o.Objective.Availability)}
 		counts := "0/0"
@@ -31,13 +32,13 @@
 			counts = fmt.Sprintf("%d/%d", w.Bad, w.Total)
 		}
 		row = append(row, counts, alertText(o.Alerts))
-		fmt.Fprintln(table, strings.Join(row, "\t"))
+		_, _ = fmt.Fprintln(table, strings.Join(row, "\t"))
 	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
 	if r.Missed > 0 {
-		fmt.Fprintf(out, "%d request ends were not counted, since the report could not keep up\n", r.Missed)
+		_, _ = fmt.Fprintf(out, "%d request ends were not counted, since the report could not keep up\n", r.Missed)
 	}
 	_, err := fmt.Fprintf(out, "daemons: %s\n", strings.Join(r.Daemons, ", "))
 	return err
@@ -58,11 +59,20 @@
 const (
 	chartWidth      = 1280 // pixels
 	chartHeight     = 640
-	maxChartSeries  = 10 // more lines cannot be told apart
+	maxChartSeries  = 8 // more lines cannot be told apart
 	lowestChartRate = 0.1
 	minTopRate      = 100.0
 )
 
+// seriesColors can be told apart with every common kind of colour blindness. The
+// thresholds are grey and dashed, so that they are not taken for an objective.
+var seriesColors = [maxChartSeries]drawing.Color{
+	drawing.ColorFromHex("0072b2"), drawing.ColorFromHex("d55e00"), drawing.ColorFromHex("009e73"), drawing.ColorFromHex("cc79a7"),
+	drawing.ColorFromHex("e69f00"), drawing.ColorFromHex("56b4e9"), drawing.ColorFromHex("8c564b"), drawing.ColorFromHex("111111"),
+}
+
+var thresholdColor = drawing.ColorFromHex("777777")
+
 // WriteChart draws the burn rates over the windows. The axis is logarithmic,
 // since rates reach from below 1 to 1000. When there are more objectives than
 // colours, those with the highest rate are shown.
@@ -91,12 +101,12 @@
 		},
 	}
 	for i, o := range shown {
-		graph.Series = append(graph.Series, burnLine(o, chart.GetAlternateColor(i)))
+		graph.Series = append(graph.Series, burnLine(o, seriesColors[i]))
 	}
 	graph.Series = append(graph.Series,
-		thresholdLine("fast-burn alert", FastBurnRate, chart.ColorRed),
-		thresholdLine("slow-burn alert", SlowBurnRate, chart.ColorOrange),
-		thresholdLine("whole budget", 1, chart.ColorAlternateGray))
+		thresholdLine("fast-burn alert (1 h, 5 min)", FastBurnRate, []float64{12, 3}),
+		thresholdLine("slow-burn alert (6 h, 30 min)", SlowBurnRate, []float64{6, 4}),
+		thresholdLine("whole budget", 1, []float64{2, 4}))
 	graph.Elements = []chart.Renderable{chart.LegendLeft(&graph, chart.Style{FontSize: 9})}
 	if format == ChartSVG {
 		return graph.Render(chart.SVG, out)
@@ -135,7 +145,7 @@
 	ticks := []chart.Tick{{Value: logRate(lowestChartRate), Label: "0.1 or less"}}
 	for _, rate := range []float64{1, SlowBurnRate, FastBurnRate, 100, 1000, 10000, 100000, 1000000} {
 		if rate <= top {
-			ticks = append(ticks, chart.Tick{Value: logRate(rate), Label: fmt.Sprint(rate)})
+			ticks = append(ticks, chart.Tick{Value: logRate(rate), Label: strconv.FormatFloat(rate, 'f', -1, 64)})
 		}
 	}
 	return ticks
@@ -153,10 +163,10 @@
 	return line
 }
 
-func thresholdLine(name string, rate float64, color drawing.Color) chart.Series {
+func thresholdLine(name string, rate float64, dashes []float64) chart.Series {
 	return chart.ContinuousSeries{
 		Name:    name,
-		Style:   chart.Style{StrokeColor: color, StrokeWidth: 1.5, StrokeDashArray: []float64{6, 4}},
+		Style:   chart.Style{StrokeColor: thresholdColor, StrokeWidth: 1.5, StrokeDashArray: dashes},
 		XValues: []float64{0, float64(len(burnWindows) - 1)},
 		YValues: []float64{logRate(rate), logRate(rate)},
 	}
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -40,10 +40,10 @@
 func CheckContract(c *core.Contract) []*core.Error {
 	k := &checker{}
 	k.name("customer", string(c.Customer))
-	k.integer("weight", c.Weight, 0, maxWeight)
-	k.integer("shedRank", c.ShedRank, 0, maxShedRank)
+	k.integer("weight", c.Weight, maxWeight)
+	k.integer("shedRank", c.ShedRank, maxShedRank)
 	k.limits(c.Limits)
-	k.integer("freshness.maxVersionsBehind", c.Freshness.MaxVersionsBehind, 0, maxVersionsBehind)
+	k.integer("freshness.maxVersionsBehind", c.Freshness.MaxVersionsBehind, maxVersionsBehind)
 	k.duration("freshness.maxAge", c.Freshness.MaxAge, maxAge)
 	k.number("hedge.maxExtraWork", c.Hedge.MaxExtraWork, 0, maxExtraWork)
 	k.services(c)
@@ -70,9 +70,10 @@
 	}
 }
 
-func (k *checker) integer(field string, value, low, high int) {
-	if value < low || value > high {
-		k.fail(field, strconv.Itoa(value), fmt.Sprintf("%d to %d", low, high), "is out of range")
+// integer checks a value from 0 to high.
+func (k *checker) integer(field string, value, high int) {
+	if value < 0 || value > high {
+		k.fail(field, strconv.Itoa(value), fmt.Sprintf("0 to %d", high), "is out of range")
 	}
 }
 
@@ -131,8 +132,8 @@
 func (k *checker) limits(l core.Limits) {
 	k.number("limits.requestsPerSecond", l.RequestsPerSecond, 0, maxRequestsPerSecond)
 	k.number("limits.tokensPerSecond", l.TokensPerSecond, 0, maxTokensPerSecond)
-	k.integer("limits.concurrency", l.Concurrency, 0, maxConcurrency)
-	k.integer("limits.queue", l.Queue, 0, maxQueue)
+	k.integer("limits.concurrency", l.Concurrency, maxConcurrency)
+	k.integer("limits.queue", l.Queue, maxQueue)
 }
 
 func (k *checker) services(c *core.Contract) {
@@ -163,7 +164,7 @@
 		model := fmt.Sprintf("%s.models[%d]", at, i)
 		k.name(model+".name", m.Name)
 		k.plainNames(model+".adapters", m.Adapters)
-		k.integer(model+".contextTokens", m.ContextTokens, 0, maxContextTokens)
+		k.integer(model+".contextTokens", m.ContextTokens, maxContextTokens)
 	}
 	k.listed(at+".operations", namesOf(s.Operations, func(o core.Operation) string { return o.Name }))
 	for i, o := range s.Operations {
@@ -199,7 +200,7 @@
 		at := fmt.Sprintf("trainers[%d]", i)
 		k.name(at+".name", t.Name)
 		k.number(at+".share", t.Share, 0, 1)
-		k.integer(at+".spareSamples", t.SpareSamples, 0, maxSpareSamples)
+		k.integer(at+".spareSamples", t.SpareSamples, maxSpareSamples)
 		total += t.Share
 		service := c.Service(t.Service)
 		if service == nil {
--- a/internal/settings/tokens.go
+++ b/internal/settings/tokens.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	data, err := io.ReadAll(io.LimitReader(file, limit+1))
 	if err == nil && int64(len(data)) > limit {
 		err = fmt.Errorf("%s is larger than %d bytes", path, limit)
