--- /dev/null
+++ b/internal/cli/app_test.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func run(t *testing.T, address string, args ...string) (code int, output string) {
+	t.Helper()
+	var out bytes.Buffer
+	app := &App{
+		Stdout: &out, Stderr: &out, ReadFile: os.ReadFile, Sleep: time.Sleep, Version: "test",
+		Getenv: func(name string) string {
+			if strings.HasSuffix(name, "ADDRESS") {
+				return address
+			}
+			return ""
+		},
+	}
+	code = app.Run(context.Background(), args)
+	return code, out.String()
+}
+
+// Guards against "failed" for a change that may have taken effect: the daemon
+// reads the change and the connection ends before the answer, the answer cannot
+// be read, or another program answers in the daemon's place.
+func TestLostAnswerOfAChange(t *testing.T) {
+	answers := map[string]func(http.ResponseWriter){
+		"connection closed": func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+		"no JSON":           func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "{") },
+		"foreign error":     func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadGateway) },
+	}
+	for name, answer := range answers {
+		var writes atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				w.WriteHeader(http.StatusNotFound)
+				_, _ = fmt.Fprint(w, `{"error":{"code":"not-found","verdict":"not-run","message":"no such contract"}}`)
+				return
+			}
+			writes.Add(1)
+			answer(w)
+		}))
+		code, output := run(t, server.URL, "contract", "apply", "-f", "../../contracts/prairie.yaml")
+		if code != ExitMayHaveTaken || writes.Load() != 1 {
+			t.Errorf("%s: exit code %d after %d writes, want %d after 1; output: %s", name, code, writes.Load(), ExitMayHaveTaken, output)
+		}
+		writes.Store(0)
+		code, output = run(t, server.URL, "request", "--customer", "c", "--service", "s", "--operation", "o")
+		if code != ExitMayHaveTaken || writes.Load() != 1 {
+			t.Errorf("%s: request: exit code %d after %d sends, want %d after 1; output: %s", name, code, writes.Load(), ExitMayHaveTaken, output)
+		}
+		server.Close()
+	}
+}
+
+// Guards against a read that claims an effect when its answer is lost.
+func TestLostAnswerOfARead(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	for _, args := range [][]string{{"status"}, {"burn"}, {"contract", "list"}, {"explain", "r"}, {"contract", "apply", "-f", "../../contracts/prairie.yaml"}} {
+		if code, output := run(t, server.URL, args...); code != ExitFailed {
+			t.Errorf("%v: exit code %d, want %d; output: %s", args, code, ExitFailed, output)
+		}
+	}
+}
