--- a/internal/cli/app_test.go
+++ b/internal/cli/app_test.go
@@ -72,3 +72,26 @@
 		}
 	}
 }
+
+// Guards against a command without help or without an example.
+func TestHelp(t *testing.T) {
+	s := &session{}
+	commands := [][]string{{}, {"contract"}}
+	for _, r := range s.contractCommands() {
+		commands = append(commands, []string{"contract", r.name})
+	}
+	for _, r := range s.topCommands() {
+		commands = append(commands, []string{r.name})
+	}
+	for _, command := range commands {
+		code, output := run(t, "", append(command, "--help")...)
+		if code != ExitDone || !strings.Contains(output, "Example: berylfall") && !strings.Contains(output, "Example: source") {
+			t.Errorf("%v: exit code %d, help without example: %s", command, code, output)
+		}
+	}
+	for _, shell := range []string{"bash", "zsh"} {
+		if code, output := run(t, "", "completion", shell); code != ExitDone || !strings.Contains(output, "complete -F _berylfall berylfall") {
+			t.Errorf("completion %s: exit code %d, %s", shell, code, output)
+		}
+	}
+}
--- a/internal/operator/decode.go
+++ b/internal/operator/decode.go
@@ -16,7 +16,10 @@
 )
 
 // MaxContractBytes bounds a contract file and a contract sent to a daemon.
-const MaxContractBytes = 256 << 10
+const MaxContractBytes = 64 << 10
+
+// maxNesting is far above the five levels of a contract.
+const maxNesting = 32
 
 // Problem is one fault of a contract. Line and Column count from 1; they are 0
 // when the contract did not come from a file.
@@ -129,6 +132,10 @@
 		d.add(nil, core.InvalidError("file", fmt.Sprint(len(data), " bytes"), fmt.Sprintf("up to %d bytes", MaxContractBytes), "is too large"))
 		return nil
 	}
+	if line := tooDeep(data); line > 0 {
+		d.add(&token.Position{Line: line, Column: 1}, core.InvalidError("file", "", fmt.Sprintf("up to %d levels", maxNesting), "is nested too deeply"))
+		return nil
+	}
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		d.add(syntaxPlace(err))
@@ -141,6 +148,36 @@
 	return file.Docs[0].Body
 }
 
+// tooDeep returns the first line that opens more than maxNesting levels, or 0.
+// The parser takes time that grows faster than the square of the depth: 256 KiB
+// of "[" kept it busy for more than 100 s. Brackets in quoted text count too,
+// which does no harm, since no name of a contract may hold them.
+func tooDeep(data []byte) int {
+	brackets, indicators, line := 0, 0, 1
+	for i, b := range data {
+		switch b {
+		case '[', '{':
+			brackets++
+		case ']', '}':
+			brackets = max(0, brackets-1)
+		case '&', '!':
+			indicators++
+		case '-', '?', ':':
+			// Block lists and keys nest within a line when a blank follows.
+			if i+1 < len(data) && (data[i+1] == ' ' || data[i+1] == '\t') && brackets == 0 {
+				indicators++
+			}
+		case '\n':
+			line++
+			indicators = 0
+		}
+		if brackets > maxNesting || indicators > maxNesting {
+			return line
+		}
+	}
+	return 0
+}
+
 func syntaxPlace(err error) (*token.Position, *core.Error) {
 	var located yaml.Error
 	if errors.As(err, &located) && located.GetToken() != nil {
--- a/internal/operator/decode_test.go
+++ b/internal/operator/decode_test.go
@@ -102,3 +102,14 @@
 		}
 	}
 }
+
+// Guards against input that keeps the parser busy: before the bound on the
+// nesting, 256 KiB of "[" took more than 100 s.
+func TestParseContractRefusesDeepNesting(t *testing.T) {
+	for _, unit := range []string{"[", "{a: ", "- ", "a: ", "? ", "&a ", "!!x "} {
+		_, err := ParseContract("f", []byte("customer: x\n"+strings.Repeat(unit, MaxContractBytes/8)))
+		if err == nil || !strings.Contains(err.Error(), "f:2:1: file: is nested too deeply") {
+			t.Errorf("%q: error = %v, want one about the nesting", unit, err)
+		}
+	}
+}
--- a/internal/operator/operatorhttp/operatorhttp.go
+++ b/internal/operator/operatorhttp/operatorhttp.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"strconv"
@@ -162,6 +163,9 @@
 
 // readContract uses the strict reader of contract files, since JSON is YAML.
 func readContract(c *app.RequestContext) (*core.Contract, *core.Error) {
+	if !json.Valid(c.Request.Body()) {
+		return nil, core.InvalidError("body", "", "one contract as JSON", "is not valid JSON")
+	}
 	contract, err := operator.ParseContract("body", c.Request.Body())
 	var problems operator.Problems
 	if errors.As(err, &problems) {
