--- /dev/null
+++ b/internal/caller/callerhttp/checks.go
@@ -0,0 +1,174 @@
+package callerhttp
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// Bounds of requests.
+const (
+	// DefaultDeadline applies to requests that name none.
+	DefaultDeadline = 60 * time.Second
+	// MaxDeadline is far below the retention of claims, so that no call runs
+	// longer than its claim is kept.
+	MaxDeadline = time.Hour
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody = 4 << 20
+	// MaxTokens bounds the tokens of one answer.
+	MaxTokens = 1 << 20
+	// MaxMessages bounds the messages of one chat.
+	MaxMessages = 4096
+	// maxName bounds names and keys in headers and paths, in bytes. A claim
+	// holds the key, so the bound also keeps claims small.
+	maxName     = 256
+	maxPriority = 10
+)
+
+func newRequest(c *app.RequestContext) (*core.Request, *core.Error) {
+	customer, failure := nameHeader(c, transport.HeaderCustomer)
+	if failure != nil {
+		return nil, failure
+	}
+	if customer == "" {
+		return nil, core.InvalidError(transport.HeaderCustomer, "", "the customer's name", "is required")
+	}
+	key, failure := nameHeader(c, transport.HeaderIdempotencyKey)
+	if failure != nil {
+		return nil, failure
+	}
+	id, failure := nameHeader(c, transport.HeaderRequestID)
+	if failure != nil {
+		return nil, failure
+	}
+	if id == "" {
+		id = uuid.NewString()
+	}
+	deadline, failure := deadlineHeader(c)
+	if failure != nil {
+		return nil, failure
+	}
+	class := core.Class(c.GetHeader(transport.HeaderClass))
+	if class != "" && !slices.Contains(core.Classes(), class) {
+		return nil, core.InvalidError(transport.HeaderClass, string(class), "interactive, background, rollout", "is not a class")
+	}
+	return &core.Request{
+		ID:             core.RequestID(id),
+		Customer:       core.CustomerID(customer),
+		Class:          class,
+		IdempotencyKey: key,
+		Deadline:       time.Now().Add(deadline),
+	}, nil
+}
+
+// nameHeader reads a header that may be absent but not malformed.
+func nameHeader(c *app.RequestContext, header string) (string, *core.Error) {
+	value := string(c.GetHeader(header))
+	return value, checkName(header, value)
+}
+
+func checkName(field, value string) *core.Error {
+	const allowed = "up to 256 printable ASCII characters without spaces or slashes"
+	if len(value) > maxName {
+		return core.InvalidError(field, value[:maxName]+"...", allowed, "is too long")
+	}
+	invalid := func(r rune) bool { return r <= ' ' || r > '~' || r == '/' }
+	if strings.IndexFunc(value, invalid) >= 0 {
+		return core.InvalidError(field, value, allowed, "has a character that is not allowed")
+	}
+	return nil
+}
+
+func deadlineHeader(c *app.RequestContext) (time.Duration, *core.Error) {
+	text := string(c.GetHeader(transport.HeaderDeadline))
+	if text == "" {
+		return DefaultDeadline, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > MaxDeadline.Milliseconds() {
+		allowed := fmt.Sprintf("1 to %d milliseconds", MaxDeadline.Milliseconds())
+		return 0, core.InvalidError(transport.HeaderDeadline, text, allowed, "is not a valid duration")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// Fields of the bodies, as errors name them.
+const (
+	completionFields = "model, adapter, prompt, max_tokens, stream, priority"
+	chatFields       = "model, adapter, messages (role, content), max_tokens, stream, priority"
+)
+
+// readBody decodes the JSON body into v, which has the given fields. Unknown fields are refused, since a
+// caller that sends one expects an effect that it would not get.
+func readBody(c *app.RequestContext, v any, fields string) *core.Error {
+	body := c.Request.Body()
+	if failure := checkBodySize(body); failure != nil {
+		return failure
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return bodyError(err, fields)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return core.InvalidError("body", "", "one JSON object", "has more after its JSON object")
+	}
+	return nil
+}
+
+func checkBodySize(body []byte) *core.Error {
+	if len(body) > MaxBody {
+		return core.InvalidError("body", fmt.Sprintf("%d bytes", len(body)), fmt.Sprintf("up to %d bytes", MaxBody), "is too large")
+	}
+	return nil
+}
+
+func bodyError(err error, fields string) *core.Error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return core.InvalidError(wrongType.Field, wrongType.Value, "a value of type "+wrongType.Type.String(), "has the wrong type")
+	}
+	if name, unknown := strings.CutPrefix(err.Error(), "json: unknown field "); unknown {
+		return core.InvalidError(strings.Trim(name, `"`), "", fields, "is not a field of this request")
+	}
+	failure := core.InvalidError("body", "", "a JSON object", "is not valid JSON")
+	failure.Err = err
+	return failure
+}
+
+func checkModelCall(model string, maxTokens, priority int) *core.Error {
+	if model == "" {
+		return core.InvalidError("model", "", "a model of the contract", "is required")
+	}
+	if maxTokens < 1 || maxTokens > MaxTokens {
+		return core.InvalidError("max_tokens", strconv.Itoa(maxTokens), fmt.Sprintf("1 to %d", MaxTokens), "is out of range")
+	}
+	if priority < -maxPriority || priority > maxPriority {
+		return core.InvalidError("priority", strconv.Itoa(priority), fmt.Sprintf("%d to %d", -maxPriority, maxPriority), "is out of range")
+	}
+	return nil
+}
+
+func checkMessages(messages []ChatMessage) *core.Error {
+	if len(messages) < 1 || len(messages) > MaxMessages {
+		return core.InvalidError("messages", strconv.Itoa(len(messages)), fmt.Sprintf("1 to %d messages", MaxMessages), "has a count that is not allowed")
+	}
+	for i, m := range messages {
+		if !slices.Contains(roles, m.Role) {
+			return core.InvalidError(fmt.Sprintf("messages[%d].role", i), m.Role, strings.Join(roles, ", "), "is not a role")
+		}
+	}
+	return nil
+}
--- a/internal/caller/contract.go
+++ b/internal/caller/contract.go
@@ -9,14 +9,14 @@
 
 // applyContract checks that the contract permits the request and fills in what
 // the request leaves to the contract.
-func applyContract(contract *core.Contract, r *core.Request) *core.Error {
+func applyContract(contract *core.Contract, r *core.Request, now time.Time) *core.Error {
 	if r.IsModelCall() {
-		return applyModel(contract, r)
+		return applyModel(contract, r, now)
 	}
-	return applyOperation(contract, r)
+	return applyOperation(contract, r, now)
 }
 
-func applyModel(contract *core.Contract, r *core.Request) *core.Error {
+func applyModel(contract *core.Contract, r *core.Request, now time.Time) *core.Error {
 	service, model := findModel(contract, r)
 	if model == nil {
 		return core.InvalidError("model", r.Model, strings.Join(modelNames(contract), ", "), "the contract names no such model")
@@ -26,7 +26,7 @@
 	}
 	r.Service = service.Name
 	r.Repeatable = true
-	applyDefaults(r, service.Class, time.Duration(service.Deadline))
+	applyDefaults(r, service.Class, now, time.Duration(service.Deadline))
 	return nil
 }
 
@@ -43,7 +43,7 @@
 	return nil, nil
 }
 
-func applyOperation(contract *core.Contract, r *core.Request) *core.Error {
+func applyOperation(contract *core.Contract, r *core.Request, now time.Time) *core.Error {
 	service := contract.Service(r.Service)
 	if service == nil {
 		return core.InvalidError("service", r.Service, "", "the contract names no such service")
@@ -64,13 +64,12 @@
 	if deadline == 0 {
 		deadline = service.Deadline
 	}
-	applyDefaults(r, class, time.Duration(deadline))
+	applyDefaults(r, class, now, time.Duration(deadline))
 	return nil
 }
 
-// applyDefaults fills in the class. The deadline is set by the encoding, which
-// owns the request's context; a contract's shorter one is applied here.
-func applyDefaults(r *core.Request, class core.Class, deadline time.Duration) {
+// applyDefaults fills in the class, and shortens the deadline to the contract's.
+func applyDefaults(r *core.Request, class core.Class, now time.Time, deadline time.Duration) {
 	if class == "" {
 		class = core.ClassInteractive
 	}
@@ -80,7 +79,7 @@
 	if deadline == 0 {
 		return
 	}
-	if latest := time.Now().Add(deadline); r.Deadline.IsZero() || latest.Before(r.Deadline) {
+	if latest := now.Add(deadline); r.Deadline.IsZero() || latest.Before(r.Deadline) {
 		r.Deadline = latest
 	}
 }
--- a/internal/core/answer.go
+++ b/internal/core/answer.go
@@ -39,6 +39,7 @@
 	chunks *ring.Ring[Chunk]
 	end    *ring.Ring[End]
 	owner  atomic.Int64 // attempt that may add chunks; 0 until one claims it
+	tokens atomic.Int64 // tokens of all chunks added
 }
 
 // NewAnswer returns an empty answer.
@@ -67,9 +68,17 @@
 	if !a.Claim(c.Attempt) {
 		return false
 	}
-	return a.chunks.PutWait(ctx, c)
+	if !a.chunks.PutWait(ctx, c) {
+		return false
+	}
+	a.tokens.Add(int64(len(c.Tokens)))
+	return true
 }
 
+// Tokens returns the number of tokens added so far. Admission charges them
+// against the customer's token limit.
+func (a *Answer) Tokens() int { return int(a.tokens.Load()) }
+
 // Finish ends the answer. It never waits; only the first call counts.
 func (a *Answer) Finish(e End) bool {
 	if !a.end.TryPut(e) {
