--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -33,6 +33,7 @@
 	ending   bool // admission has ended the call; its end is in the ring
 
 	place    time.Time // in the customer's queue
+	sequence uint64    // of arrival in the queues; first in, first out at equal places
 	index    int       // in the customer's heap
 	cost     time.Duration
 	long     bool
@@ -46,6 +47,14 @@
 	release context.CancelFunc
 }
 
+// before reports whether e is served before other.
+func (e *entry) before(other *entry) bool {
+	if e.place.Equal(other.place) {
+		return e.sequence < other.sequence
+	}
+	return e.place.Before(other.place)
+}
+
 func (e *entry) stopWatches() {
 	for _, stop := range e.stops {
 		stop()
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -52,7 +52,7 @@
 type entryHeap []*entry
 
 func (h entryHeap) Len() int           { return len(h) }
-func (h entryHeap) Less(i, j int) bool { return h[i].place.Before(h[j].place) }
+func (h entryHeap) Less(i, j int) bool { return h[i].before(h[j]) }
 func (h entryHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
@@ -86,7 +86,7 @@
 func (h entryHeap) last() *entry {
 	var last *entry
 	for _, e := range h {
-		if last == nil || last.place.Before(e.place) {
+		if last == nil || last.before(e) {
 			last = e
 		}
 	}
@@ -99,6 +99,7 @@
 	active []*customerState // customers with waiting calls
 	cursor int
 	size   int
+	pushed uint64
 }
 
 func (q *queues) push(e *entry) {
@@ -108,6 +109,8 @@
 	}
 	c.queued[e.call.Request.Class]++
 	q.size++
+	q.pushed++
+	e.sequence = q.pushed
 	heap.Push(c.heapOf(e), e)
 }
 
@@ -219,7 +222,7 @@
 	if long == nil || !allowLong {
 		return short
 	}
-	if short == nil || long.place.Before(short.place) {
+	if short == nil || long.before(short) {
 		return long
 	}
 	return short
