--- a/internal/caller/callerhttp/callerhttp.go
+++ b/internal/caller/callerhttp/callerhttp.go
@@ -36,12 +36,16 @@
 
 // Handler turns HTTP requests into calls.
 type Handler struct {
-	admission Admission
-	grace     time.Duration
+	admission       Admission
+	grace           time.Duration
+	completionStyle style
+	chatStyle       style
 }
 
 // NewHandler returns a handler that submits calls to a.
-func NewHandler(a Admission) *Handler { return &Handler{admission: a, grace: endGrace} }
+func NewHandler(a Admission) *Handler {
+	return &Handler{admission: a, grace: endGrace, completionStyle: completionStyle, chatStyle: chatStyle}
+}
 
 // Register adds the routes for callers.
 func (h *Handler) Register(r *route.Engine) {
@@ -97,7 +101,7 @@
 	request.MaxTokens = body.MaxTokens
 	request.Priority = body.Priority
 	request.Stream = body.Stream
-	h.run(ctx, c, request, completionStyle.answer)
+	h.run(ctx, c, request, h.completionStyle.answer)
 }
 
 func (h *Handler) chat(ctx context.Context, c *app.RequestContext) {
@@ -122,7 +126,7 @@
 	request.MaxTokens = body.MaxTokens
 	request.Priority = body.Priority
 	request.Stream = body.Stream
-	h.run(ctx, c, request, chatStyle.answer)
+	h.run(ctx, c, request, h.chatStyle.answer)
 }
 
 func (h *Handler) operation(ctx context.Context, c *app.RequestContext) {
--- a/internal/caller/callerhttp/messages.go
+++ b/internal/caller/callerhttp/messages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
 )
@@ -142,11 +143,13 @@
 	object      string
 	chunkObject string
 	chat        bool
+	// writeTimeout bounds one write to the caller.
+	writeTimeout time.Duration
 }
 
 var (
-	completionStyle = style{object: objectCompletion, chunkObject: objectCompletion}
-	chatStyle       = style{object: objectChat, chunkObject: objectChatChunk, chat: true}
+	completionStyle = style{object: objectCompletion, chunkObject: objectCompletion, writeTimeout: writeTimeout}
+	chatStyle       = style{object: objectChat, chunkObject: objectChatChunk, chat: true, writeTimeout: writeTimeout}
 )
 
 func (s style) choice(text, finishReason string) CompletionChoice {
--- a/internal/caller/callerhttp/stream.go
+++ b/internal/caller/callerhttp/stream.go
@@ -107,16 +107,27 @@
 	return nil
 }
 
-// open starts the event stream. The timeout bounds each write, so that a caller
-// that has stopped reading does not hold an attempt until its deadline.
-func (s *eventStream) open() {
-	if s.writer != nil {
-		return
+// event writes one event. The timeout is set again before each write, because
+// the connection counts it from when it is set. Without one, a caller that has
+// stopped reading would hold an attempt until its deadline.
+func (s *eventStream) event(name string, data []byte) error {
+	s.limitWrite(s.style.writeTimeout)
+	if s.writer == nil {
+		s.writer = sse.NewWriter(s.context)
 	}
+	return s.writer.WriteEvent("", name, data)
+}
+
+func (s *eventStream) limitWrite(timeout time.Duration) {
 	if connection := s.context.GetConn(); connection != nil {
-		_ = connection.SetWriteTimeout(writeTimeout)
+		_ = connection.SetWriteTimeout(timeout)
 	}
-	s.writer = sse.NewWriter(s.context)
+}
+
+// close ends the stream. The connection's next answer starts without a timeout.
+func (s *eventStream) close() {
+	_ = s.writer.Close()
+	s.limitWrite(0)
 }
 
 func (s *eventStream) chunk(chunk core.Chunk) error {
@@ -129,7 +140,6 @@
 }
 
 func (s *eventStream) write(position int, version core.Version, choice CompletionChoice) error {
-	s.open()
 	data, err := json.Marshal(StreamChunk{
 		ID:       string(s.call.Request.ID),
 		Object:   s.style.chunkObject,
@@ -142,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	return s.writer.WriteEvent("", "", data)
+	return s.event("", data)
 }
 
 func (s *eventStream) finish(end *core.End, position int) {
@@ -150,9 +160,9 @@
 		return
 	}
 	data, _ := json.Marshal(EndEvent{Verdict: end.Verdict})
-	_ = s.writer.WriteEvent("", "end", data)
-	_ = s.writer.WriteEvent("", "", []byte("[DONE]"))
-	_ = s.writer.Close()
+	_ = s.event("end", data)
+	_ = s.event("", []byte("[DONE]"))
+	s.close()
 }
 
 func (s *eventStream) fail(failure *core.Error) {
@@ -161,6 +171,6 @@
 		return
 	}
 	data, _ := json.Marshal(transport.NewErrorBody(failure))
-	_ = s.writer.WriteEvent("", "error", data)
-	_ = s.writer.Close()
+	_ = s.event("error", data)
+	s.close()
 }
--- a/internal/caller/claimbucket.go
+++ b/internal/caller/claimbucket.go
@@ -21,8 +21,9 @@
 	// ClaimPrefix is the prefix of claim buckets in the object API.
 	ClaimPrefix = "claims/"
 	// claimBuckets is the number of buckets per customer. Every daemon must use
-	// the same number, or two daemons look for one key in different places.
-	claimBuckets = 256
+	// the same number, or two daemons look for one key in different places. See
+	// docs/notes/idempotency.md for the choice of 1,024.
+	claimBuckets = 1024
 	// maxBucketBytes is the largest bucket value; it leaves room for the
 	// envelope below the limit of the object API.
 	maxBucketBytes = platform.MaxValueBytes - 1024
