--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -203,7 +203,6 @@
 }
 
 func (a *Admission) tick() {
-	a.slots.decay()
 	a.pump()
 	a.reportIdle()
 }
--- /dev/null
+++ b/internal/caller/bench_test.go
@@ -0,0 +1,256 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/ring"
+)
+
+const benchSeed = 7
+
+// fifo is the baseline: one queue in order of arrival, with the same rings and
+// the same bound on calls handed on.
+type fifo struct {
+	loop     *duty.Loop
+	dispatch core.Submitter
+	calls    *ring.Ring[*core.Call]
+	ended    *ring.Ring[struct{}]
+	queue    []*core.Call
+	running  int
+	slots    int
+}
+
+func newFIFO(clock duty.Clock, dispatch core.Submitter, slots int) *fifo {
+	f := &fifo{
+		loop: duty.New("fifo", clock), dispatch: dispatch, slots: slots,
+		calls: ring.New[*core.Call]("fifo.calls", callRingCapacity),
+		ended: ring.New[struct{}]("fifo.ended", MaxInFlight),
+	}
+	duty.On(f.loop, f.ended, func(struct{}) { f.running--; f.pump() })
+	duty.On(f.loop, f.calls, func(c *core.Call) {
+		c.OnEnd = func(*core.Call, core.End) { f.ended.TryPut(struct{}{}) }
+		f.queue = append(f.queue, c)
+		f.pump()
+	})
+	return f
+}
+
+func (f *fifo) Submit(c *core.Call) bool { return f.calls.TryPut(c) }
+
+func (f *fifo) pump() {
+	for f.running < f.slots && len(f.queue) > 0 {
+		c := f.queue[0]
+		f.queue = f.queue[1:]
+		f.running++
+		f.dispatch.Submit(c)
+	}
+}
+
+type submitFunc func(*core.Call) bool
+
+func (f submitFunc) Submit(c *core.Call) bool { return f(c) }
+
+// mix is a simulated day at one daemon on a manual clock: short work arrives at
+// random, and long work always waits.
+type mix struct {
+	clock    *duty.ManualClock
+	random   *rand.Rand
+	submit   core.Submitter
+	loop     *duty.Loop
+	latency  *hdrhistogram.Histogram // of short work, in microseconds
+	wait     *hdrhistogram.Histogram // of short work until it is handed on, in microseconds
+	arrived  map[*core.Call]time.Time
+	finished int
+}
+
+const (
+	mixSlots     = 32
+	mixShortTime = 10 * time.Millisecond // mean, exponential
+	mixLongTime  = 5 * time.Second
+	mixLongCalls = 64
+	mixShort     = 20000 // calls measured
+)
+
+// run returns the p99 of the latency and of the wait of short work in microseconds.
+func (m *mix) run(shortLoad float64, long bool) (latency, wait float64) {
+	m.latency = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+	m.wait = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+	m.arrived = map[*core.Call]time.Time{}
+	w := &world{clock: m.clock}
+	if long {
+		for range mixLongCalls {
+			m.startLong(w)
+		}
+	}
+	gap := float64(mixShortTime) / (shortLoad * mixSlots)
+	for m.finished < mixShort {
+		m.clock.Advance(time.Duration(m.random.ExpFloat64() * gap))
+		c := lookCall(w, "c", core.ClassInteractive)
+		m.arrived[c] = m.clock.Now()
+		m.submit.Submit(c)
+		m.loop.Step()
+	}
+	return float64(m.latency.ValueAtQuantile(99)), float64(m.wait.ValueAtQuantile(99))
+}
+
+func (m *mix) startLong(w *world) {
+	c := modelCall(w, "c", 1)
+	c.Request.Class = core.ClassRollout
+	c.Request.Deadline = time.Time{}
+	c.OnEnd = func(*core.Call, core.End) { m.startLong(w) }
+	m.submit.Submit(c)
+	m.loop.Step()
+}
+
+// dispatch runs each call for its service time.
+func (m *mix) dispatch(c *core.Call) bool {
+	took := mixLongTime
+	if !c.Request.IsModelCall() {
+		took = time.Duration(m.random.ExpFloat64() * float64(mixShortTime))
+		_ = m.wait.RecordValue(m.clock.Now().Sub(m.arrived[c]).Microseconds())
+	}
+	m.clock.AfterFunc(took, func() {
+		if at, short := m.arrived[c]; short {
+			_ = m.latency.RecordValue(m.clock.Now().Sub(at).Microseconds() + 1)
+			delete(m.arrived, c)
+			m.finished++
+		}
+		c.End(core.End{Verdict: core.Ran})
+		m.loop.Step()
+	})
+	return true
+}
+
+func newMix() *mix {
+	return &mix{clock: duty.NewManualClock(testStart), random: rand.New(rand.NewPCG(benchSeed, 1))}
+}
+
+func admissionMix() *mix {
+	m := newMix()
+	w := newWorld(0, benchSeed, contractOf("c", core.Limits{}))
+	claims := NewClaims(m.clock, nil, m.random, "d")
+	a := NewAdmission(m.clock, submitFunc(m.dispatch), claims, rand.New(rand.NewPCG(benchSeed, 2)))
+	a.SetContracts(w.set)
+	a.SetSlots(mixSlots)
+	m.submit, m.loop = a, a.Loop()
+	m.loop.Step()
+	return m
+}
+
+func fifoMix() *mix {
+	m := newMix()
+	f := newFIFO(m.clock, submitFunc(m.dispatch), mixSlots)
+	m.submit, m.loop = f, f.loop
+	return m
+}
+
+// BenchmarkShortBesideLong compares the p99 latency of short work beside long
+// work with that of short work alone, for admission and for one FIFO. Latency is
+// from arrival to end, since short work alone does not wait at all. The target
+// for admission is at most 1.3.
+func BenchmarkShortBesideLong(b *testing.B) {
+	for _, load := range []float64{0.1, 0.25, 0.4} {
+		b.Run(fmt.Sprintf("load=%.0f%%", load*100), func(b *testing.B) {
+			for range b.N {
+				alone, aloneWait := admissionMix().run(load, false)
+				beside, besideWait := admissionMix().run(load, true)
+				inFIFO, _ := fifoMix().run(load, true)
+				b.ReportMetric(aloneWait/1000, "alone-wait-p99-ms")
+				b.ReportMetric(besideWait/1000, "beside-wait-p99-ms")
+				b.ReportMetric(alone/1000, "alone-p99-ms")
+				b.ReportMetric(beside/alone, "ratio")
+				b.ReportMetric(inFIFO/alone, "fifo-ratio")
+			}
+		})
+	}
+}
+
+// BenchmarkDecision measures one call through admission without waiting, and
+// the same through the FIFO.
+func BenchmarkDecision(b *testing.B) {
+	measure := func(b *testing.B, submit core.Submitter, loop *duty.Loop, dispatch *fakeDispatch, w *world) {
+		b.ReportAllocs()
+		calls := make([]*core.Call, 256)
+		// The front's context carries the deadline already.
+		ctx, cancel := context.WithDeadline(context.Background(), testStart)
+		defer cancel()
+		for i := 0; i < b.N; i += len(calls) {
+			b.StopTimer()
+			for j := range calls {
+				calls[j] = lookCall(w, "c", "")
+				calls[j].Context = ctx
+			}
+			b.StartTimer()
+			for _, c := range calls {
+				submit.Submit(c)
+				loop.Step()
+				dispatch.calls = dispatch.calls[:0]
+				c.End(core.End{Verdict: core.Ran})
+				loop.Step()
+			}
+		}
+	}
+	b.Run("admission", func(b *testing.B) {
+		w := newWorld(1, benchSeed, contractOf("c", core.Limits{RequestsPerSecond: 1e9, Concurrency: 100}))
+		d := w.first()
+		measure(b, d.admission, d.admission.Loop(), d.dispatch, w)
+	})
+	b.Run("fifo", func(b *testing.B) {
+		w := newWorld(0, benchSeed)
+		dispatch := &fakeDispatch{}
+		f := newFIFO(w.clock, dispatch, mixSlots)
+		measure(b, f, f.loop, dispatch, w)
+	})
+}
+
+// BenchmarkClaimWrites counts the store writes of 1,000 bookings with a store
+// that takes 5 ms. One object per claim needs 2,000: one for the start and one
+// for the outcome of each.
+func BenchmarkClaimWrites(b *testing.B) {
+	const bookings, tick = 1000, time.Millisecond
+	for _, perTick := range []int{1, 10, bookings} {
+		b.Run(fmt.Sprintf("perMs=%d", perTick), func(b *testing.B) {
+			for range b.N {
+				w := newWorld(1, benchSeed, contractOf("c", core.Limits{}))
+				d := w.first()
+				sent, done := 0, 0
+				for done < bookings || len(d.admission.local) > 0 {
+					for range min(perTick, bookings-sent) {
+						sent++
+						d.admission.Submit(newCall(w, "c", "book", fmt.Sprint("key-", sent), "slot"))
+					}
+					w.clock.Advance(tick)
+					for d.step() > 0 {
+						for len(d.dispatch.calls) > 0 {
+							d.dispatch.take().End(ranEnd("booked"))
+							done++
+						}
+						delayStore(w)
+					}
+				}
+				b.ReportMetric(float64(w.store.writes), "writes/1000-bookings")
+				b.ReportMetric(float64(w.store.writes)/(2*bookings), "ratio-to-object-per-claim")
+			}
+		})
+	}
+}
+
+// delayStore carries out the waiting operations 5 ms from now.
+func delayStore(w *world) {
+	ops := w.store.queue
+	w.store.queue = nil
+	for _, op := range ops {
+		w.clock.AfterFunc(5*time.Millisecond, func() { op.Reply(w.store.apply(op)) })
+	}
+}
+
+var _ Store = (*platform.Store)(nil)
--- a/internal/caller/claims.go
+++ b/internal/caller/claims.go
@@ -29,6 +29,13 @@
 	// between tries of a background write.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	// finishLinger is how long an outcome waits for another write of its bucket
+	// to go with. A repeat at this daemon has its answer from memory meanwhile;
+	// if the daemon dies, a repeat is told "may have run" instead of the answer.
+	finishLinger = 200 * time.Millisecond
+	// freshFor is how long a bucket that other daemons write too counts as
+	// current. A write on older content would only meet a conflict.
+	freshFor = 100 * time.Millisecond
 	// maxDeadDaemons bounds the list of daemons known to be dead.
 	maxDeadDaemons = 4096
 )
@@ -101,7 +108,11 @@
 	failing bool // the last store operation failed
 	// conflicts counts the writes in a row that lost to another daemon.
 	conflicts int
-	bytes     int // counted against maxCachedBytes
+	// contended is set while other daemons write the bucket too.
+	contended bool
+	seen      time.Time // when the content was last known to be current
+	lingering bool      // a timer for waiting outcomes runs
+	bytes     int       // counted against maxCachedBytes
 }
 
 func (b *bucket) idle() bool { return !b.busy && !b.paused && len(b.pending) == 0 }
@@ -178,9 +189,34 @@
 		c.acquires[op.id] = op
 	}
 	b.pending = append(b.pending, op)
+	if op.kind == opFinish && onlyFinishes(b.pending) {
+		c.linger(b)
+		return
+	}
 	c.advance(b)
 }
 
+func onlyFinishes(ops []*claimOp) bool {
+	for _, op := range ops {
+		if op.kind != opFinish {
+			return false
+		}
+	}
+	return true
+}
+
+// linger lets outcomes wait for the bucket's next write.
+func (c *Claims) linger(b *bucket) {
+	if b.lingering || b.busy || b.paused {
+		return
+	}
+	b.lingering = true
+	c.loop.After(finishLinger, func() {
+		b.lingering = false
+		c.advance(b)
+	})
+}
+
 // abandon drops an acquire whose call has ended. A claim that a write may have
 // stored is released, since nothing was sent under it.
 func (c *Claims) abandon(op *claimOp) {
@@ -244,7 +280,7 @@
 	if len(b.pending) == 0 {
 		return
 	}
-	if b.known == nil || needsFresh(b.pending) {
+	if b.known == nil || needsFresh(b.pending) || c.isOld(b) {
 		c.read(b)
 		return
 	}
@@ -270,6 +306,10 @@
 	return false
 }
 
+func (c *Claims) isOld(b *bucket) bool {
+	return b.contended && c.loop.Clock().Now().Sub(b.seen) > freshFor
+}
+
 func (c *Claims) read(b *bucket) {
 	b.known = nil
 	for _, op := range b.pending {
@@ -457,6 +497,7 @@
 func (c *Claims) committed(b *bucket, version int64) {
 	b.known, b.version = b.next, version
 	b.next = nil
+	b.seen = c.loop.Clock().Now()
 	b.backoff, b.conflicts = 0, 0
 	b.failing = false
 	batch := b.batch
@@ -481,7 +522,11 @@
 		c.failed(b, err)
 		return
 	}
+	if version == b.version {
+		b.contended = false
+	}
 	b.known, b.version = set, version
+	b.seen = c.loop.Clock().Now()
 }
 
 // failed handles a store operation without success. After a conflict, or when
@@ -507,6 +552,7 @@
 	b.failing = !again
 	if errors.Is(err, platform.ErrConflict) {
 		b.conflicts++
+		b.contended = true
 		if b.conflicts == 1 {
 			c.advance(b)
 			return
--- a/internal/caller/claims_test.go
+++ b/internal/caller/claims_test.go
@@ -40,6 +40,7 @@
 	}
 	d.take().End(end)
 	b.w.run()
+	b.w.advance(finishLinger)
 }
 
 // kill drops a daemon and puts a new one in its place.
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -1,50 +1,31 @@
 package caller
 
-import "math"
+// shortShare is the share of the slots that long work may not take. A slot that
+// long work takes is not free again for many service times of short work. A
+// reserve that followed the recent use of short work was tried: when short work
+// came back, long work held the slots for its whole service time.
+const shortShare = 0.5
 
-// Shares of the slots that are kept free of long work.
-const (
-	leastShortShare = 1.0 / 8
-	mostShortShare  = 1.0 / 2
-	// peakHeadroom is the multiple of the recent peak of short work that is
-	// kept free, for bursts above the peak.
-	peakHeadroom = 2
-	// peakDecay lowers the remembered peak each tick; it halves in about 7 s.
-	peakDecay = 0.99
-)
-
-// slots bounds the calls that are handed on. Long work may not take the slots
-// that short work needed recently, because a slot that long work takes is not
-// free again while short work waits.
+// slots bounds the calls that are handed on.
 type slots struct {
-	limit     int
-	running   int
-	long      int
-	shortPeak float64
+	limit   int
+	running int
+	long    int
 }
 
 func (s *slots) free() bool { return s.running < s.limit }
 
-// allowLong reports whether one more long call may start.
-func (s *slots) allowLong() bool { return s.long < s.limit-s.reserve() }
-
-// reserve returns the number of slots kept free of long work.
-func (s *slots) reserve() int {
-	if s.limit < 2 {
-		return 0
-	}
-	least := math.Max(1, leastShortShare*float64(s.limit))
-	most := math.Max(1, mostShortShare*float64(s.limit))
-	return int(math.Min(math.Max(peakHeadroom*s.shortPeak, least), most))
+// allowLong reports whether one more long call may start. A single slot is
+// open to all work, or long work would never run.
+func (s *slots) allowLong() bool {
+	return s.long < max(1, s.limit-int(shortShare*float64(s.limit)))
 }
 
 func (s *slots) take(long bool) {
 	s.running++
 	if long {
 		s.long++
-		return
 	}
-	s.shortPeak = math.Max(s.shortPeak, float64(s.running-s.long))
 }
 
 func (s *slots) give(long bool) {
@@ -53,5 +34,3 @@
 		s.long--
 	}
 }
-
-func (s *slots) decay() { s.shortPeak *= peakDecay }
