Answer repeats of started calls with "may have run" while draining

"Not run" is true of the repeat, but a caller reads it as a statement about the booking. The random test now also lets callers leave and steps the two duties apart.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -75,7 +75,7 @@
 	configs      *ring.Ring[*core.ContractSet]
 	shares       *ring.Ring[shareChange]
 	slotChanges  *ring.Ring[int]
-	claimResults *ring.Ring[claimResult]
+	claimResults *ring.Ring[*claimResult]
 	drains       *ring.Ring[struct{}]
 	queries      *duty.AskRing[Query, Reply]
 	idle         *ring.Ring[struct{}]
@@ -109,7 +109,7 @@
 		configs:      ring.New[*core.ContractSet]("admission.config", configRingCapacity),
 		shares:       ring.New[shareChange]("admission.shares", shareRingCapacity),
 		slotChanges:  ring.New[int]("admission.slots", 1),
-		claimResults: ring.New[claimResult]("admission.claims", claimResultCapacity),
+		claimResults: ring.New[*claimResult]("admission.claims", claimResultCapacity),
 		drains:       ring.New[struct{}]("admission.drain", controlRingCapacity),
 		queries:      duty.NewAskRing[Query, Reply]("admission.queries", queryRingCapacity),
 		idle:         ring.New[struct{}]("admission.idle", 1),
@@ -120,7 +120,7 @@
 	}
 	// NewLRU fails only for sizes below 1.
 	a.recent, _ = simplelru.NewLRU[requestKey, RequestState](maxRecent, nil)
-	claims.report = func(r claimResult) { a.claimResults.TryPut(r) }
+	claims.report = func(r claimResult) { a.claimResults.TryPut(&r) }
 	a.bind()
 	return a
 }
@@ -131,7 +131,7 @@
 	duty.On(a.loop, a.slotChanges, a.handleSlots)
 	duty.On(a.loop, a.ended, a.handleEnd)
 	duty.On(a.loop, a.gone, a.handleGone)
-	duty.On(a.loop, a.claimResults, a.handleClaim)
+	duty.On(a.loop, a.claimResults, func(r *claimResult) { a.handleClaim(*r) })
 	duty.On(a.loop, a.calls, a.handleCall)
 	duty.On(a.loop, a.drains, func(struct{}) { a.reportIdle() })
 	duty.OnAsk(a.loop, a.queries, a.handleQuery)
@@ -209,6 +209,9 @@
 
 func (a *Admission) handleCall(c *core.Call) {
 	if err := a.check(c); err != nil {
+		if a.startedHere(c.Request) {
+			err.Verdict = core.MayHaveRun
+		}
 		c.Fail(err)
 		return
 	}
--- a/internal/caller/claims.go
+++ b/internal/caller/claims.go
@@ -36,6 +36,8 @@
 	// freshFor is how long a bucket that other daemons write too counts as
 	// current. A write on older content would only meet a conflict.
 	freshFor = 100 * time.Millisecond
+	// deadRingCapacity holds the deaths of a whole region at once.
+	deadRingCapacity = 1024
 	// maxDeadDaemons bounds the list of daemons known to be dead.
 	maxDeadDaemons = 4096
 )
@@ -147,7 +149,7 @@
 		daemon:   daemon,
 		ops:      ring.New[*claimOp]("claims.ops", claimRingCapacity),
 		replies:  ring.New[storeReply]("claims.replies", maxBusyBuckets),
-		dead:     ring.New[core.DaemonID]("claims.dead", 64),
+		dead:     ring.New[core.DaemonID]("claims.dead", deadRingCapacity),
 		buckets:  map[string]*bucket{},
 		acquires: map[string]*claimOp{},
 	}
--- a/internal/caller/claims_test.go
+++ b/internal/caller/claims_test.go
@@ -332,6 +332,7 @@
 	w      *world
 	random *rand.Rand
 	calls  map[*core.Call]*submission
+	order  []*core.Call
 	bodies map[string]string // answers by key
 	runs   map[string]int
 }
@@ -358,9 +359,14 @@
 		s := &submission{daemon: d}
 		c.OnEnd = func(_ *core.Call, end core.End) { s.end = &end }
 		f.calls[c] = s
+		f.order = append(f.order, c)
 		d.admission.Submit(c)
+	case n < 30:
+		d.admission.Loop().Step()
+	case n < 43:
+		d.claims.Loop().Step()
 	case n < 45:
-		d.step()
+		f.leave()
 	case n < 65 && len(f.w.store.queue) > 0:
 		f.w.store.deliver(f.random.IntN(len(f.w.store.queue)))
 	case n < 75:
@@ -378,6 +384,19 @@
 	}
 }
 
+// leave lets the caller of one call go away.
+func (f *faultRun) leave() {
+	if len(f.order) == 0 {
+		return
+	}
+	c := f.order[f.random.IntN(len(f.order))]
+	if s := f.calls[c]; s != nil {
+		if e := s.daemon.admission.active[keyOfRequest(c.Request)]; e != nil {
+			s.daemon.admission.handleGone(e)
+		}
+	}
+}
+
 // runOne lets a backend server take one call, with any outcome.
 func (f *faultRun) runOne(d *testDaemon) {
 	if len(d.dispatch.calls) == 0 {
--- a/internal/caller/repeats.go
+++ b/internal/caller/repeats.go
@@ -41,6 +41,13 @@
 	return true
 }
 
+// startedHere reports whether the request repeats a call that this daemon has
+// started, so that "not run" would mislead.
+func (a *Admission) startedHere(r *core.Request) bool {
+	claim := a.local[claimKeyOf(r)]
+	return claim != nil && claim.started
+}
+
 // claimLocally makes the call the first with its key at this daemon.
 func (a *Admission) claimLocally(e *entry) {
 	r := e.call.Request
