--- a/internal/caller/claims_test.go
+++ b/internal/caller/claims_test.go
@@ -130,6 +130,19 @@
 			b.w.advance(11 * time.Second)
 			wantEnd(b.t, c, core.NotRun, core.CodeDeadline)
 		}},
+		{"deadline passes while the claim is written", 1, func(b *booking) {
+			c := b.call("slot")
+			d := b.w.daemons[0]
+			d.admission.Submit(c)
+			d.step()
+			b.w.store.deliver(0) // the read
+			d.step()
+			b.w.clock.Advance(11 * time.Second)
+			d.step()
+			wantEnd(b.t, c, core.NotRun, core.CodeDeadline)
+			b.w.run()
+			b.runsOnce(1)
+		}},
 		{"another daemon writes the bucket first", 1, func(b *booking) {
 			first, second := b.call("slot"), b.call("slot")
 			b.w.daemons[0].admission.Submit(first)
