--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -45,8 +45,9 @@
 	drainRetryAfter = time.Second
 	// overloadRetryAfter is the shortest time until a caller should try again.
 	overloadRetryAfter = time.Second
-	// goneWorkDeadline bounds a call that has no deadline of its own.
-	goneWorkDeadline = 10 * time.Minute
+	// unboundedDeadline bounds a claimed call that has no deadline of its own, since it
+	// does not end with its caller.
+	unboundedDeadline = 10 * time.Minute
 )
 
 type endedCall struct {
@@ -414,7 +415,7 @@
 	if !c.Request.Repeatable {
 		parent = context.WithoutCancel(parent)
 		if deadline.IsZero() {
-			deadline = a.now().Add(goneWorkDeadline)
+			deadline = a.now().Add(unboundedDeadline)
 		}
 	}
 	if current, ok := parent.Deadline(); !deadline.IsZero() && (!ok || deadline.Before(current)) {
--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -269,6 +269,16 @@
 	wantOpen(t, taken)
 	wantRetryAfter(t, wantEnd(t, calls[len(calls)-1], core.NotRun, core.CodeOverloaded))
 	wantOpen(t, calls[0])
+
+	last := lookCall(w, "high", core.ClassBackground)
+	for w.first().admission.customers["low"].waiting() > 0 {
+		w.submit(lookCall(w, "high", core.ClassBackground))
+	}
+	w.submit(last)
+	wantEnd(t, last, core.NotRun, core.CodeOverloaded)
+	urgent := lookCall(w, "high", "")
+	w.submit(urgent)
+	wantOpen(t, urgent)
 }
 
 // Guards against callers that are all told to come back at the same moment.
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -172,24 +172,34 @@
 }
 
 // shedBefore returns the waiting call that is shed before one with the given
-// rank and class, or nil.
+// rank and class, or nil. Among customers of the lowest rank it is the call of
+// the latest class.
 func (q *queues) shedBefore(rank int, class core.Class) *entry {
-	var lowest *customerState
+	var victim *entry
 	for _, c := range q.active {
-		if c.shedRank <= rank && (lowest == nil || c.shedRank < lowest.shedRank) {
-			lowest = c
+		if c.shedRank > rank {
+			continue
+		}
+		if e := c.lastWaiting(); victim == nil || e.shedsBefore(victim) {
+			victim = e
 		}
 	}
-	if lowest == nil {
+	if victim == nil {
 		return nil
 	}
-	victim := lowest.lastWaiting()
-	if lowest.shedRank < rank || victim.call.Request.Class.Rank() > class.Rank() {
+	if victim.customer.shedRank < rank || victim.call.Request.Class.Rank() > class.Rank() {
 		return victim
 	}
 	return nil
 }
 
+func (e *entry) shedsBefore(other *entry) bool {
+	if e.customer.shedRank != other.customer.shedRank {
+		return e.customer.shedRank < other.customer.shedRank
+	}
+	return e.call.Request.Class.Rank() > other.call.Request.Class.Rank()
+}
+
 // customerState is what admission knows of one customer's work.
 type customerState struct {
 	limits    *limiter
