--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -177,8 +177,8 @@
 // waitIdle waits until the daemon refuses requests and none is in flight.
 func (c *drainCommand) waitIdle(state *operator.DrainState) error {
 	s := c.session
-	s.app.Sleep(min(c.Wait, operator.DrainGrace))
-	deadline := time.Now().Add(c.Wait - min(c.Wait, operator.DrainGrace))
+	s.app.Sleep(min(c.Wait, operator.MaxDrainGrace))
+	deadline := time.Now().Add(c.Wait - min(c.Wait, operator.MaxDrainGrace))
 	for {
 		var report operator.StatusReport
 		if err := s.getAny(operatorhttp.PathStatus, &report); err != nil {
--- a/internal/operator/burn_test.go
+++ b/internal/operator/burn_test.go
@@ -279,7 +279,7 @@
 	clock := duty.NewManualClock(start)
 	next := &fakeSubmitter{}
 	var ends []Ended
-	g := NewGate(clock, next, func(e Ended) { ends = append(ends, e) })
+	g := NewGate(clock, MaxDrainGrace, next, func(e Ended) { ends = append(ends, e) })
 	submit := func() *core.Call {
 		c := core.NewCall(context.Background(), &core.Request{ID: "r"})
 		if !g.Submit(c) {
@@ -289,7 +289,7 @@
 	}
 	submit()
 	g.Drain(true)
-	clock.Advance(DrainGrace - 1)
+	clock.Advance(MaxDrainGrace - 1)
 	submit()
 	clock.Advance(1)
 	g.Drain(true) // a second order must not start the grace again
@@ -306,7 +306,7 @@
 		c.End(core.End{Verdict: core.Ran})
 		c.End(core.End{Verdict: core.Ran})
 	}
-	if g.State().InFlight != 0 || len(ends) != 3 || time.Duration(ends[1].Latency) != DrainGrace+time.Second {
+	if g.State().InFlight != 0 || len(ends) != 3 || time.Duration(ends[1].Latency) != MaxDrainGrace+time.Second {
 		t.Errorf("state %+v, ends %+v, want none in flight and 3 ends", g.State(), ends)
 	}
 	g.Drain(false)
--- a/internal/operator/ended.go
+++ b/internal/operator/ended.go
@@ -74,24 +74,26 @@
 	return strings.Clone(line)
 }
 
-// DrainGrace is how long a draining daemon still takes requests, so that the
-// load balancer has time to see that it is not ready.
-const DrainGrace = 3 * time.Second
+// MaxDrainGrace is the longest time that a draining daemon still takes requests,
+// so that the load balancer has time to see that it is not ready.
+const MaxDrainGrace = 3 * time.Second
 
 // Gate stands before admission. It counts the calls in flight, reports each end
-// and refuses calls once the daemon has drained for DrainGrace. Any goroutine
+// and refuses calls once the daemon has drained for the grace period. Any goroutine
 // may use it.
 type Gate struct {
 	clock    duty.Clock
+	grace    time.Duration
 	next     core.Submitter
 	report   func(Ended)
 	inFlight atomic.Int64
 	drained  atomic.Int64 // Unix nanoseconds of the start of the drain; 0 when not draining
 }
 
-// NewGate returns a gate before next. report must not wait.
-func NewGate(clock duty.Clock, next core.Submitter, report func(Ended)) *Gate {
-	return &Gate{clock: clock, next: next, report: report}
+// NewGate returns a gate before next, which takes calls for the grace period
+// after Drain. report must not wait.
+func NewGate(clock duty.Clock, grace time.Duration, next core.Submitter, report func(Ended)) *Gate {
+	return &Gate{clock: clock, grace: min(grace, MaxDrainGrace), next: next, report: report}
 }
 
 // Submit passes the call on.
@@ -106,7 +108,7 @@
 		}
 	}
 	g.inFlight.Add(1)
-	if since := g.drained.Load(); since != 0 && started.UnixNano()-since >= int64(DrainGrace) {
+	if since := g.drained.Load(); since != 0 && started.UnixNano()-since >= int64(g.grace) {
 		refusal := core.NotRunError(core.CodeDraining, "the daemon is draining")
 		refusal.RetryAfter = time.Second
 		c.Fail(refusal)
--- a/internal/server/build_listeners.go
+++ b/internal/server/build_listeners.go
@@ -26,8 +26,9 @@
 	if err != nil {
 		return err
 	}
-	gate := operator.NewGate(b.clock, b.admission, b.status.AddEnd)
+	gate := operator.NewGate(b.clock, b.settings.DrainGrace, b.admission, b.status.AddEnd)
 	b.status.UseDrain(gate.State)
+	b.server.gate, b.server.admission = gate, b.admission
 	if err := b.start(b.status.Loop()); err != nil {
 		return err
 	}
@@ -95,7 +96,7 @@
 	if access.authenticator != nil {
 		router.Use(transport.OwnCustomer())
 	}
-	callerhttp.NewHandler(gate).Register(router)
+	callerhttp.NewHandler(front{Gate: gate, admission: b.admission}).Register(router)
 	trainerhttp.NewHandler(b.trainers).Register(router)
 	router.NoRoute(transport.NoRoute)
 	return b.server.runner.Serve("callers", listener.Serve, listener.Shutdown)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/berylfall/berylfall/internal/caller"
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/operator"
 	"github.com/berylfall/berylfall/internal/settings"
 	"github.com/berylfall/berylfall/internal/transport"
 )
@@ -22,6 +25,10 @@
 	pools    []*duty.Pool
 	callers  *transport.Server
 	operator *transport.Server
+
+	gate       *operator.Gate
+	admission  *caller.Admission
+	drainGrace time.Duration
 }
 
 // Start builds and starts a daemon.
@@ -30,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &Server{log: log, runner: runner}
+	server := &Server{log: log, runner: runner, drainGrace: s.DrainGrace}
 	b := &builder{server: server, settings: s, clock: duty.SystemClock{}}
 	if err := b.build(); err != nil {
 		server.Stop(context.Background())
@@ -49,8 +56,16 @@
 // OperatorAddress returns the address for operators.
 func (s *Server) OperatorAddress() string { return s.operator.Address() }
 
-// Stop ends the daemon. Requests in flight end first, unless ctx ends.
+// Stop ends the daemon. It first reports that it is not ready and takes requests
+// for the grace period, so that the load balancer can follow; then it refuses new
+// requests and lets those in flight end, unless ctx ends first.
 func (s *Server) Stop(ctx context.Context) {
+	if s.gate != nil {
+		s.gate.Drain(true)
+		time.Sleep(s.drainGrace)
+		s.admission.Drain()
+		s.admission.Idle(ctx)
+	}
 	s.runner.Stop(ctx)
 	for _, p := range s.pools {
 		p.Release()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -23,6 +23,7 @@
 	maxSamples        = 4096
 	minStopTimeout    = time.Second
 	maxStopTimeout    = 24 * time.Hour
+	maxDrainGrace     = 3 * time.Second
 	maxPeers          = 1024
 	allowedAddress    = "an IP address and a port, such as 10.0.0.1:7300"
 	allowedName       = "1 to 63 of a-z, A-Z, 0-9, '-', '.', '_', starting with a letter or digit"
@@ -48,6 +49,9 @@
 	k.integer("--exchanges", d.Exchanges, 1, maxExchanges)
 	k.integer("--store-calls", d.StoreCalls, 1, maxStoreCalls)
 	k.integer("--samples", d.Samples, 1, maxSamples)
+	if d.DrainGrace < 0 || d.DrainGrace > maxDrainGrace {
+		k.fail("--drain-grace", d.DrainGrace.String(), fmt.Sprintf("0s to %v", maxDrainGrace), "is out of range")
+	}
 	if d.StopTimeout < minStopTimeout || d.StopTimeout > maxStopTimeout {
 		k.fail("--stop-timeout", d.StopTimeout.String(), fmt.Sprintf("%v to %v", minStopTimeout, maxStopTimeout), "is out of range")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	StoreCalls      int           `long:"store-calls" env:"BERYLFALL_STORE_CALLS" default:"32" description:"most calls of the object API at once, 1 to 1024"`
 	Samples         int           `long:"samples" env:"BERYLFALL_SAMPLES" default:"512" description:"most samples for trainers at once, 1 to 4096"`
 	AddressFile     string        `long:"address-file" env:"BERYLFALL_ADDRESS_FILE" description:"file that receives the addresses in use as JSON, for ports given as 0"`
+	DrainGrace      time.Duration `long:"drain-grace" env:"BERYLFALL_DRAIN_GRACE" default:"2s" description:"how long requests are still taken after the stop signal, while the load balancer sees that the daemon is not ready, 0s to 3s"`
 	StopTimeout     time.Duration `long:"stop-timeout" env:"BERYLFALL_STOP_TIMEOUT" default:"10m" description:"longest wait for requests in flight at a planned stop, 1s to 24h"`
 	LogLevel        string        `long:"log-level" env:"BERYLFALL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe level that is logged"`
 	LogFormat       string        `long:"log-format" env:"BERYLFALL_LOG_FORMAT" default:"text" choice:"text" choice:"json" description:"format of the log"`
