--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -35,6 +35,8 @@
 var (
 	_ backend.Exchanger = (*Client)(nil)
 	_ backend.Prober    = (*Client)(nil)
+
+	_ backend.CacheSource = (*Client)(nil)
 )
 
 // NewClient returns a client for backend servers.
--- a/internal/backend/backendhttp/messages.go
+++ b/internal/backend/backendhttp/messages.go
@@ -1,7 +1,11 @@
 // Package backendhttp encodes exchanges with backend servers as HTTP.
 package backendhttp
 
-import "time"
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/backend"
+)
 
 // Paths of backend servers.
 const (
@@ -103,7 +107,7 @@
 }
 
 // PrefixBlock is the step, in bytes of the prompt, of the prefixes in cache events.
-const PrefixBlock = 64
+const PrefixBlock = backend.PrefixBlock
 
 // KVMessage is the answer to POST /v1/kv/export, whose body holds only the
 // request ID, and the body of POST /v1/kv/import.
--- a/internal/backend/backendhttp/probe.go
+++ b/internal/backend/backendhttp/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -55,6 +56,20 @@
 	return backend.Load{At: m.At, Running: m.Running, Waiting: m.Waiting, KVUsed: m.KVUsed}, err
 }
 
+// CacheEvents reads the changes of an engine's prefix cache after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, address string, after int64) ([]backend.CacheEvent, error) {
+	var messages []CacheEventMessage
+	path := PathCacheEvents + "?after=" + strconv.FormatInt(after, 10)
+	if err := transport.DoJSON(ctx, c.polls, get(ctx, address, path), &messages); err != nil {
+		return nil, err
+	}
+	events := make([]backend.CacheEvent, 0, len(messages))
+	for _, m := range messages {
+		events = append(events, backend.CacheEvent{Sequence: m.Sequence, Kind: backend.CacheEventKind(m.Kind), Prefix: m.Prefix})
+	}
+	return events, nil
+}
+
 func get(ctx context.Context, address, path string) transport.Exchange {
 	x := transport.Exchange{Method: consts.MethodGet, URL: "http://" + address + path}
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -24,8 +24,6 @@
 	// maxCalls bounds the calls in progress. The ring of cancels has the same
 	// capacity, so a cancel is never refused.
 	maxCalls = 2 * MaxAttemptsInProgress
-	// serviceTimeWeight is the weight of the newest attempt in the mean.
-	serviceTimeWeight = 0.1
 )
 
 // callState is a call in progress.
@@ -49,22 +47,24 @@
 	loop      *duty.Loop
 	exchanger Exchanger
 	tryGo     func(func()) bool // runs a blocking call on the pool
-	picker    Picker
-	scorer    Scorer
-	filters   []Filter // what a server can do
-	guards    []Filter // what may be waited for
+	filters   []Filter          // what a server can do
+	router    *router
+	hedges    *hedgeBudget
 
 	calls   *ring.Ring[*core.Call]
 	ends    *ring.Ring[AttemptEnd]
 	servers *ring.Ring[[]Server]
 	cancels *ring.Ring[core.RequestID]
 	reports *ring.Ring[SuspectReport]
+	others  *ring.Ring[[]OtherWork]
+	cache   *ring.Ring[CacheEvents]
 
 	table      map[core.ServerID]*Candidate
-	order      []*Candidate // the table in a fixed order
+	order      []*Candidate // the listed servers in a fixed order
+	round      uint64       // of table updates
+	listedAt   time.Time    // of the first table
 	inProgress map[core.RequestID]*callState
 	running    int
-	eligible   []*Candidate // scratch space of choose
 
 	health          *health
 	budget          *retryBudget
@@ -72,6 +72,7 @@
 	slotsDue        bool
 	deliverSlots    func([]ServiceSlots)
 	deliverSuspects func(SuspectReport)
+	deliverWork     func([]OwnWork)
 }
 
 // NewDispatch returns the dispatch duty. The pool bounds the attempts in progress.
@@ -80,29 +81,31 @@
 		loop:       duty.New("dispatch", clock),
 		exchanger:  exchanger,
 		tryGo:      pool.TryGo,
-		picker:     TwoChoicePicker{Random: random},
-		scorer:     OutstandingScorer{},
 		filters:    CapabilityFilters(),
+		router:     newRouter(clock.Now, random),
+		hedges:     newHedgeBudget(),
 		calls:      ring.New[*core.Call]("dispatch.calls", callRingCapacity),
 		ends:       ring.New[AttemptEnd]("dispatch.ends", MaxAttemptsInProgress),
 		servers:    ring.New[[]Server]("dispatch.servers", serverRingCapacity),
 		cancels:    ring.New[core.RequestID]("dispatch.cancels", maxCalls),
 		reports:    ring.New[SuspectReport]("dispatch.suspects", reportRingCapacity),
+		others:     ring.New[[]OtherWork]("dispatch.others", reportRingCapacity),
+		cache:      ring.New[CacheEvents]("dispatch.cache", reportRingCapacity),
 		table:      map[core.ServerID]*Candidate{},
 		inProgress: map[core.RequestID]*callState{},
 		health:     newHealth(clock.Now),
 		budget:     newRetryBudget(clock.Now()),
 	}
-	d.guards = []Filter{
-		filterFunc{"readiness", d.health.isAccepting},
-		filterFunc{"room for a crash suspect", d.health.mayRunSuspect},
-	}
+	d.bindRouter()
 	duty.On(d.loop, d.servers, d.handleServers)
 	duty.On(d.loop, d.ends, d.handleEnd)
 	duty.On(d.loop, d.cancels, d.handleCancel)
 	duty.On(d.loop, d.reports, d.handleReport)
 	duty.On(d.loop, d.calls, d.handleCall)
+	duty.On(d.loop, d.others, d.handleOtherWork)
+	duty.On(d.loop, d.cache, d.handleCacheEvents)
 	d.loop.Every(suspectPeriod, d.suspectTick)
+	d.loop.Every(routingPeriod, d.routingTick)
 	return d
 }
 
@@ -115,24 +118,6 @@
 // SetServers takes the backend servers as they are known now.
 func (d *Dispatch) SetServers(s []Server) { d.servers.PutLatest(s) }
 
-func (d *Dispatch) handleServers(servers []Server) {
-	table := make(map[core.ServerID]*Candidate, len(servers))
-	d.order = d.order[:0]
-	for _, s := range servers {
-		candidate := d.table[s.ID]
-		if candidate == nil {
-			candidate = &Candidate{}
-		}
-		candidate.Server = s
-		table[s.ID] = candidate
-		d.order = append(d.order, candidate)
-		d.health.polled(s)
-	}
-	d.table = table
-	d.health.forget(func(id core.ServerID) bool { return table[id] != nil })
-	d.slotsChanged()
-}
-
 func (d *Dispatch) handleCall(c *core.Call) {
 	if d.inProgress[c.Request.ID] != nil {
 		c.Fail(core.NotRunError(core.CodeConflict, "request %s is in progress already", c.Request.ID))
@@ -145,6 +130,7 @@
 	s := &callState{call: c, verdict: core.NotRun, running: map[int]context.CancelFunc{}, tried: map[core.ServerID]bool{}}
 	d.inProgress[c.Request.ID] = s
 	d.budget.firstAttempt()
+	d.hedges.firstAttempt(c.Request)
 	d.start(s)
 }
 
@@ -163,7 +149,9 @@
 		d.waitForServer(s)
 	case chosen == nil:
 		d.fail(s, &core.Error{Code: core.CodeNoCapability, Reason: "no backend server has the " + missing + " that the request needs"}, "")
-	case !d.startAttempt(s, chosen):
+	case d.startAttempt(s, chosen):
+		d.watchAttempt(s, chosen)
+	default:
 		d.fail(s, &core.Error{Code: core.CodeOverloaded, Reason: "no worker is free for the request", RetryAfter: overloadedWait}, "")
 	}
 }
@@ -216,20 +204,3 @@
 	}
 	return &core.Error{Code: core.CodeCancelled, Verdict: verdict, Reason: "the caller went away " + when}
 }
-
-// observeStart is the hook of the load view for an attempt that starts.
-func (d *Dispatch) observeStart(c *Candidate) {
-	c.Outstanding++
-	d.slotsChanged()
-}
-
-// observeEnd is the hook of the load view for an attempt that has ended.
-func (d *Dispatch) observeEnd(e AttemptEnd) {
-	c := d.table[e.Attempt.Server]
-	if c == nil {
-		return
-	}
-	c.Outstanding--
-	c.ServiceTime += time.Duration(serviceTimeWeight * float64(e.Duration-c.ServiceTime))
-	d.slotsChanged()
-}
--- /dev/null
+++ b/internal/backend/hedging.go
@@ -0,0 +1,88 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+const (
+	// maxHedgeShare bounds the extra attempts of hedging, whatever the contract.
+	maxHedgeShare = 0.05
+	// hedgeBurst bounds the hedges that a customer can save up.
+	hedgeBurst = 20
+	// maxHedgeDepth is the mean work per slot of a service above which nothing
+	// is hedged, since extra work makes an overload worse.
+	maxHedgeDepth = 0.7
+	// maxHedgeCustomers bounds the memory for budgets.
+	maxHedgeCustomers = 4096
+)
+
+// hedgeBudget is a token bucket per customer that first attempts fill and
+// hedges empty. It starts empty, so the share holds from the first attempt on.
+type hedgeBudget struct {
+	tokens map[core.CustomerID]float64
+}
+
+func newHedgeBudget() *hedgeBudget { return &hedgeBudget{tokens: map[core.CustomerID]float64{}} }
+
+func (b *hedgeBudget) firstAttempt(r *core.Request) {
+	share := min(r.HedgeShare, maxHedgeShare)
+	if share <= 0 {
+		return
+	}
+	if len(b.tokens) >= maxHedgeCustomers {
+		clear(b.tokens)
+	}
+	b.tokens[r.Customer] = min(b.tokens[r.Customer]+share, hedgeBurst)
+}
+
+func (b *hedgeBudget) has(r *core.Request) bool { return b.tokens[r.Customer] >= 1 }
+
+func (b *hedgeBudget) take(r *core.Request) { b.tokens[r.Customer]-- }
+
+// watchAttempt calls attemptOverdue when the call's newest attempt has lasted
+// the p95 of its kind of work.
+func (d *Dispatch) watchAttempt(s *callState, c *Candidate) {
+	delay, known := d.router.times.of(s.call.Request).delay.delay()
+	if !known {
+		return
+	}
+	number := s.attempts
+	d.loop.After(delay, func() { d.attemptDue(s, number, c, delay) })
+}
+
+// attemptDue takes an attempt that has ended or lasted the p95.
+func (d *Dispatch) attemptDue(s *callState, number int, c *Candidate, delay time.Duration) {
+	r := s.call.Request
+	inProgress := d.inProgress[r.ID] == s && s.running[number] != nil
+	started := !inProgress || s.call.Answer.Tokens() > 0
+	if r.IsModelCall() && number == 1 {
+		d.router.times.of(r).delay.move(!started)
+	}
+	if started {
+		if r.IsModelCall() {
+			c.use.overdue = 0
+		}
+		return
+	}
+	d.router.overdue(r, c, delay)
+	if number == 1 {
+		d.hedge(s)
+	}
+}
+
+// hedge starts a second attempt on another server, if the work is repeatable,
+// the budget allows it and the service has room.
+func (d *Dispatch) hedge(s *callState) {
+	r := s.call.Request
+	mayHedge := r.Repeatable && !s.waiting && s.attempts == 1 && s.call.Context.Err() == nil &&
+		d.hedges.has(r) && d.router.hasRoom(r)
+	if !mayHedge {
+		return
+	}
+	other := d.router.pickOther(r, s.tried)
+	if other != nil && d.startAttempt(s, other) {
+		d.hedges.take(r)
+	}
+}
--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
@@ -9,10 +11,27 @@
 	"github.com/berylfall/berylfall/internal/ring"
 )
 
-// Poll timings.
+// Poll timings and budgets.
 const (
-	pollPeriod  = 500 * time.Millisecond
-	pollTimeout = 2 * time.Second
+	pollTick   = 100 * time.Millisecond
+	listPeriod = 500 * time.Millisecond
+	pollPeriod = 500 * time.Millisecond
+	// describePeriod is longer than pollPeriod, since descriptions are larger
+	// and change seldom.
+	describePeriod = time.Second
+	pollTimeout    = 2 * time.Second
+	// pollBudget bounds the polls that one tick starts. Servers that are polled
+	// late by it come first in the next tick.
+	pollBudget = 32
+	// publishPeriod bounds how often new load reports are published. Changes of
+	// the servers themselves are published at once.
+	publishPeriod = 100 * time.Millisecond
+	// unreachableAfter is the number of failed polls in a row after which a
+	// server is marked unreachable.
+	unreachableAfter = 3
+	// forgetAfter is how long a server stays known that is not listed and of
+	// which nothing is heard.
+	forgetAfter = 10 * time.Second
 )
 
 // HostSource reads the backend servers that the platform lists. It blocks.
@@ -20,9 +39,25 @@
 	BackendHosts(ctx context.Context) ([]Server, error)
 }
 
+// Report is what a daemon learned of a server by polling it.
+type Report struct {
+	Server      core.ServerID
+	Unreachable bool
+	Description Description
+	Load        Load
+	Age         time.Duration // since the poll
+}
+
+// Assignments reports whether this daemon polls a server. It must not wait.
+type Assignments func(core.ServerID) bool
+
 type pollResult struct {
-	server Server
-	ok     bool
+	id          core.ServerID
+	ok          bool
+	described   bool
+	description Description
+	load        Load
+	cache       CacheEvents
 }
 
 type hostResult struct {
@@ -30,6 +65,18 @@
 	err     error
 }
 
+// tracked is one server with the state of its polls.
+type tracked struct {
+	server      Server
+	listed      bool
+	polling     bool
+	failures    int // in a row
+	polledAt    time.Time
+	describedAt time.Time
+	heardAt     time.Time // of the newest report
+	cacheAfter  int64     // sequence of the newest cache event read
+}
+
 // Poller is the duty that keeps the table of backend servers.
 type Poller struct {
 	loop    *duty.Loop
@@ -38,15 +85,27 @@
 	pool    *duty.Pool
 	deliver func([]Server)
 
+	cacheSource    CacheSource
+	deliverCache   func(CacheEvents)
+	deliverReports func([]Report)
+
 	results     *ring.Ring[pollResult]
 	hostResults *ring.Ring[hostResult]
+	reports     *ring.Ring[[]Report]
+	assignments *ring.Ring[Assignments]
 
-	known   map[core.ServerID]Server
-	polling map[core.ServerID]bool
-	listing bool
+	known      map[core.ServerID]*tracked
+	order      []*tracked // by server
+	next       int        // index in order where the next tick begins
+	isAssigned Assignments
+	fresh      []Report // polled since the last publication
+	listing    bool
+	listedAt   time.Time
+	publishDue bool
 }
 
-// NewPoller returns the poller duty. deliver must not wait.
+// NewPoller returns the poller duty. deliver must not wait. A nil hosts means
+// that the list comes through SetHosts.
 func NewPoller(clock duty.Clock, hosts HostSource, prober Prober, pool *duty.Pool, deliver func([]Server)) *Poller {
 	p := &Poller{
 		loop:        duty.New("loadpoll", clock),
@@ -56,11 +115,15 @@
 		deliver:     deliver,
 		results:     ring.New[pollResult]("loadpoll.results", serverRingCapacity*8),
 		hostResults: ring.New[hostResult]("loadpoll.hosts", 4),
-		known:       map[core.ServerID]Server{},
-		polling:     map[core.ServerID]bool{},
+		reports:     ring.New[[]Report]("loadpoll.reports", serverRingCapacity),
+		assignments: ring.New[Assignments]("loadpoll.assignments", 1),
+		known:       map[core.ServerID]*tracked{},
+		isAssigned:  func(core.ServerID) bool { return true },
 	}
 	duty.On(p.loop, p.hostResults, p.handleHosts)
+	duty.On(p.loop, p.assignments, func(a Assignments) { p.isAssigned = a })
 	duty.On(p.loop, p.results, p.handleResult)
+	duty.On(p.loop, p.reports, p.handleReports)
 	p.loop.After(0, p.tick)
 	return p
 }
@@ -68,18 +131,38 @@
 // Loop returns the duty's loop.
 func (p *Poller) Loop() *duty.Loop { return p.loop }
 
+// SetHosts takes the listed backend servers.
+func (p *Poller) SetHosts(servers []Server) { p.hostResults.PutLatest(hostResult{servers: servers}) }
+
+// SetAssignments sets which servers this daemon polls; by default all.
+func (p *Poller) SetAssignments(a Assignments) { p.assignments.PutLatest(a) }
+
+// AddReports takes what other daemons of the data centre have polled.
+func (p *Poller) AddReports(r []Report) { p.reports.PutLatest(r) }
+
+// SetReports sets the function that takes what this daemon has polled, for the
+// other daemons. It must not wait, and it is set before the duty starts.
+func (p *Poller) SetReports(deliver func([]Report)) { p.deliverReports = deliver }
+
+// SetCacheSource makes the poller read cache events of engines. deliver must
+// not wait, and it is set before the duty starts.
+func (p *Poller) SetCacheSource(source CacheSource, deliver func(CacheEvents)) {
+	p.cacheSource, p.deliverCache = source, deliver
+}
+
 func (p *Poller) tick() {
-	p.loop.After(pollPeriod, p.tick)
-	p.list()
-	for _, s := range p.known {
-		p.poll(s)
-	}
+	p.loop.After(pollTick, p.tick)
+	now := p.loop.Clock().Now()
+	p.list(now)
+	p.forget(now)
+	p.pollDue(now)
 }
 
-func (p *Poller) list() {
-	if p.listing {
+func (p *Poller) list(now time.Time) {
+	if p.hosts == nil || p.listing || (!p.listedAt.IsZero() && now.Sub(p.listedAt) < listPeriod) {
 		return
 	}
+	p.listedAt = now
 	p.listing = p.pool.TryGo(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 		defer cancel()
@@ -88,66 +171,232 @@
 	})
 }
 
+// handleHosts takes the host list. It only adds information: a server that is
+// missing from it stays known while it is heard of.
 func (p *Poller) handleHosts(r hostResult) {
 	p.listing = false
 	if r.err != nil {
 		return
 	}
+	for _, t := range p.order {
+		t.listed = false
+	}
+	changed := false
 	for _, s := range r.servers {
-		known, ok := p.known[s.ID]
-		if ok {
-			known.Address, known.Leaving = s.Address, s.Leaving
-			p.known[s.ID] = known
-			continue
+		changed = p.listed(s) || changed
+	}
+	if changed {
+		p.sort()
+		p.publish()
+		p.pollDue(p.loop.Clock().Now())
+	}
+}
+
+// listed takes one entry of the host list and reports whether it was news.
+func (p *Poller) listed(s Server) bool {
+	t := p.known[s.ID]
+	if t == nil {
+		p.known[s.ID] = &tracked{server: s, listed: true}
+		return true
+	}
+	t.listed = true
+	same := t.server.Address == s.Address && t.server.Leaving == s.Leaving && t.server.DataCentre == s.DataCentre
+	t.server.Address, t.server.Leaving, t.server.DataCentre = s.Address, s.Leaving, s.DataCentre
+	return !same
+}
+
+func (p *Poller) sort() {
+	p.order = p.order[:0]
+	for _, t := range p.known {
+		p.order = append(p.order, t)
+	}
+	slices.SortFunc(p.order, func(a, b *tracked) int { return strings.Compare(string(a.server.ID), string(b.server.ID)) })
+}
+
+// forget drops servers that are neither listed nor heard of.
+func (p *Poller) forget(now time.Time) {
+	changed := false
+	for id, t := range p.known {
+		if !t.listed && now.Sub(t.heardAt) >= forgetAfter {
+			delete(p.known, id)
+			changed = true
 		}
-		p.known[s.ID] = s
-		p.poll(s)
 	}
-	p.publish()
+	if changed {
+		p.sort()
+		p.publish()
+	}
 }
 
-func (p *Poller) poll(s Server) {
-	if p.polling[s.ID] {
-		return
+// pollDue starts the polls that are due, within the budget.
+func (p *Poller) pollDue(now time.Time) {
+	started, visited := 0, 0
+	for ; visited < len(p.order) && started < pollBudget; visited++ {
+		t := p.order[(p.next+visited)%len(p.order)]
+		isDue := t.polledAt.IsZero() || now.Sub(t.polledAt) >= pollPeriod
+		if t.polling || !isDue || !p.isAssigned(t.server.ID) {
+			continue
+		}
+		p.poll(t, now)
+		started++
+	}
+	if len(p.order) > 0 {
+		p.next = (p.next + visited) % len(p.order)
 	}
-	p.polling[s.ID] = p.pool.TryGo(func() {
+}
+
+func (p *Poller) poll(t *tracked, now time.Time) {
+	server, after := t.server, t.cacheAfter
+	describe := t.failures > 0 || t.describedAt.IsZero() || now.Sub(t.describedAt) >= describePeriod
+	t.polling = p.pool.TryGo(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 		defer cancel()
-		p.results.TryPut(p.probe(ctx, s))
+		p.results.TryPut(p.probe(ctx, server, describe, after))
 	})
+	if t.polling {
+		t.polledAt = now
+	}
 }
 
 // probe runs on the pool.
-func (p *Poller) probe(ctx context.Context, s Server) pollResult {
-	description, err := p.prober.Describe(ctx, s.Address)
-	if err != nil {
-		return pollResult{server: s}
+func (p *Poller) probe(ctx context.Context, s Server, describe bool, after int64) pollResult {
+	result := pollResult{id: s.ID, described: describe, description: s.Description}
+	var err error
+	if describe {
+		if result.description, err = p.prober.Describe(ctx, s.Address); err != nil {
+			return result
+		}
+	}
+	if result.load, err = p.prober.Load(ctx, s.Address); err != nil {
+		return result
+	}
+	result.ok = true
+	if p.cacheSource == nil || len(result.description.Models) == 0 {
+		return result
 	}
-	load, err := p.prober.Load(ctx, s.Address)
-	if err != nil {
-		return pollResult{server: s}
+	if result.description.Incarnation != s.Description.Incarnation {
+		after = 0
 	}
-	s.Description, s.Load = description, load
-	return pollResult{server: s, ok: true}
+	events, err := p.cacheSource.CacheEvents(ctx, s.Address, after)
+	if err == nil {
+		result.cache = CacheEvents{Server: s.ID, Incarnation: result.description.Incarnation, After: after, Events: events}
+	}
+	return result
 }
 
 func (p *Poller) handleResult(r pollResult) {
-	p.polling[r.server.ID] = false
-	known, listed := p.known[r.server.ID]
-	if !r.ok || !listed {
+	t := p.known[r.id]
+	if t == nil {
+		return
+	}
+	t.polling = false
+	now := p.loop.Clock().Now()
+	if !r.ok {
+		p.failed(t)
 		return
 	}
-	known.Description, known.Load = r.server.Description, r.server.Load
-	p.known[r.server.ID] = known
+	if r.described {
+		t.describedAt = now
+	}
+	r.load.Arrived = now
+	p.heard(t, r.description, r.load, now)
+	p.report(t)
+	p.readCache(t, r.cache)
+}
+
+func (p *Poller) failed(t *tracked) {
+	t.failures++
+	if t.failures != unreachableAfter {
+		return
+	}
+	t.server.Unreachable = true
+	p.report(t)
 	p.publish()
 }
 
+// heard takes a report of a server, polled here or by another daemon.
+func (p *Poller) heard(t *tracked, description Description, load Load, at time.Time) {
+	isNews := t.server.Unreachable || t.server.Description.Incarnation != description.Incarnation
+	if t.server.Description.Incarnation != description.Incarnation {
+		t.cacheAfter = 0
+	}
+	t.failures = 0
+	t.heardAt = at
+	t.server.Unreachable = false
+	t.server.Description, t.server.Load = description, load
+	if isNews {
+		p.publish()
+		return
+	}
+	p.publishSoon()
+}
+
+func (p *Poller) readCache(t *tracked, events CacheEvents) {
+	if len(events.Events) == 0 {
+		return
+	}
+	t.cacheAfter = events.Events[len(events.Events)-1].Sequence
+	p.deliverCache(events)
+}
+
+// handleReports takes reports of other daemons. Only a newer one counts.
+func (p *Poller) handleReports(reports []Report) {
+	now := p.loop.Clock().Now()
+	for i := range reports {
+		r := &reports[i]
+		t, at := p.known[r.Server], now.Add(-r.Age)
+		if t == nil || !at.After(t.heardAt) {
+			continue
+		}
+		if r.Unreachable {
+			t.heardAt = at
+			t.server.Unreachable = true
+			p.publishSoon()
+			continue
+		}
+		load := r.Load
+		load.Arrived = at
+		p.heard(t, r.Description, load, at)
+	}
+}
+
+// report notes what was polled here for the other daemons. Its age is at most
+// publishPeriod, which is left out.
+func (p *Poller) report(t *tracked) {
+	if p.deliverReports == nil {
+		return
+	}
+	p.fresh = append(p.fresh, Report{
+		Server: t.server.ID, Unreachable: t.server.Unreachable, Description: t.server.Description,
+		Load: t.server.Load,
+	})
+	p.publishSoon()
+}
+
+// publishSoon publishes within publishPeriod, together with what comes until then.
+func (p *Poller) publishSoon() {
+	if p.publishDue {
+		return
+	}
+	p.publishDue = true
+	p.loop.After(publishPeriod, func() {
+		if p.publishDue {
+			p.publish()
+		}
+	})
+}
+
 func (p *Poller) publish() {
-	servers := make([]Server, 0, len(p.known))
-	for _, s := range p.known {
-		if s.Description.Incarnation != "" {
-			servers = append(servers, s)
+	p.publishDue = false
+	servers := make([]Server, 0, len(p.order))
+	for _, t := range p.order {
+		if t.server.Description.Incarnation != "" {
+			servers = append(servers, t.server)
 		}
 	}
 	p.deliver(servers)
+	if len(p.fresh) > 0 {
+		p.deliverReports(p.fresh)
+		p.fresh = nil
+	}
 }
--- /dev/null
+++ b/internal/backend/routing.go
@@ -0,0 +1,311 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+const (
+	// routingPeriod is how often the figures of all servers are recalculated.
+	routingPeriod = 100 * time.Millisecond
+	// remoteDepth is the work per slot of the best local server above which
+	// servers of other data centres are compared.
+	remoteDepth = 1
+	// remoteGain is how many times faster than the best local server one of
+	// another data centre must be.
+	remoteGain = 2
+	// firstTokenPart divides the duration of whole model calls for the first
+	// estimate of the time to the first token. A low estimate is corrected in
+	// a few calls, a high one in thousands.
+	firstTokenPart = 10
+)
+
+// Candidate is a backend server with what this daemon knows of it.
+type Candidate struct {
+	Server      Server
+	Outstanding int // attempts of this daemon in progress
+	load        serverLoad
+	speed       serverSpeed
+	use         use
+	round       uint64 // of the table update that listed it last
+}
+
+// permission is how far a pick goes when the best servers are out of use.
+type permission int
+
+const (
+	healthyUntried permission = iota
+	anyUntried                // also ejected and unreachable ones
+	anyServer                 // also those that were tried
+)
+
+// router chooses servers. The dispatch duty owns it.
+type router struct {
+	now      func() time.Time
+	random   *rand.Rand
+	accepts  func(*core.Request, *Candidate) bool // whether a server takes the request now
+	isUp     func(*Candidate) bool                // whether it takes any
+	picker   Picker
+	index    *classIndex
+	view     loadView
+	times    *serviceTimes
+	locality *locality
+	scorer   completionScorer
+	groups   map[string]*serviceGroup
+	table    func(core.ServerID) *Candidate
+
+	// The decision in progress; fields, so that no closure is allocated.
+	request    *core.Request
+	tried      map[core.ServerID]bool
+	permission permission
+	at         time.Time
+	usable     func(*Candidate) bool
+}
+
+func newRouter(now func() time.Time, random *rand.Rand) *router {
+	rt := &router{
+		now:      now,
+		random:   random,
+		picker:   TwoChoicePicker{Random: random},
+		index:    newClassIndex(CapabilityFilters()),
+		times:    newServiceTimes(),
+		locality: newLocality(),
+		groups:   map[string]*serviceGroup{},
+	}
+	rt.scorer.locality = rt.locality
+	rt.usable = rt.isUsable
+	return rt
+}
+
+// setDataCentre sets the daemon's own data centre.
+func (rt *router) setDataCentre(name string) {
+	rt.index.dataCentre, rt.scorer.dataCentre = name, name
+}
+
+// rebuild takes the servers after a change of their number or capability.
+func (rt *router) rebuild(servers []*Candidate) {
+	rt.index.rebuild(servers)
+	for _, g := range rt.groups {
+		g.members = g.members[:0]
+	}
+	for _, c := range servers {
+		service := c.Server.Description.Service
+		g := rt.groups[service]
+		if g == nil {
+			g = &serviceGroup{median: 1}
+			rt.groups[service] = g
+		}
+		if !c.Server.Leaving {
+			g.members = append(g.members, c)
+		}
+	}
+	for service, g := range rt.groups {
+		if len(g.members) == 0 {
+			delete(rt.groups, service)
+		}
+	}
+	rt.locality.forget(func(id core.ServerID) bool { return rt.table(id) != nil })
+}
+
+// refresh recalculates the load, the medians and the use of all servers.
+func (rt *router) refresh() {
+	now := rt.now()
+	rt.view.estimateLag(rt.index.servers)
+	for _, g := range rt.groups {
+		rt.view.refresh(g.members, now)
+		g.refresh(now)
+	}
+}
+
+// pick returns the server for the next attempt. With none it returns what no
+// server has, or "" when one is to be waited for.
+func (rt *router) pick(r *core.Request, tried map[core.ServerID]bool) (chosen *Candidate, missing string) {
+	class := rt.index.find(r)
+	if class.missing != "" {
+		return nil, class.missing
+	}
+	rt.begin(r, tried)
+	for p := healthyUntried; p <= anyServer; p++ {
+		if p == anyServer && len(tried) == 0 {
+			break
+		}
+		rt.permission = p
+		if chosen = rt.pickNearest(class); chosen != nil {
+			return chosen, ""
+		}
+	}
+	return nil, ""
+}
+
+// pickOther returns a healthy server with a free slot that was not tried, or nil.
+func (rt *router) pickOther(r *core.Request, tried map[core.ServerID]bool) *Candidate {
+	class := rt.index.find(r)
+	rt.begin(r, tried)
+	rt.permission = healthyUntried
+	c := rt.pickNearest(class)
+	if c == nil || c.depth() >= 1 {
+		return nil
+	}
+	return c
+}
+
+func (rt *router) begin(r *core.Request, tried map[core.ServerID]bool) {
+	rt.request, rt.tried = r, tried
+	rt.at = rt.now()
+	rt.scorer.expected = rt.times.of(r).mean
+	rt.scorer.prefixes.n = 0
+	if r.IsModelCall() {
+		rt.scorer.prefixes.set(r.Prompt)
+	}
+}
+
+// pickNearest prefers the servers of the own data centre, unless they are
+// missing or one elsewhere is much faster.
+func (rt *router) pickNearest(class *serverClass) *Candidate {
+	local := rt.pickFrom(class.local)
+	if len(class.remote) == 0 || (local != nil && local.depth() < remoteDepth) {
+		return local
+	}
+	remote := rt.pickFrom(class.remote)
+	if local == nil || remote == nil {
+		return either(local, remote)
+	}
+	if rt.scorer.Score(rt.request, remote)*remoteGain < rt.scorer.Score(rt.request, local) {
+		return remote
+	}
+	return local
+}
+
+func either(a, b *Candidate) *Candidate {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// pickFrom compares the picker's choice with the engine that holds the prompt.
+func (rt *router) pickFrom(from []*Candidate) *Candidate {
+	chosen := rt.picker.Pick(rt.request, from, rt.usable, &rt.scorer)
+	if chosen == nil || rt.scorer.prefixes.n == 0 {
+		return chosen
+	}
+	holder := rt.findHolder(chosen)
+	if holder != nil && rt.scorer.Score(rt.request, holder) < rt.scorer.Score(rt.request, chosen) {
+		return holder
+	}
+	return chosen
+}
+
+// findHolder returns the engine of the same data centre that holds the prompt,
+// if it can run the request.
+func (rt *router) findHolder(beside *Candidate) *Candidate {
+	id, ok := rt.locality.holder(&rt.scorer.prefixes)
+	if !ok {
+		return nil
+	}
+	c := rt.table(id)
+	if c == nil || c.Server.DataCentre != beside.Server.DataCentre || !rt.usable(c) {
+		return nil
+	}
+	for _, f := range rt.index.filters {
+		if !f.Keep(rt.request, c) {
+			return nil
+		}
+	}
+	return c
+}
+
+// isUsable applies what changes between two table updates.
+func (rt *router) isUsable(c *Candidate) bool {
+	if !rt.accepts(rt.request, c) {
+		return false
+	}
+	if rt.permission < anyServer && rt.tried[c.Server.ID] {
+		return false
+	}
+	if rt.permission > healthyUntried {
+		return true
+	}
+	if c.Server.Unreachable || !c.use.outUntil.IsZero() {
+		return false
+	}
+	weight := c.use.weight(rt.at)
+	return weight >= 1 || rt.random.Float64() < weight
+}
+
+// hasRoom reports whether the request's service can take extra work.
+func (rt *router) hasRoom(r *core.Request) bool {
+	g := rt.groups[r.Service]
+	return g != nil && g.depth < maxHedgeDepth
+}
+
+// started takes the start of an attempt.
+func (rt *router) started(c *Candidate) {
+	c.Outstanding++
+	c.load.own.record(rt.now(), c.Outstanding-1, c.Outstanding)
+}
+
+// overdue takes an attempt that goes on after the p95 of its kind.
+func (rt *router) overdue(r *core.Request, c *Candidate, lasted time.Duration) {
+	c.use.overdue++
+	if !r.IsModelCall() {
+		c.speed.atLeast(lasted.Seconds() / rt.times.of(r).mean)
+	}
+	rt.judge(c)
+}
+
+// ended takes the end of an attempt. stopped is true for one that was stopped
+// because it was no longer wanted.
+func (rt *router) ended(c *Candidate, e *AttemptEnd, stopped bool) {
+	now := rt.now()
+	c.Outstanding--
+	c.load.own.record(now, c.Outstanding+1, c.Outstanding)
+	r := e.Attempt.Call.Request
+	w := rt.times.of(r)
+	switch {
+	case e.Err == nil:
+		rt.answered(c, w, e)
+	case stopped:
+		c.speed.atLeast(e.Duration.Seconds() / w.mean)
+	case countsAsFailure(e):
+		c.use.failures++
+	}
+	rt.judge(c)
+}
+
+// answered takes the duration of a whole answer.
+func (rt *router) answered(c *Candidate, w *workTimes, e *AttemptEnd) {
+	c.use.failures = 0
+	delay, known := w.delay.delay()
+	if known && e.Duration <= delay && !e.Attempt.Call.Request.IsModelCall() {
+		c.use.overdue = 0
+	}
+	isResumed := len(e.Attempt.ResumeTokens) > 0
+	if isResumed {
+		return
+	}
+	w.observe(e.Duration)
+	c.speed.observe(e.Duration.Seconds() / w.mean)
+	if e.Attempt.Number > 1 {
+		return
+	}
+	if !e.Attempt.Call.Request.IsModelCall() {
+		w.delay.observe(e.Duration)
+	} else if w.delay.samples < quantileSamples {
+		w.delay.observe(e.Duration / firstTokenPart)
+	}
+}
+
+// countsAsFailure leaves out what says nothing about the server: a refusal for
+// lack of room, a deadline, a caller who went away.
+func countsAsFailure(e *AttemptEnd) bool {
+	return e.Err.Code == core.CodeBroken || e.Err.Code == core.CodeInternal || e.Unreachable
+}
+
+func (rt *router) judge(c *Candidate) {
+	if g := rt.groups[c.Server.Description.Service]; g != nil {
+		g.judge(c, rt.isUp, rt.now())
+	}
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -42,7 +42,8 @@
 
 // Load is a backend server's report, which is late.
 type Load struct {
-	At      time.Time // when the server measured it
+	At      time.Time // when the server measured it, by its own clock
+	Arrived time.Time // when a daemon of this data centre got it, by this daemon's clock
 	Running int
 	Waiting int
 	KVUsed  float64 // share of the cache memory in use, 0 to 1
@@ -54,10 +55,16 @@
 	Address     string
 	DataCentre  string
 	Leaving     bool
+	Unreachable bool // it has not answered the last polls
 	Description Description
 	Load        Load
 }
 
+// CacheSource reads what changed in an engine's prefix cache. It blocks.
+type CacheSource interface {
+	CacheEvents(ctx context.Context, address string, after int64) ([]CacheEvent, error)
+}
+
 // Prober asks backend servers about themselves. Its methods block.
 type Prober interface {
 	Describe(ctx context.Context, address string) (Description, error)
--- /dev/null
+++ b/internal/backend/table.go
@@ -0,0 +1,149 @@
+package backend
+
+import "github.com/berylfall/berylfall/internal/core"
+
+// OwnWork is the work that this daemon has on a server.
+type OwnWork struct {
+	Server      core.ServerID
+	Outstanding int
+}
+
+// SetDataCentre names the daemon's own data centre, whose servers are
+// preferred. It is set before the duty starts.
+func (d *Dispatch) SetDataCentre(name string) { d.router.setDataCentre(name) }
+
+// SetOwnWork sets the function that takes this daemon's work each
+// routingPeriod, for the other daemons. It must not wait, and it is set before
+// the duty starts.
+func (d *Dispatch) SetOwnWork(deliver func([]OwnWork)) { d.deliverWork = deliver }
+
+// SetOtherWork takes the work of the other daemons of the data centre on the
+// servers, summed per server. Servers that are not named keep what was told.
+func (d *Dispatch) SetOtherWork(w []OtherWork) { d.others.PutLatest(w) }
+
+// AddCacheEvents takes changes of an engine's prefix cache. A dropped entry is
+// a gap, which the next one shows.
+func (d *Dispatch) AddCacheEvents(e CacheEvents) { d.cache.PutLatest(e) }
+
+// bindRouter connects the router with what attempts have shown.
+func (d *Dispatch) bindRouter() {
+	d.router.table = func(id core.ServerID) *Candidate { return d.table[id] }
+	d.router.isUp = func(c *Candidate) bool { return d.health.isAccepting(nil, c) }
+	d.router.accepts = func(r *core.Request, c *Candidate) bool {
+		return d.health.isAccepting(r, c) && d.health.mayRunSuspect(r, c)
+	}
+}
+
+// handleServers takes the table. Only a change of the servers or of what they
+// can do runs the filters again; a load report does not.
+func (d *Dispatch) handleServers(servers []Server) {
+	now := d.loop.Clock().Now()
+	if d.listedAt.IsZero() {
+		d.listedAt = now
+	}
+	d.round++
+	changed := len(servers) != len(d.order)
+	d.order = d.order[:0]
+	for i := range servers {
+		c := d.table[servers[i].ID]
+		if c == nil {
+			c = &Candidate{speed: newSpeed()}
+			d.table[servers[i].ID] = c
+			// At the daemon's start all servers are new, and none needs a slow start.
+			if now.Sub(d.listedAt) > slowStart {
+				c.use.restart(now)
+			}
+			changed = true
+		}
+		changed = d.update(c, &servers[i]) || changed
+		d.order = append(d.order, c)
+		d.health.polled(servers[i])
+	}
+	if changed {
+		d.dropUnlisted()
+		d.router.rebuild(d.order)
+	}
+	d.router.refresh()
+	d.health.forget(func(id core.ServerID) bool { return d.table[id] != nil })
+	d.slotsChanged()
+}
+
+// update takes the newest state of a server and reports whether the classes of
+// servers must be built again.
+func (d *Dispatch) update(c *Candidate, s *Server) (changed bool) {
+	now := d.loop.Clock().Now()
+	before := &c.Server
+	isListed := c.round == d.round-1
+	changed = !isListed || !sameCapability(before, s)
+	restarted := before.Description.Incarnation != "" && before.Description.Incarnation != s.Description.Incarnation
+	recovered := before.Unreachable && !s.Unreachable
+	if restarted {
+		c.speed = newSpeed()
+	}
+	if restarted || recovered {
+		c.use.restart(now)
+	}
+	c.Server = *s
+	c.round = d.round
+	d.router.view.takeReport(c, now)
+	return changed
+}
+
+// dropUnlisted forgets servers that are no longer listed, once they have
+// nothing in progress.
+func (d *Dispatch) dropUnlisted() {
+	for id, c := range d.table {
+		if c.round != d.round && c.Outstanding == 0 {
+			delete(d.table, id)
+		}
+	}
+}
+
+func (d *Dispatch) handleOtherWork(work []OtherWork) {
+	now := d.loop.Clock().Now()
+	for _, w := range work {
+		if c := d.table[w.Server]; c != nil {
+			c.load.told, c.load.toldAt = float64(w.Outstanding), now.Add(-w.Age)
+		}
+	}
+}
+
+func (d *Dispatch) handleCacheEvents(e CacheEvents) {
+	if c := d.table[e.Server]; c != nil {
+		d.router.locality.take(e)
+	}
+}
+
+func (d *Dispatch) routingTick() {
+	d.router.refresh()
+	if d.deliverWork == nil {
+		return
+	}
+	var work []OwnWork
+	for _, c := range d.order {
+		if c.Outstanding > 0 {
+			work = append(work, OwnWork{Server: c.Server.ID, Outstanding: c.Outstanding})
+		}
+	}
+	d.deliverWork(work)
+}
+
+// observeStart is the hook of the load view for an attempt that starts.
+func (d *Dispatch) observeStart(c *Candidate) {
+	d.router.started(c)
+	d.slotsChanged()
+}
+
+// observeEnd is the hook of the load view for an attempt that has ended.
+func (d *Dispatch) observeEnd(e AttemptEnd) {
+	c := d.table[e.Attempt.Server]
+	if c == nil {
+		return
+	}
+	stopped := d.inProgress[e.Attempt.Call.Request.ID] == nil || e.Attempt.Call.Context.Err() != nil
+	d.router.ended(c, &e, stopped)
+	if c.Outstanding == 0 && c.round != d.round {
+		delete(d.table, e.Attempt.Server)
+	}
+	d.slotsChanged()
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -60,6 +60,12 @@
 	Body           []byte // for plain services
 	MaxTokens      int    // for engines
 	Stream         bool   // the caller takes the answer in pieces
+	// BackendKinds are the kinds of backend server that the contract permits;
+	// empty permits every kind.
+	BackendKinds []string
+	// HedgeShare is the share of extra attempts that the contract permits for
+	// hedging, 0 to 0.05; 0 permits none.
+	HedgeShare float64
 	// Fingerprint identifies the content of the request, whatever its ID, so
 	// that a request sent again is recognised.
 	Fingerprint uint64
