--- a/internal/backend/ejection.go
+++ b/internal/backend/ejection.go
@@ -23,6 +23,14 @@
 	// failuresOnReturn is the same for a server that was ejected just before.
 	failuresOnReturn = 2
 
+	// maxLatePart times the overdue attempts in progress may not be more than
+	// all of them. In a healthy server about 1 in 30 is overdue.
+	maxLatePart = 4
+	// holdFactor times the p95 is how long a server gets no work after two
+	// overdue attempts in a row; each further one doubles it.
+	holdFactor = 4
+	maxHold    = time.Second
+
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
 	// goodTime in use takes one ejection off a server's record.
@@ -42,6 +50,8 @@
 	changed   time.Time // of the last ejection, or of the last one forgiven
 	ejections int       // recent ones; each doubles the next
 	overdue   int       // overdue attempts in a row
+	late      int       // overdue attempts in progress
+	holdUntil time.Time // until when it gets no work after overdue attempts in a row
 	failures  int       // failed attempts in a row
 }
 
@@ -54,6 +64,16 @@
 	return firstWeight + (1-firstWeight)*min(1, elapsed.Seconds()/slowStart.Seconds())
 }
 
+// wasOverdue counts an overdue attempt. A server that is slow for a moment is
+// left out before there is enough evidence to eject it: one that gets few
+// requests of this daemon would need a whole second to collect it.
+func (u *use) wasOverdue(now time.Time, p95 time.Duration) {
+	u.overdue++
+	if u.overdue >= 2 {
+		u.holdUntil = now.Add(min(maxHold, p95*holdFactor<<min(u.overdue-2, 10)))
+	}
+}
+
 // restart begins a slow start.
 func (u *use) restart(now time.Time) {
 	u.rampFrom = now
--- a/internal/backend/hedging.go
+++ b/internal/backend/hedging.go
@@ -11,6 +11,10 @@
 	maxHedgeShare = 0.05
 	// hedgeBurst bounds the hedges that a customer can save up.
 	hedgeBurst = 20
+	// hedgeReserve is kept for attempts that have lasted twice the p95. One in
+	// 20 attempts reaches the p95, which uses up the whole budget, so that
+	// nothing is left when a server slows down.
+	hedgeReserve = hedgeBurst / 2
 	// maxHedgeDepth is the mean work per slot of a service above which nothing
 	// is hedged, since extra work makes an overload worse.
 	maxHedgeDepth = 0.7
@@ -37,7 +41,10 @@
 	b.tokens[r.Customer] = min(b.tokens[r.Customer]+share, hedgeBurst)
 }
 
-func (b *hedgeBudget) has(r *core.Request) bool { return b.tokens[r.Customer] >= 1 }
+// has reports whether a hedge is in the budget and leaves the reserve.
+func (b *hedgeBudget) has(r *core.Request, reserve float64) bool {
+	return b.tokens[r.Customer] >= 1+reserve
+}
 
 func (b *hedgeBudget) take(r *core.Request) { b.tokens[r.Customer]-- }
 
@@ -66,23 +73,30 @@
 		}
 		return
 	}
-	d.router.overdue(r, c, delay)
-	if number == 1 {
-		d.hedge(s)
+	d.router.overdue(r, number, c, delay)
+	if number > 1 || d.hedge(s, hedgeReserve) {
+		return
 	}
+	d.loop.After(delay, func() {
+		if d.inProgress[r.ID] == s && s.running[number] != nil && s.call.Answer.Tokens() == 0 {
+			d.hedge(s, 0)
+		}
+	})
 }
 
 // hedge starts a second attempt on another server, if the work is repeatable,
-// the budget allows it and the service has room.
-func (d *Dispatch) hedge(s *callState) {
+// the budget allows it and the service has room. It reports whether it did.
+func (d *Dispatch) hedge(s *callState, reserve float64) bool {
 	r := s.call.Request
 	mayHedge := r.Repeatable && !s.waiting && s.attempts == 1 && s.call.Context.Err() == nil &&
-		d.hedges.has(r) && d.router.hasRoom(r)
+		d.hedges.has(r, reserve) && d.router.hasRoom(r)
 	if !mayHedge {
-		return
+		return false
 	}
 	other := d.router.pickOther(r, s.tried)
-	if other != nil && d.startAttempt(s, other) {
-		d.hedges.take(r)
+	if other == nil || !d.startAttempt(s, other) {
+		return false
 	}
+	d.hedges.take(r)
+	return true
 }
--- a/internal/backend/pickers.go
+++ b/internal/backend/pickers.go
@@ -7,13 +7,12 @@
 )
 
 // maxDraws bounds the draws for one candidate. With half of the servers out of
-// use, all draws miss in one of 256 decisions, and the next usable server after
-// the last draw is taken.
+// use, all draws miss in one of 256 decisions.
 const maxDraws = 8
 
 // Picker chooses among the servers that can run a request.
 type Picker interface {
-	// Pick returns a server that usable permits, or nil when none is.
+	// Pick returns a server that usable permits, or nil when it finds none.
 	Pick(r *core.Request, from []*Candidate, usable func(*Candidate) bool, s Scorer) *Candidate
 }
 
@@ -36,20 +35,14 @@
 	return first
 }
 
-// draw returns a random usable server other than the given one, or nil.
+// draw returns a random usable server other than the given one, or nil when
+// the draws miss.
 func (p TwoChoicePicker) draw(from []*Candidate, usable func(*Candidate) bool, other *Candidate) *Candidate {
 	if len(from) == 0 {
 		return nil
 	}
-	at := 0
 	for range maxDraws {
-		at = p.Random.IntN(len(from))
-		if c := from[at]; c != other && usable(c) {
-			return c
-		}
-	}
-	for i := range from {
-		if c := from[(at+i)%len(from)]; c != other && usable(c) {
+		if c := from[p.Random.IntN(len(from))]; c != other && usable(c) {
 			return c
 		}
 	}
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -37,6 +37,7 @@
 
 const (
 	healthyUntried permission = iota
+	inUseUntried              // also those with overdue work or in their slow start
 	anyUntried                // also ejected and unreachable ones
 	anyServer                 // also those that were tried
 )
@@ -62,6 +63,7 @@
 	permission permission
 	at         time.Time
 	usable     func(*Candidate) bool
+	late       map[attemptKey]bool // attempts in progress that are overdue
 }
 
 func newRouter(now func() time.Time, random *rand.Rand) *router {
@@ -73,6 +75,7 @@
 		times:    newServiceTimes(),
 		locality: newLocality(),
 		groups:   map[string]*serviceGroup{},
+		late:     map[attemptKey]bool{},
 	}
 	rt.scorer.locality = rt.locality
 	rt.usable = rt.isUsable
@@ -188,6 +191,9 @@
 // pickFrom compares the picker's choice with the engine that holds the prompt.
 func (rt *router) pickFrom(from []*Candidate) *Candidate {
 	chosen := rt.picker.Pick(rt.request, from, rt.usable, &rt.scorer)
+	if chosen == nil && rt.permission > healthyUntried {
+		chosen = rt.scan(from)
+	}
 	if chosen == nil || rt.scorer.prefixes.n == 0 {
 		return chosen
 	}
@@ -198,6 +204,21 @@
 	return chosen
 }
 
+// scan returns the first usable server from a random place on. It runs only
+// when the draws missed, so when few servers are in use.
+func (rt *router) scan(from []*Candidate) *Candidate {
+	if len(from) == 0 {
+		return nil
+	}
+	start := rt.random.IntN(len(from))
+	for i := range from {
+		if c := from[(start+i)%len(from)]; rt.usable(c) {
+			return c
+		}
+	}
+	return nil
+}
+
 // findHolder returns the engine of the same data centre that holds the prompt,
 // if it can run the request.
 func (rt *router) findHolder(beside *Candidate) *Candidate {
@@ -225,12 +246,18 @@
 	if rt.permission < anyServer && rt.tried[c.Server.ID] {
 		return false
 	}
-	if rt.permission > healthyUntried {
+	if rt.permission >= anyUntried {
 		return true
 	}
 	if c.Server.Unreachable || !c.use.outUntil.IsZero() {
 		return false
 	}
+	if rt.permission == inUseUntried {
+		return true
+	}
+	if c.use.late*maxLatePart > c.Outstanding || rt.at.Before(c.use.holdUntil) {
+		return false
+	}
 	weight := c.use.weight(rt.at)
 	return weight >= 1 || rt.random.Float64() < weight
 }
@@ -248,8 +275,10 @@
 }
 
 // overdue takes an attempt that goes on after the p95 of its kind.
-func (rt *router) overdue(r *core.Request, c *Candidate, lasted time.Duration) {
-	c.use.overdue++
+func (rt *router) overdue(r *core.Request, number int, c *Candidate, lasted time.Duration) {
+	rt.late[attemptKey{r.ID, number}] = true
+	c.use.late++
+	c.use.wasOverdue(rt.now(), lasted)
 	if !r.IsModelCall() {
 		c.speed.atLeast(lasted.Seconds() / rt.times.of(r).mean)
 	}
@@ -264,6 +293,10 @@
 	c.load.own.record(now, c.Outstanding+1, c.Outstanding)
 	r := e.Attempt.Call.Request
 	w := rt.times.of(r)
+	if key := (attemptKey{r.ID, e.Attempt.Number}); rt.late[key] {
+		delete(rt.late, key)
+		c.use.late--
+	}
 	switch {
 	case e.Err == nil:
 		rt.answered(c, w, e)
--- /dev/null
+++ b/internal/backend/routing_bench_test.go
@@ -0,0 +1,195 @@
+package backend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+// Baselines. They look at no own work, eject nothing and do not hedge.
+
+type randomPicker struct{ random *rand.Rand }
+
+func (p randomPicker) Pick(_ *core.Request, from []*Candidate, _ func(*Candidate) bool, _ Scorer) *Candidate {
+	if len(from) == 0 {
+		return nil
+	}
+	return from[p.random.IntN(len(from))]
+}
+
+type roundRobinPicker struct{ next *int }
+
+func (p roundRobinPicker) Pick(_ *core.Request, from []*Candidate, _ func(*Candidate) bool, _ Scorer) *Candidate {
+	if len(from) == 0 {
+		return nil
+	}
+	*p.next++
+	return from[*p.next%len(from)]
+}
+
+// leastReportedPicker takes the server with the least work by the late report.
+type leastReportedPicker struct{}
+
+func (leastReportedPicker) Pick(_ *core.Request, from []*Candidate, _ func(*Candidate) bool, _ Scorer) *Candidate {
+	var best *Candidate
+	for _, c := range from {
+		if best == nil || c.Server.Load.Running+c.Server.Load.Waiting < best.Server.Load.Running+best.Server.Load.Waiting {
+			best = c
+		}
+	}
+	return best
+}
+
+type variant struct {
+	name   string
+	share  float64
+	prefer func(*router)
+}
+
+func variants() []variant {
+	return []variant{
+		{"round-robin", 0, func(rt *router) { rt.picker = roundRobinPicker{new(int)} }},
+		{"random", 0, func(rt *router) { rt.picker = randomPicker{rt.random} }},
+		{"least-reported", 0, func(rt *router) { rt.picker = leastReportedPicker{} }},
+		{"no-hedging", 0, nil},
+		{"berylfall", maxHedgeShare, nil},
+	}
+}
+
+// prairie and kartvel are the deployments of today: daemons, plain servers, engines.
+func prairie() simOptions { return deployment(9, 10, 8) }
+func kartvel() simOptions { return deployment(7, 5, 8) }
+
+func deployment(daemons, plain, engines int) simOptions {
+	return simOptions{
+		daemons: daemons, plain: plain, engines: engines, slots: 4, utilisation: 0.4, serviceTime: 10 * time.Millisecond,
+		reportLag: 200 * time.Millisecond, repeatable: true, duration: 45 * time.Second, warmUp: 10 * time.Second,
+	}
+}
+
+// slowed makes a fifth of the plain servers ten times slower.
+func slowed(s *sim, server int) float64 {
+	if server < s.plain/5 {
+		return 10
+	}
+	return 1
+}
+
+// movingMoments makes a fifth of the plain servers ten times slower for the
+// first second of every two, and other ones each time.
+func movingMoments(s *sim, server int) float64 {
+	elapsed := s.clock.now.Sub(time.Unix(1e9, 0))
+	if elapsed%(2*time.Second) >= time.Second {
+		return 1
+	}
+	step := s.plain / 5
+	first := int(elapsed/(2*time.Second)) * step * 3
+	if (server-first%s.plain+s.plain)%s.plain < step {
+		return 10
+	}
+	return 1
+}
+
+// BenchmarkTail measures lookups in virtual time with servers slowed, against
+// the baselines. The figures do not depend on the host.
+func BenchmarkTail(b *testing.B) {
+	deployments := []struct {
+		name    string
+		options func() simOptions
+	}{{"prairie", prairie}, {"kartvel", kartvel}}
+	conditions := []struct {
+		name     string
+		slowdown func(*sim, int) float64
+	}{{"none", nil}, {"fifth-slowed", slowed}, {"moving", movingMoments}}
+	for _, d := range deployments {
+		for _, c := range conditions {
+			for _, v := range variants() {
+				b.Run(fmt.Sprintf("%s/%s/%s", d.name, c.name, v.name), func(b *testing.B) {
+					for range b.N {
+						o := d.options()
+						o.slowdown, o.hedgeShare, o.prefer = c.slowdown, v.share, v.prefer
+						s := newSim(b, o)
+						s.run()
+						b.ReportMetric(s.percentile(50), "p50-ms")
+						b.ReportMetric(s.percentile(99), "p99-ms")
+						b.ReportMetric(s.percentile(99.9), "p99.9-ms")
+						b.ReportMetric(100*s.extra(), "extra-%")
+					}
+				})
+			}
+		}
+	}
+}
+
+// newLargeTable returns a dispatch duty with the given number of servers in one
+// data centre.
+func newLargeTable(tb testing.TB, workers int) *Dispatch {
+	tb.Helper()
+	pool, err := duty.NewPool("unused", 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(pool.Release)
+	d := NewDispatch(duty.SystemClock{}, rand.New(rand.NewPCG(seed, seed)), nil, pool)
+	d.SetDataCentre("regina")
+	var servers []Server
+	for i := range workers {
+		servers = append(servers, Server{
+			ID: core.ServerID(fmt.Sprintf("s%04d", i)), DataCentre: "regina",
+			Description: Description{
+				Service: "wear", Kind: "gpu", Incarnation: "1", Role: RoleServe, ContextTokens: 8192, Slots: 8,
+				Models: []ModelDescription{{Name: "wear", Version: 3, Adapters: []string{"a", "b"}}},
+			},
+		})
+	}
+	d.SetServers(servers)
+	d.loop.Step()
+	return d
+}
+
+// BenchmarkDecision measures one routing decision as the fleet grows. The
+// baseline runs the filters on every server for each decision.
+func BenchmarkDecision(b *testing.B) {
+	r := &core.Request{Service: "wear", Model: "wear", Adapter: "b", MinVersion: 2, Prompt: string(make([]byte, 2000)), MaxTokens: 100, BackendKinds: []string{"gpu"}}
+	for _, workers := range []int{8, 56, 250, 1000} {
+		d := newLargeTable(b, workers)
+		b.Run(fmt.Sprintf("index/%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if c, _ := d.router.pick(r, nil); c == nil {
+					b.Fatal("no server")
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("filter-each/%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				clear(d.router.index.classes)
+				if c, _ := d.router.pick(r, nil); c == nil {
+					b.Fatal("no server")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTable measures a table update that brings load reports only.
+func BenchmarkTable(b *testing.B) {
+	for _, workers := range []int{8, 56, 250, 1000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			d := newLargeTable(b, workers)
+			var servers []Server
+			for _, c := range d.order {
+				servers = append(servers, c.Server)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d.handleServers(servers)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/backend/sim_test.go
@@ -0,0 +1,354 @@
+package backend
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"iter"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+// simClock is a clock whose timers fire in the order of virtual time.
+type simClock struct {
+	now    time.Time
+	events simEvents
+	next   uint64
+}
+
+type simEvent struct {
+	at time.Time
+	id uint64
+	f  func()
+}
+
+type simEvents []*simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].id < e[j].id)
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(*simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (c *simClock) Now() time.Time { return c.now }
+
+func (c *simClock) AfterFunc(d time.Duration, f func()) func() bool {
+	c.next++
+	e := &simEvent{at: c.now.Add(d), id: c.next, f: f}
+	heap.Push(&c.events, e)
+	return func() bool {
+		e.f = nil
+		return true
+	}
+}
+
+// simOptions is one deployment and its load.
+type simOptions struct {
+	daemons, plain, engines int
+	slots                   int
+	utilisation             float64 // of the plain servers, when none is slowed
+	serviceTime             time.Duration
+	reportLag               time.Duration
+	skew                    func(server int) time.Duration // of the server's clock
+	hedgeShare              float64
+	repeatable              bool
+	prefer                  func(*router) // replaces the picker
+	slowdown                func(s *sim, server int) float64
+	duration, warmUp        time.Duration
+}
+
+// sim runs the dispatch duties of several daemons against simulated servers.
+// Work that a daemon stops goes on at its server, as plain services do.
+type sim struct {
+	simOptions
+	clock    *simClock
+	random   *rand.Rand
+	daemons  []*Dispatch
+	servers  []*simServer
+	starting *simJob
+	jobs     map[core.RequestID][]*simJob
+	latency  *hdrhistogram.Histogram
+	calls    int
+	attempts int
+	failed   int
+}
+
+type simServer struct {
+	index   int
+	busy    int
+	queue   []*simJob
+	total   int // attempts received
+	peak    int
+	running int // at the last report
+	waiting int
+}
+
+type simJob struct {
+	daemon  *Dispatch
+	attempt Attempt
+	began   time.Time
+	end     *AttemptEnd
+	resume  func() (struct{}, bool)
+	yield   func(struct{}) bool
+}
+
+const (
+	simNetwork    = 500 * time.Microsecond // one way
+	simReport     = 500 * time.Millisecond
+	simDigest     = 500 * time.Millisecond
+	simSigma      = 0.5 // of the logarithm of service times
+	simHistogram  = 60_000_000
+	simSignificat = 3
+)
+
+func newSim(tb testing.TB, o simOptions) *sim {
+	tb.Helper()
+	s := &sim{
+		simOptions: o, clock: &simClock{now: time.Unix(1e9, 0)}, random: rand.New(rand.NewPCG(seed, 1)),
+		jobs: map[core.RequestID][]*simJob{}, latency: hdrhistogram.New(1, simHistogram, simSignificat),
+	}
+	pool, err := duty.NewPool("unused", 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(pool.Release)
+	for i := range o.plain + o.engines {
+		s.servers = append(s.servers, &simServer{index: i})
+	}
+	for i := range o.daemons {
+		d := NewDispatch(s.clock, rand.New(rand.NewPCG(seed, uint64(i)+2)), s, pool)
+		d.tryGo = func(f func()) bool { return s.begin(d, f) }
+		if o.prefer != nil {
+			o.prefer(d.router)
+		}
+		s.daemons = append(s.daemons, d)
+	}
+	s.report()
+	s.digest()
+	return s
+}
+
+func (s *sim) every(period time.Duration, f func()) {
+	f()
+	s.clock.AfterFunc(period, func() { s.every(period, f) })
+}
+
+// report gives all daemons the same late report of every server.
+func (s *sim) report() {
+	s.every(simReport, func() {
+		for _, server := range s.servers {
+			server.running, server.waiting = server.busy, len(server.queue)
+		}
+		measured := s.clock.now
+		list := s.list(measured)
+		s.clock.AfterFunc(s.reportLag, func() {
+			for _, d := range s.daemons {
+				arrived := make([]Server, len(list))
+				copy(arrived, list)
+				for i := range arrived {
+					arrived[i].Load.Arrived = s.clock.now
+				}
+				d.SetServers(arrived)
+			}
+		})
+	})
+}
+
+func (s *sim) list(measured time.Time) []Server {
+	var list []Server
+	for i, server := range s.servers {
+		at := measured
+		if s.skew != nil {
+			at = at.Add(s.skew(i))
+		}
+		description := Description{Service: "desk", Incarnation: "1", Operations: []string{"look"}, Slots: s.slots}
+		if i >= s.plain {
+			description = Description{Service: "wear", Incarnation: "1", Models: []ModelDescription{{Name: "wear", Version: 1}}, Slots: 8}
+		}
+		list = append(list, Server{
+			ID: core.ServerID(fmt.Sprintf("s%03d", i)), Address: fmt.Sprint(i), Description: description,
+			Load: Load{At: at, Running: server.running, Waiting: server.waiting},
+		})
+	}
+	return list
+}
+
+// digest gives each daemon the work of the others, one network delay old.
+func (s *sim) digest() {
+	s.every(simDigest, func() {
+		for _, d := range s.daemons {
+			var others []OtherWork
+			for _, c := range d.order {
+				n := 0
+				for _, other := range s.daemons {
+					if known := other.table[c.Server.ID]; other != d && known != nil {
+						n += known.Outstanding
+					}
+				}
+				others = append(others, OtherWork{Server: c.Server.ID, Outstanding: n})
+			}
+			d.SetOtherWork(others)
+		}
+	})
+}
+
+// begin starts an attempt. Its worker is a coroutine, which the simulation
+// resumes when the server has answered.
+func (s *sim) begin(d *Dispatch, f func()) bool {
+	j := &simJob{daemon: d, began: s.clock.now}
+	j.resume, _ = iter.Pull(func(yield func(struct{}) bool) {
+		j.yield = yield
+		f()
+	})
+	s.starting = j
+	j.resume()
+	return true
+}
+
+// Exchange hands the attempt to its server and waits for the answer.
+func (s *sim) Exchange(a Attempt) AttemptEnd {
+	j := s.starting
+	j.attempt = a
+	s.attempts++
+	s.jobs[a.Call.Request.ID] = append(s.jobs[a.Call.Request.ID], j)
+	var index int
+	_, _ = fmt.Sscan(a.Address, &index)
+	s.clock.AfterFunc(simNetwork, func() { s.arrive(s.servers[index], j) })
+	j.yield(struct{}{})
+	j.end.Attempt = a
+	j.end.Duration = s.clock.now.Sub(j.began)
+	return *j.end
+}
+
+func (s *sim) Cancel(Attempt) {}
+
+func (s *sim) arrive(server *simServer, j *simJob) {
+	server.total++
+	if server.busy >= s.slots {
+		server.queue = append(server.queue, j)
+		server.peak = max(server.peak, server.busy+len(server.queue))
+		return
+	}
+	s.serve(server, j)
+}
+
+func (s *sim) serve(server *simServer, j *simJob) {
+	server.busy++
+	server.peak = max(server.peak, server.busy)
+	factor := math.Exp(simSigma*s.random.NormFloat64() - simSigma*simSigma/2)
+	if s.slowdown != nil {
+		factor *= s.slowdown(s, server.index)
+	}
+	s.clock.AfterFunc(time.Duration(factor*float64(s.serviceTime)), func() {
+		server.busy--
+		if len(server.queue) > 0 {
+			next := server.queue[0]
+			server.queue = server.queue[1:]
+			s.serve(server, next)
+		}
+		s.clock.AfterFunc(simNetwork, func() { s.finish(j, answered(j.attempt)) })
+	})
+}
+
+// finish ends the attempt, and the other attempts of its call that were stopped.
+func (s *sim) finish(j *simJob, e AttemptEnd) {
+	if j.end != nil {
+		return
+	}
+	j.end = &e
+	j.resume()
+	j.daemon.loop.Step()
+	id := j.attempt.Call.Request.ID
+	for _, other := range s.jobs[id] {
+		if other.end == nil && other.attempt.Context.Err() != nil {
+			s.finish(other, AttemptEnd{Verdict: core.MayHaveRun, Err: core.MayHaveRunError(core.CodeCancelled, "stopped")})
+		}
+	}
+	delete(s.jobs, id)
+}
+
+// submit sends one lookup through a random daemon.
+func (s *sim) submit() {
+	s.calls++
+	c := core.NewCall(context.Background(), &core.Request{
+		ID: core.RequestID(fmt.Sprint(s.calls)), Customer: "prairie", Service: "desk", Operation: "look",
+		Class: core.ClassInteractive, Repeatable: s.repeatable, HedgeShare: s.hedgeShare, Fingerprint: uint64(s.calls),
+	})
+	began := s.clock.now
+	c.OnEnd = func(_ *core.Call, e core.End) {
+		if e.Err != nil {
+			s.failed++
+		}
+		if began.Sub(time.Unix(1e9, 0)) >= s.warmUp {
+			_ = s.latency.RecordValue(s.clock.now.Sub(began).Microseconds())
+		}
+	}
+	d := s.daemons[s.random.IntN(len(s.daemons))]
+	d.Submit(c)
+	d.loop.Step()
+}
+
+func (s *sim) run() {
+	rate := s.utilisation * float64(s.plain*s.slots) / s.serviceTime.Seconds()
+	until := s.clock.now.Add(s.duration)
+	var arrive func()
+	arrive = func() {
+		s.submit()
+		s.clock.AfterFunc(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	s.clock.AfterFunc(s.reportLag+time.Second, arrive)
+	for s.clock.events[0].at.Before(until) {
+		e := heap.Pop(&s.clock.events).(*simEvent)
+		s.clock.now = e.at
+		if e.f == nil {
+			continue
+		}
+		e.f()
+		for _, d := range s.daemons {
+			d.loop.Step()
+		}
+	}
+	s.drain()
+}
+
+// drain ends the coroutines of attempts that are in progress.
+func (s *sim) drain() {
+	for _, jobs := range s.jobs {
+		for _, j := range jobs {
+			if j.end == nil {
+				e := answered(j.attempt)
+				j.end = &e
+				j.resume()
+			}
+		}
+	}
+}
+
+func (s *sim) percentile(p float64) float64 {
+	return float64(s.latency.ValueAtPercentile(p)) / 1000
+}
+
+func (s *sim) extra() float64 { return float64(s.attempts-s.calls) / float64(s.calls) }
+
+// busiest is the work of the busiest plain server in relation to the mean.
+func (s *sim) busiest() float64 {
+	most, total := 0, 0
+	for _, server := range s.servers[:s.plain] {
+		most = max(most, server.total)
+		total += server.total
+	}
+	return float64(most) * float64(s.plain) / float64(total)
+}
