--- a/internal/backend/backendhttp/exchange_test.go
+++ b/internal/backend/backendhttp/exchange_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/berylfall/berylfall/internal/backend"
@@ -168,6 +170,27 @@
 	}
 }
 
+// Guards against cache events that are lost or changed between the engine's
+// format and the load view.
+func TestCacheEvents(t *testing.T) {
+	r := newRig(t)
+	a := r.attempt(r.ctx, t, true, true)
+	a.Call.Request.Prompt = strings.Repeat("strap ", 2*backend.PrefixBlock/6+1)
+	if end := r.client.Exchange(a); end.Err != nil {
+		t.Fatal(end.Err)
+	}
+	var events []backend.CacheEvent
+	for len(events) == 0 && r.ctx.Err() == nil {
+		var err error
+		events, err = r.client.CacheEvents(r.ctx, r.engine.Address(), 1)
+		check(t, err)
+	}
+	want := backend.CacheEvent{Sequence: 2, Kind: backend.PrefixStored, Prefix: xxhash.Sum64String(a.Call.Request.Prompt[:2*backend.PrefixBlock])}
+	if len(events) != 1 || events[0] != want {
+		t.Errorf("events %+v, want %+v", events, want)
+	}
+}
+
 // serve runs script for each connection to a listener and returns its address.
 func serve(t *testing.T, script func(connection int, c *net.TCPConn)) string {
 	t.Helper()
--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -82,7 +82,7 @@
 	loop    *duty.Loop
 	hosts   HostSource
 	prober  Prober
-	pool    *duty.Pool
+	tryGo   func(func()) bool // runs a blocking call on the pool
 	deliver func([]Server)
 
 	cacheSource    CacheSource
@@ -111,7 +111,7 @@
 		loop:        duty.New("loadpoll", clock),
 		hosts:       hosts,
 		prober:      prober,
-		pool:        pool,
+		tryGo:       pool.TryGo,
 		deliver:     deliver,
 		results:     ring.New[pollResult]("loadpoll.results", serverRingCapacity*8),
 		hostResults: ring.New[hostResult]("loadpoll.hosts", 4),
@@ -163,7 +163,7 @@
 		return
 	}
 	p.listedAt = now
-	p.listing = p.pool.TryGo(func() {
+	p.listing = p.tryGo(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 		defer cancel()
 		servers, err := p.hosts.BackendHosts(ctx)
@@ -248,7 +248,7 @@
 func (p *Poller) poll(t *tracked, now time.Time) {
 	server, after := t.server, t.cacheAfter
 	describe := t.failures > 0 || t.describedAt.IsZero() || now.Sub(t.describedAt) >= describePeriod
-	t.polling = p.pool.TryGo(func() {
+	t.polling = p.tryGo(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 		defer cancel()
 		p.results.TryPut(p.probe(ctx, server, describe, after))
--- a/internal/backend/routing_bench_test.go
+++ b/internal/backend/routing_bench_test.go
@@ -118,6 +118,7 @@
 						b.ReportMetric(s.percentile(99), "p99-ms")
 						b.ReportMetric(s.percentile(99.9), "p99.9-ms")
 						b.ReportMetric(100*s.extra(), "extra-%")
+						b.ReportMetric(s.busiest(), "busiest/mean")
 					}
 				})
 			}
