--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -16,6 +16,9 @@
 	// remoteGain is how many times faster than the best local server one of
 	// another data centre must be.
 	remoteGain = 2
+	// scanLimit is the number of servers up to which a scan costs no more than
+	// the draws.
+	scanLimit = 16
 	// firstTokenPart divides the duration of whole model calls for the first
 	// estimate of the time to the first token. A low estimate is corrected in
 	// a few calls, a high one in thousands.
@@ -191,7 +194,7 @@
 // pickFrom compares the picker's choice with the engine that holds the prompt.
 func (rt *router) pickFrom(from []*Candidate) *Candidate {
 	chosen := rt.picker.Pick(rt.request, from, rt.usable, &rt.scorer)
-	if chosen == nil && rt.permission > healthyUntried {
+	if chosen == nil && (rt.permission > healthyUntried || len(from) <= scanLimit) {
 		chosen = rt.scan(from)
 	}
 	if chosen == nil || rt.scorer.prefixes.n == 0 {
@@ -205,7 +208,7 @@
 }
 
 // scan returns the first usable server from a random place on. It runs only
-// when the draws missed, so when few servers are in use.
+// when the draws missed, so when there are few servers or few in use.
 func (rt *router) scan(from []*Candidate) *Candidate {
 	if len(from) == 0 {
 		return nil
--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -259,7 +259,7 @@
 
 // hedged submits a call after the p95 is known, lets it become overdue, and
 // returns the attempts that were started for it.
-func hedged(t *testing.T, change func(*bench, *core.Request)) (b *bench, started int) {
+func hedged(t *testing.T, change func(*bench, *core.Call)) (b *bench, started int) {
 	t.Helper()
 	b = newBench(t, 3, nil)
 	b.exchange = func(a Attempt) AttemptEnd {
@@ -267,18 +267,20 @@
 		e.Duration = 10 * time.Millisecond
 		return e
 	}
-	send := func(r *core.Request) {
+	call := func(i int) *core.Call {
+		r := lookup(uint64(i))
 		r.HedgeShare = 1
-		b.dispatch.Submit(core.NewCall(context.Background(), r))
-		b.dispatch.loop.Step()
+		return core.NewCall(context.Background(), r)
 	}
 	for i := range 500 {
-		send(lookup(uint64(i)))
+		b.dispatch.Submit(call(i))
+		b.dispatch.loop.Step()
 		b.run()
 	}
-	r := lookup(1000)
-	change(b, r)
-	send(r)
+	c := call(1000)
+	change(b, c)
+	b.dispatch.Submit(c)
+	b.dispatch.loop.Step()
 	b.clock.Advance(50 * time.Millisecond)
 	b.dispatch.loop.Step()
 	return b, len(b.pending)
@@ -287,7 +289,7 @@
 // Guards against a hedge that runs work twice which must not be, that goes to
 // the same server, whose loser goes on, or that adds to an overload.
 func TestHedging(t *testing.T) {
-	b, started := hedged(t, func(*bench, *core.Request) {})
+	b, started := hedged(t, func(*bench, *core.Call) {})
 	if started != 2 {
 		t.Fatalf("%d attempts, want a hedge", started)
 	}
@@ -298,10 +300,18 @@
 	if first.Server == second.Server || first.Context.Err() == nil {
 		t.Errorf("servers %s and %s, loser stopped: %v", first.Server, second.Server, first.Context.Err() != nil)
 	}
-	refusals := map[string]func(*bench, *core.Request){
-		"not repeatable": func(_ *bench, r *core.Request) { r.Repeatable = false },
-		"no budget":      func(b *bench, _ *core.Request) { clear(b.dispatch.hedges.tokens) },
-		"overload": func(b *bench, _ *core.Request) {
+	for range 100 {
+		if c := b.dispatch.router.pickOther(lookup(1), map[core.ServerID]bool{"s0": true, "s1": true}); c == nil || c.Server.ID != "s2" {
+			t.Fatalf("a hedge after attempts at s0 and s1 went to %+v, want s2", c)
+		}
+	}
+	refusals := map[string]func(*bench, *core.Call){
+		"not repeatable": func(_ *bench, c *core.Call) { c.Request.Repeatable = false },
+		"no budget":      func(b *bench, _ *core.Call) { clear(b.dispatch.hedges.tokens) },
+		"first token arrived": func(_ *bench, c *core.Call) {
+			c.Answer.Offer(c.Context, core.Chunk{Attempt: 1, Tokens: []int32{1}})
+		},
+		"overload": func(b *bench, _ *core.Call) {
 			b.dispatch.SetOtherWork([]OtherWork{{Server: "s0", Outstanding: 3}, {Server: "s1", Outstanding: 3}, {Server: "s2", Outstanding: 3}})
 			b.dispatch.loop.Step()
 			b.dispatch.routingTick()
@@ -351,6 +361,9 @@
 	if some > 1.5*none {
 		t.Errorf("p99 %.1f ms with 2 of 10 servers slowed, %.1f ms with none; want at most 1.5 times", some, none)
 	}
+	if moving := p99(movingMoments); moving > 1.5*none {
+		t.Errorf("p99 %.1f ms with moments of slowness, %.1f ms with none; want at most 1.5 times", moving, none)
+	}
 }
 
 // Guards against a decision that allocates memory.
