Test that a server with overdue work gets no more

Cause: nothing guarded the rule that leaves out servers whose work is overdue. Change: TestOverdueServerIsLeftOut. Result: the tests of internal/backend pass.

--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -324,6 +324,45 @@
 	}
 }
 
+// Guards against more work for a server whose work in progress is overdue, or
+// was several times in a row, before the evidence for an ejection is complete.
+func TestOverdueServerIsLeftOut(t *testing.T) {
+	b, _ := hedged(t, func(_ *bench, c *core.Call) { c.Request.Repeatable = false })
+	var slow *Candidate
+	for _, c := range b.dispatch.order {
+		if c.Outstanding == 1 {
+			slow = c
+		} else {
+			c.Outstanding = 2 // so that the server is the best by its load
+		}
+	}
+	picks := func() (n int) {
+		for i := range 100 {
+			if c, _ := b.dispatch.router.pick(lookup(uint64(i)), nil); c == slow {
+				n++
+			}
+		}
+		return n
+	}
+	if n := picks(); n != 0 {
+		t.Errorf("%d of 100 requests went to the server with overdue work", n)
+	}
+	b.run()
+	if n := picks(); n == 0 {
+		t.Error("the server got no work after its overdue work had ended")
+	}
+	for range 2 {
+		slow.use.wasOverdue(b.clock.Now(), 10*time.Millisecond)
+	}
+	if n := picks(); n != 0 {
+		t.Errorf("%d of 100 requests went to the server after two overdue attempts in a row", n)
+	}
+	b.advance(maxHold)
+	if n := picks(); n == 0 {
+		t.Error("the server got no work after the hold")
+	}
+}
+
 // Guards against hedges beyond their budget while every server slows down
 // again and again.
 func TestHedgeBudgetInStorm(t *testing.T) {
