Add the demonstration of the README

Cause: make demo did nothing. Change: a daemon on embedded stand-ins at the sizes of both deployments, with a lookup, a booking sent twice, a model call and a trainer's step.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	go build -o bin/ ./cmd/...
 
 demo: build
-	./bin/berylfalld demo
+	go run ./internal/standin/demo/cmd/demo
 
 test:
 	go test -count=1 -timeout 15m $(PKGS)
--- /dev/null
+++ b/internal/standin/demo/cmd/demo/main.go
@@ -0,0 +1,16 @@
+// Command demo runs the demonstration of the README.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/berylfall/berylfall/internal/standin/demo"
+)
+
+func main() {
+	if err := demo.Run(os.Stdout, "contracts"); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/demo/requests.go
@@ -0,0 +1,183 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/caller/callerhttp"
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/trainer"
+	"github.com/berylfall/berylfall/internal/trainer/trainerhttp"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// row is one line of the table.
+type row struct {
+	what    string
+	latency time.Duration
+	verdict string
+	result  string
+}
+
+func (d *demo) requests(ctx context.Context) error {
+	book := map[string]string{transport.HeaderIdempotencyKey: "visit-1"}
+	calls := []struct {
+		what, customer, path string
+		headers              map[string]string
+	}{
+		{"card lookup", "prairie", "card-desk/lookup", nil},
+		{"booking", "kartvel", "booking-app/book", book},
+		{"the same booking again", "kartvel", "booking-app/book", book},
+	}
+	for _, c := range calls {
+		if err := d.operation(ctx, c.what, c.customer, c.path, c.headers); err != nil {
+			return fmt.Errorf("%s: %w", c.what, err)
+		}
+	}
+	return d.completion(ctx)
+}
+
+func (d *demo) operation(ctx context.Context, what, customer, path string, headers map[string]string) error {
+	x := transport.Exchange{
+		Method: "POST", URL: "http://" + d.daemon.CallerAddress() + "/v1/services/" + path,
+		Headers: map[string]string{transport.HeaderCustomer: customer},
+		Body:    map[string]string{"card": "17", "slot": "9:00"},
+	}
+	for name, value := range headers {
+		x.Headers[name] = value
+	}
+	var answer map[string]string
+	latency, err := d.send(ctx, x, &answer)
+	if err != nil {
+		return err
+	}
+	result := fmt.Sprintf("ran %d times at the backend servers", d.runs(ctx, headers[transport.HeaderIdempotencyKey]))
+	if headers == nil {
+		result = "card " + answer["card"]
+	}
+	d.rows = append(d.rows, row{what: what, latency: latency, verdict: core.Ran.String(), result: result})
+	return nil
+}
+
+// runs counts how often the backend servers carried out a booking.
+func (d *demo) runs(ctx context.Context, key string) int {
+	n := 0
+	for i := range 5 {
+		for _, run := range d.standins.Plain(fmt.Sprintf("booking-%d", i+1)).Runs(ctx) {
+			if run.Key == key {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (d *demo) completion(ctx context.Context) error {
+	var answer callerhttp.CompletionResponse
+	latency, err := d.send(ctx, transport.Exchange{
+		Method: "POST", URL: "http://" + d.daemon.CallerAddress() + "/v1/completions",
+		Headers: map[string]string{transport.HeaderCustomer: "prairie"},
+		Body:    callerhttp.CompletionRequest{Model: "wear", Prompt: "worn strap, left side", MaxTokens: 24},
+	}, &answer)
+	if err != nil {
+		return fmt.Errorf("model call: %w", err)
+	}
+	d.rows = append(d.rows, row{
+		what: "model call", latency: latency, verdict: core.Ran.String(),
+		result: fmt.Sprintf("%d tokens, spans %s", answer.Usage.CompletionTokens, spanText(answer.Spans)),
+	})
+	return nil
+}
+
+// send repeats the request while the daemon proves that it did not run, as it
+// does until the contracts are in force and the backend servers are known.
+func (d *demo) send(ctx context.Context, x transport.Exchange, out any) (time.Duration, error) {
+	for {
+		started := time.Now()
+		err := transport.DoJSON(ctx, d.client, x, out)
+		if err == nil || !isNotRun(err) || ctx.Err() != nil {
+			return time.Since(started), err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func isNotRun(err error) bool {
+	var response *transport.ResponseError
+	if !errors.As(err, &response) {
+		return false
+	}
+	detail, ok := response.Detail()
+	return ok && detail.Verdict == core.NotRun
+}
+
+func (d *demo) step(ctx context.Context) error {
+	const groups, samples = 16, 4
+	spec := trainer.StepSpec{Step: 1, Model: "diag", MaxTokens: 32}
+	for i := range groups {
+		spec.Groups = append(spec.Groups, trainer.GroupSpec{Prompt: fmt.Sprintf("fault report %d", i), Samples: samples})
+	}
+	base := "http://" + d.daemon.CallerAddress() + "/v1/trainers/diag-trainer"
+	headers := map[string]string{transport.HeaderCustomer: "kartvel"}
+	started := time.Now()
+	if _, err := d.send(ctx, transport.Exchange{Method: "POST", URL: base + "/steps", Headers: headers, Body: spec}, nil); err != nil {
+		return fmt.Errorf("open step: %w", err)
+	}
+	seen := map[int]int{}
+	var spans []core.Span
+	var cursor int64
+	for len(seen) < groups {
+		var m trainerhttp.DeliveriesMessage
+		_, err := d.send(ctx, transport.Exchange{Method: "GET", URL: fmt.Sprintf("%s/deliveries?after=%d", base, cursor), Headers: headers}, &m)
+		if err != nil {
+			return fmt.Errorf("fetch deliveries: %w", err)
+		}
+		for _, delivery := range m.Deliveries {
+			seen[delivery.Group.ID]++
+			cursor = delivery.Sequence
+			spans = delivery.Group.Samples[0].Spans
+		}
+		_, err = d.send(ctx, transport.Exchange{Method: "POST", URL: base + "/ack", Headers: headers, Body: trainer.Acknowledgement{Cursor: cursor}}, nil)
+		if err != nil {
+			return fmt.Errorf("acknowledge: %w", err)
+		}
+	}
+	d.rows = append(d.rows, row{
+		what: "trainer step", latency: time.Since(started), verdict: core.Ran.String(),
+		result: fmt.Sprintf("%d of %d groups once each, %d samples, spans such as %s", once(seen), groups, groups*samples, spanText(spans)),
+	})
+	return nil
+}
+
+// once counts the groups that were delivered exactly once.
+func once(seen map[int]int) int {
+	n := 0
+	for _, times := range seen {
+		if times == 1 {
+			n++
+		}
+	}
+	return n
+}
+
+func spanText(spans []core.Span) string {
+	parts := make([]string, 0, len(spans))
+	for _, s := range spans {
+		parts = append(parts, fmt.Sprintf("%d-%d: version %d", s.From, s.To, s.Version))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (d *demo) print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "WHAT\tLATENCY\tVERDICT\tRESULT")
+	for _, r := range d.rows {
+		_, _ = fmt.Fprintf(w, "%s\t%v\t%s\t%s\n", r.what, r.latency.Round(10*time.Microsecond), r.verdict, r.result)
+	}
+	return w.Flush()
+}
