--- a/internal/backend/dispatch_test.go
+++ b/internal/backend/dispatch_test.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// Guards against an attempt, or a claim that one was made, after the deadline.
+func TestDeadlineBeforeTheAttempt(t *testing.T) {
+	b := newBench(t, 1, answered)
+	ctx, stop := context.WithDeadline(context.Background(), time.Unix(0, 0))
+	defer stop()
+	e := end(b.submit(ctx, 1, true))
+	if e == nil || e.Err.Code != core.CodeDeadline || e.Verdict != core.NotRun || len(b.pending) != 0 {
+		t.Fatalf("end %+v, want the deadline, not-run and no attempt", e)
+	}
+}
+
 // Guards against a refusal for lack of workers that claims more or less than
 // what is proven.
 func TestNoWorkerIsFree(t *testing.T) {
--- a/internal/backend/suspects_test.go
+++ b/internal/backend/suspects_test.go
@@ -72,8 +72,9 @@
 		t.Errorf("request %d is still suspected after it finished", s.Fingerprint)
 	}
 	b.advance(ConvictionTime)
-	if b.dispatch.health.suspects.Convicted(poison, b.clock.Now()) != 0 {
-		t.Error("the conviction has not expired")
+	s := b.dispatch.health.suspects
+	if s.Convicted(poison, b.clock.Now()) != 0 || len(s.convicted)+len(s.suspected) != 0 {
+		t.Errorf("after its time the conviction is still held: %+v", s)
 	}
 }
 
