Pass on events as they arrive, and end a whole answer at its last event

A body without chunks was read ahead by the library, so that its events waited for the end of the body. TestWholeAnswerDoesNotWaitForTheBodysEnd failed on it.

--- a/internal/backend/backendhttp/conn.go
+++ b/internal/backend/backendhttp/conn.go
@@ -42,7 +42,6 @@
 	lastUsed time.Time
 
 	written   int          // bytes of the current request
-	received  int          // bytes of the current answer
 	onSilence func() error // nil ends the read with the time-out
 	buffer    []byte
 	start     int // of the unread part of buffer
@@ -78,7 +77,7 @@
 
 // send writes the request. written tells how much of it was sent.
 func (c *conn) send(req *protocol.Request) error {
-	c.written, c.received = 0, 0
+	c.written, c.patience = 0, 0
 	var encoded bytes.Buffer
 	w := network.NewWriter(&encoded)
 	if err := hertzreq.Write(req, w); err != nil {
@@ -112,9 +111,8 @@
 			return err
 		}
 		used := len(c.buffer)
-		read, err := c.Read(c.buffer[used:cap(c.buffer)])
+		read, err := c.Conn.Read(c.buffer[used:cap(c.buffer)])
 		c.buffer = c.buffer[:used+read]
-		c.received += read
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.onSilence != nil {
 			err = c.onSilence()
 		}
@@ -152,6 +150,19 @@
 	return c.buffer[c.start:min(c.start+n, len(c.buffer))], err
 }
 
+// Read returns the next bytes, at least one.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if err := c.fill(1); err != nil {
+		return 0, err
+	}
+	n := copy(p, c.buffer[c.start:])
+	c.start += n
+	return n, nil
+}
+
 // Skip drops the next n bytes.
 func (c *conn) Skip(n int) error {
 	err := c.fill(n)
--- a/internal/backend/backendhttp/exchange_test.go
+++ b/internal/backend/backendhttp/exchange_test.go
@@ -368,3 +368,23 @@
 		t.Fatalf("end %v %v, want the deadline", end.Verdict, end.Err)
 	}
 }
+
+// Guards against a whole answer that is held back until its engine ends the
+// body, which it may never do.
+func TestWholeAnswerDoesNotWaitForTheBodysEnd(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	address := serve(t, func(_ int, c *net.TCPConn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+
+			"data: {\"position\":0,\"tokens\":[0],\"finish_reason\":\"stop\"}\n\n")
+		<-ctx.Done()
+		_ = c.Close()
+	})
+	r := &core.Request{ID: "r", Model: "wear", MaxTokens: tokens, Repeatable: true}
+	end := newClientWith(t, 2*waitLimit).Exchange(backend.Attempt{Number: 1, Call: core.NewCall(ctx, r), Context: ctx, Address: address})
+	if end.Verdict != core.Ran || len(end.Tokens) != 1 {
+		t.Fatalf("verdict %v, %d tokens, error %v; want the whole answer", end.Verdict, len(end.Tokens), end.Err)
+	}
+	check(t, ctx.Err())
+}
--- a/internal/backend/backendhttp/stream.go
+++ b/internal/backend/backendhttp/stream.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
+	"math"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	hertzresp "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
@@ -12,6 +15,11 @@
 	"github.com/berylfall/berylfall/internal/core"
 )
 
+// endOfBodyWait bounds the wait for the end of the body after the last event.
+// A connection whose body has not ended by then is closed, since the answer
+// is whole and its caller waits.
+const endOfBodyWait = 20 * time.Millisecond
+
 // stream is the answer of one attempt at an engine while it arrives.
 type stream struct {
 	attempt backend.Attempt
@@ -30,8 +38,7 @@
 // read copies the events into the answer until the last one. When whole is
 // true the body was read in full, so that the connection can be used again.
 func (s *stream) read(c *conn, resp *protocol.Response) (whole bool, err error) {
-	closeBody := func(bool) error { return nil }
-	if err := hertzresp.ReadRespBodyStream(resp, c, 0, closeBody); err != nil {
+	if err := openBody(c, resp); err != nil {
 		return false, err
 	}
 	reader, err := sse.NewReader(resp)
@@ -46,7 +53,8 @@
 		}
 		err := s.accept(event.Data)
 		if errors.Is(err, errLastEvent) {
-			return reader.Read(event) != nil && c.Len() == 0, nil
+			c.onSilence, c.patience = nil, endOfBodyWait
+			return errors.Is(reader.Read(event), io.EOF) && c.Len() == 0, nil
 		}
 		if err != nil {
 			return false, err
@@ -54,6 +62,22 @@
 	}
 }
 
+// openBody makes the body readable as it arrives. The library reads ahead in
+// a body without chunks, which would hold events back until it ends.
+func openBody(c *conn, resp *protocol.Response) error {
+	const chunked, untilClose = -1, -2 // content lengths of the library
+	length := resp.Header.ContentLength()
+	if length == chunked {
+		return hertzresp.ReadRespBodyStream(resp, c, 0, func(bool) error { return nil })
+	}
+	limit := int64(length)
+	if length == untilClose {
+		limit = math.MaxInt64
+	}
+	resp.SetBodyStream(io.LimitReader(c, limit), length)
+	return nil
+}
+
 // accept takes one event: only of this request, and only at the position that
 // follows what the caller has. What the caller has already is dropped.
 func (s *stream) accept(data []byte) error {
