--- a/internal/backend/backendhttp/messages.go
+++ b/internal/backend/backendhttp/messages.go
@@ -57,6 +57,7 @@
 
 // TokenMessage is the data of one server-sent event of an engine.
 type TokenMessage struct {
+	RequestID    string  `json:"request_id,omitempty"` // of engines that send it
 	Position     int     `json:"position"`
 	Tokens       []int32 `json:"tokens,omitempty"`
 	Text         string  `json:"text,omitempty"`
@@ -67,10 +68,22 @@
 
 // RequestMessage is the answer to GET /v1/requests/{id}.
 type RequestMessage struct {
-	State    string `json:"state"`    // waiting, running, paused, done
-	Position int    `json:"position"` // tokens produced so far
+	State        string `json:"state"`                   // waiting, running, paused, done
+	Position     int    `json:"position"`                // tokens produced so far
+	FinishReason string `json:"finish_reason,omitempty"` // when done
 }
 
+// States of a request at an engine.
+const (
+	StateWaiting = "waiting"
+	StateRunning = "running"
+	StatePaused  = "paused"
+	StateDone    = "done"
+)
+
+// FinishLength is the finish reason of an answer with as many tokens as asked for.
+const FinishLength = "length"
+
 // OrderMessage is the body of POST /v1/orders.
 type OrderMessage struct {
 	Kind    string `json:"kind"` // load-version, load-model, load-adapter, set-role
@@ -88,3 +101,15 @@
 	Kind     string `json:"kind"`   // stored, evicted
 	Prefix   uint64 `json:"prefix"` // xxhash of the prompt prefix
 }
+
+// PrefixBlock is the step, in bytes of the prompt, of the prefixes in cache events.
+const PrefixBlock = 64
+
+// KVMessage is the answer to POST /v1/kv/export, whose body holds only the
+// request ID, and the body of POST /v1/kv/import.
+type KVMessage struct {
+	RequestID string   `json:"request_id"`
+	Model     string   `json:"model,omitempty"`
+	Position  int      `json:"position,omitempty"`
+	Prefixes  []uint64 `json:"prefixes,omitempty"`
+}
