--- /dev/null
+++ b/internal/daemon/load.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/ring"
+)
+
+// Limits of the load duty.
+const (
+	loadRingCapacity = 1024
+	// reportBatch bounds the delay of a report by batching; a backend server's
+	// own lag is several times larger.
+	reportBatch = 250 * time.Millisecond
+	// workValidity drops the digest of a daemon that has gone silent.
+	workValidity = DeadAfter
+)
+
+// LocalReport is a load report from this daemon's own poll.
+type LocalReport struct {
+	Server  core.ServerID
+	At      time.Time // when the server measured it
+	Running int
+	Waiting int
+	KVUsed  float64
+}
+
+// PeerReport is a load report that another daemon polled.
+type PeerReport struct {
+	LocalReport
+	From PeerID
+}
+
+// ReportListener receives reports that other daemons polled. It must not wait.
+type ReportListener func([]PeerReport)
+
+// WorkListener receives, for each server, the outstanding work of all other
+// daemons of the data centre. The map must not be changed. It must not wait.
+type WorkListener func(map[ServerKey]int)
+
+// Load is the duty that spreads load reports and sums up the digests of the
+// other daemons' outstanding work.
+type Load struct {
+	loop     *duty.Loop
+	clock    duty.Clock
+	link     Sender
+	local    *ring.Ring[LocalReport]
+	relays   *ring.Ring[relayed]
+	reports  ReportListener
+	work     WorkListener
+	pending  map[core.ServerID]LocalReport
+	flushing bool
+	digests  map[PeerID]workDigest
+	changed  bool
+}
+
+type workDigest struct {
+	at   time.Time
+	work []ServerWork
+}
+
+// NewLoad returns the load duty.
+func NewLoad(clock duty.Clock, link Sender, reports ReportListener, work WorkListener) *Load {
+	l := &Load{
+		loop:    duty.New("load", clock),
+		clock:   clock,
+		link:    link,
+		local:   ring.New[LocalReport]("load.local", loadRingCapacity),
+		relays:  ring.New[relayed]("load.relays", loadRingCapacity),
+		reports: reports,
+		work:    work,
+		pending: map[core.ServerID]LocalReport{},
+		digests: map[PeerID]workDigest{},
+	}
+	duty.On(l.loop, l.local, l.handleLocal)
+	duty.On(l.loop, l.relays, l.handleRelay)
+	l.loop.Every(reportBatch, l.publishWork)
+	return l
+}
+
+// Loop returns the duty's loop.
+func (l *Load) Loop() *duty.Loop { return l.loop }
+
+// Report takes a report from this daemon's own poll.
+func (l *Load) Report(r LocalReport) { l.local.PutLatest(r) }
+
+// Receive takes a message of another daemon; other kinds are ignored.
+func (l *Load) Receive(from Identity, m Message) {
+	switch m.(type) {
+	case Heartbeat, LoadReports, Leave:
+		l.relays.PutLatest(relayed{from: from, message: m})
+	}
+}
+
+func (l *Load) handleLocal(r LocalReport) {
+	l.pending[r.Server] = r
+	if l.flushing {
+		return
+	}
+	l.flushing = true
+	l.loop.After(reportBatch, l.flush)
+}
+
+func (l *Load) flush() {
+	l.flushing = false
+	now := l.clock.Now()
+	message := LoadReports{Reports: make([]ServerReport, 0, len(l.pending))}
+	for _, r := range l.pending {
+		message.Reports = append(message.Reports, ServerReport{
+			Server: r.Server, Age: now.Sub(r.At), Running: r.Running, Waiting: r.Waiting, KVUsed: r.KVUsed,
+		})
+	}
+	clear(l.pending)
+	l.link.Broadcast(message)
+}
+
+func (l *Load) handleRelay(r relayed) {
+	now := l.clock.Now()
+	switch m := r.message.(type) {
+	case Heartbeat:
+		l.digests[r.from.ID()] = workDigest{at: now, work: m.Work}
+		l.changed = true
+	case Leave:
+		delete(l.digests, r.from.ID())
+		l.changed = true
+	case LoadReports:
+		reports := make([]PeerReport, 0, len(m.Reports))
+		for _, s := range m.Reports {
+			local := LocalReport{Server: s.Server, At: now.Add(-s.Age), Running: s.Running, Waiting: s.Waiting, KVUsed: s.KVUsed}
+			reports = append(reports, PeerReport{LocalReport: local, From: r.from.ID()})
+		}
+		l.reports(reports)
+	}
+}
+
+// publishWork sums up the digests once per batch period, not per heartbeat.
+func (l *Load) publishWork() {
+	now := l.clock.Now()
+	for id, d := range l.digests {
+		if now.Sub(d.at) >= workValidity {
+			delete(l.digests, id)
+			l.changed = true
+		}
+	}
+	if !l.changed {
+		return
+	}
+	l.changed = false
+	total := map[ServerKey]int{}
+	for _, d := range l.digests {
+		for _, w := range d.work {
+			total[w.Server] += w.Outstanding
+		}
+	}
+	l.work(total)
+}
--- /dev/null
+++ b/internal/daemon/messages.go
@@ -0,0 +1,170 @@
+package daemon
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// Incarnation tells the runs of a daemon apart. The later one has the higher
+// start time; the random value decides between equal start times.
+type Incarnation struct {
+	Start  int64 // nanoseconds since 1970
+	Random uint64
+}
+
+// Compare orders incarnations, the earlier one first.
+func (i Incarnation) Compare(other Incarnation) int {
+	return cmp.Or(cmp.Compare(i.Start, other.Start), cmp.Compare(i.Random, other.Random))
+}
+
+// Identity is one run of one daemon.
+type Identity struct {
+	Name        string // unique in the data centre
+	DataCentre  string
+	Address     string // of the peer listener
+	Incarnation Incarnation
+}
+
+// PeerID names a daemon over all its runs.
+type PeerID struct {
+	DataCentre string
+	Name       string
+}
+
+// ID returns the daemon's name without its run.
+func (i Identity) ID() PeerID { return PeerID{DataCentre: i.DataCentre, Name: i.Name} }
+
+// Message is one of the messages below.
+type Message interface{ message() }
+
+// Envelope is one message on a link.
+type Envelope struct {
+	From Identity
+	// ToDataCentre is set for a message that gateways forward to every daemon
+	// of that data centre.
+	ToDataCentre string
+	Message      Message
+}
+
+// ConfigState sums up the contracts in force at a daemon.
+type ConfigState struct {
+	Digest   uint64 // of customers and versions
+	Revision int64  // highest store revision applied
+	Ready    bool   // the daemon has a whole set
+}
+
+// ServerKey is a short hash of a backend server's ID. A collision only blurs
+// the load view, since the key is used for nothing else.
+type ServerKey uint32
+
+// ServerWork is the outstanding work of one daemon at one backend server.
+type ServerWork struct {
+	Server      ServerKey
+	Outstanding int
+}
+
+// Heartbeat is sent each HeartbeatPeriod on every link.
+type Heartbeat struct {
+	Sequence      uint64
+	Echo          uint64        // highest sequence heard from the receiver, 0 for none
+	EchoAge       time.Duration // since it was heard
+	Seen          Incarnation   // of the receiver, as the sender knows it
+	MembersDigest uint64
+	Config        ConfigState
+	Work          []ServerWork // only within a data centre
+}
+
+// MemberInfo is a daemon as another daemon knows it.
+type MemberInfo struct {
+	Identity
+	State MemberState
+}
+
+// MemberList is the membership of one data centre.
+type MemberList struct {
+	DataCentre string
+	Stamp      int64 // grows with each change made by a daemon of that data centre
+	Members    []MemberInfo
+}
+
+// Leave says that the sender stops.
+type Leave struct{}
+
+// Contracts carries contracts and tombstones.
+type Contracts struct {
+	Contracts []core.StoredContract
+	Revision  int64
+	Full      bool // the whole set of the sender
+	Ready     bool // the sender has a whole set
+}
+
+// ContractVersion is the version of one contract at a daemon.
+type ContractVersion struct {
+	Customer core.CustomerID
+	Version  int64
+}
+
+// ContractVersions asks for the contracts that are newer at the receiver.
+type ContractVersions struct {
+	Versions []ContractVersion
+	Revision int64
+}
+
+// ServerReport is a backend server's load report, as its poller received it.
+type ServerReport struct {
+	Server  core.ServerID
+	Age     time.Duration // since the server measured it, when the message was sent
+	Running int
+	Waiting int
+	KVUsed  float64 // share of the cache memory in use, 0 to 1
+}
+
+// LoadReports carries the reports of the servers that the sender polls.
+type LoadReports struct{ Reports []ServerReport }
+
+// ShareDemand asks the shares owner of the data centre for grants.
+type ShareDemand struct {
+	Sequence      uint64
+	RosterVersion int64  // of the roster that the sender holds
+	BaseUnits     int64  // that the sender uses of it; confirms a decrease
+	BasesDigest   uint64 // of the bases that the sender holds
+	Wants         []ShareAmount
+}
+
+// ShareAmount is an amount of one limit in share units.
+type ShareAmount struct {
+	Key   ShareKey
+	Units int64
+}
+
+// ShareGrants answers a ShareDemand.
+type ShareGrants struct {
+	Sequence      uint64        // of the demand
+	Fence         int64         // of the shares owner's lease
+	RosterVersion int64         // object version of the roster
+	BaseUnits     int64         // the receiver's part of the bases
+	Bases         []ShareAmount // of the data centre; empty when the receiver has them
+	Grants        []ShareAmount // valid for GrantValidity from when the demand was sent
+}
+
+// ShareAsk asks another data centre to give part of its pool.
+type ShareAsk struct {
+	DataCentre string // that asks
+	Wants      []ShareAmount
+}
+
+// ShareGiven tells a data centre that its part has grown in the store.
+type ShareGiven struct{ Customer core.CustomerID }
+
+func (Heartbeat) message()        {}
+func (MemberList) message()       {}
+func (Leave) message()            {}
+func (Contracts) message()        {}
+func (ContractVersions) message() {}
+func (LoadReports) message()      {}
+func (ShareDemand) message()      {}
+func (ShareGrants) message()      {}
+func (ShareAsk) message()         {}
+func (ShareGiven) message()       {}
--- /dev/null
+++ b/internal/daemon/shares_test.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+var requestsOfA = ShareKey{Customer: "a", Limit: LimitRequests}
+
+// use makes daemons want amounts of the limit of customer a, again each 500 ms.
+func (w *world) use(wanted map[*node]float64) {
+	for _, n := range w.nodes {
+		if amount, ok := wanted[n]; ok && !n.ended && !n.paused {
+			n.shares.Use(requestsOfA.Customer, requestsOfA.Limit, amount)
+			n.touch()
+		}
+	}
+	w.at(500*time.Millisecond, func() { w.use(wanted) })
+}
+
+// inUse sums what all daemons may use, paused and cut off ones included.
+func (w *world) inUse() float64 {
+	var total float64
+	for _, n := range w.nodes {
+		if !n.ended {
+			total += n.amounts[requestsOfA].at(w.now)
+		}
+	}
+	return total
+}
+
+// sharesWorld is a cluster in which customer a has a limit of 900 requests/s.
+func sharesWorld(seed uint64, dataCentres, perDC int) *world {
+	w := newWorld(seed)
+	w.cluster(dataCentres, perDC)
+	w.setContract("a", 900)
+	w.at(3*time.Second, w.keepLeases)
+	return w
+}
+
+func (w *world) wantUnderLimit(t *testing.T, seed uint64) func() {
+	return func() {
+		if total := w.inUse(); total > 900.001 {
+			t.Fatalf("seed %d: daemons may use %.3f of 900 in all", seed, total)
+		}
+	}
+}
+
+// Guards against shares that stay with idle daemons and idle data centres.
+func TestUnusedSharesMoveWithinSeconds(t *testing.T) {
+	w := sharesWorld(1, 3, 3)
+	busy := w.nodes[0]
+	w.run(20*time.Second, w.wantUnderLimit(t, 1))
+	w.use(map[*node]float64{busy: 900})
+	w.run(2*time.Second, w.wantUnderLimit(t, 1))
+	// Its data centre has 300: 150 as base, of which 50 are its own, and 150 to grant.
+	if got := busy.amounts[requestsOfA].at(w.now); got < 199 {
+		t.Errorf("after 2 s the busy daemon may use %.0f, want 200", got)
+	}
+	w.run(5*time.Second, w.wantUnderLimit(t, 1))
+	if got := busy.amounts[requestsOfA].at(w.now); got < 490 {
+		t.Errorf("after 7 s the busy daemon may use %.0f, want 500", got)
+	}
+}
+
+// Guards against a grant that is lost with its daemon.
+func TestDeadDaemonLeaksNoGrant(t *testing.T) {
+	w := sharesWorld(2, 1, 3)
+	w.run(15*time.Second, nil)
+	owner := w.leases["dc0"].holder
+	var users []*node
+	for _, n := range w.nodes {
+		if n != owner {
+			users = append(users, n)
+		}
+	}
+	wanted := map[*node]float64{users[0]: 900}
+	w.use(wanted)
+	w.run(3*time.Second, w.wantUnderLimit(t, 2))
+	w.end(users[0])
+	wanted[users[1]] = 900
+	w.run(5*time.Second, w.wantUnderLimit(t, 2))
+	if got := users[1].amounts[requestsOfA].at(w.now); got < 595 {
+		t.Errorf("5 s after the death another daemon may use %.0f, want 600", got)
+	}
+}
+
+// Guards against the base of a replaced daemon staying reserved.
+func TestReplacedDaemonsBaseIsPassedOn(t *testing.T) {
+	w := sharesWorld(3, 1, 3)
+	w.run(15*time.Second, nil)
+	old := w.nodes[2]
+	replacement := w.start("replacement", "dc0", old.id.Address, w.nodes[0].id.Address)
+	w.run(15*time.Second, w.wantUnderLimit(t, 3))
+	if got := replacement.amounts[requestsOfA].at(w.now); got < 149 {
+		t.Errorf("the replacement may use %.0f, want a base of 150", got)
+	}
+}
+
+// Guards against new daemons without a base, and against bases that grow past
+// the data centre's part while they are divided anew.
+func TestBasesAreEqualAfterJoin(t *testing.T) {
+	w := sharesWorld(4, 1, 2)
+	w.run(15*time.Second, w.wantUnderLimit(t, 4))
+	w.start("joined", "dc0", "10.0.0.9:1", w.nodes[0].id.Address)
+	w.run(15*time.Second, w.wantUnderLimit(t, 4))
+	for _, n := range w.nodes {
+		if got := n.amounts[requestsOfA].base; got < 149 || got > 151 {
+			t.Errorf("%s has a base of %.0f, want 150", n.id.Name, got)
+		}
+	}
+}
+
+// Guards against a base that ends with the store.
+func TestBaseOutlivesTheStore(t *testing.T) {
+	w := sharesWorld(5, 1, 3)
+	w.run(15*time.Second, nil)
+	w.noStore[""] = true
+	w.run(time.Minute, w.wantUnderLimit(t, 5))
+	if got := w.inUse(); got < 449 {
+		t.Errorf("after a minute without the store %.0f may be used, want 450", got)
+	}
+}
+
+// Guards against a sum of shares over the limit, through partitions, deaths,
+// pauses, restarts, lost store answers and owners that change.
+func TestSumOfSharesNeverExceedsLimit(t *testing.T) {
+	for seed := uint64(1); seed <= randomSeeds; seed++ {
+		w := sharesWorld(seed, 2, 3)
+		w.jitter = 200 * time.Millisecond
+		w.lostAnswer = 0.1
+		script := rand.New(rand.NewPCG(seed, 3))
+		wanted := map[*node]float64{}
+		w.use(wanted)
+		check := w.wantUnderLimit(t, seed)
+		w.run(12*time.Second, check)
+		for range 12 {
+			w.randomFault(script)
+			for _, n := range w.liveNodes() {
+				wanted[n] = float64(script.IntN(3) * 450)
+			}
+			w.run(time.Duration(script.IntN(5000))*time.Millisecond, check)
+		}
+	}
+	t.Logf("seeds 1 to %d", randomSeeds)
+}
+
+// Guards against grants that count longer at the receiver than at the owner
+// when the answer was under way for long.
+func TestLateGrantIsNotUsed(t *testing.T) {
+	w := newWorld(6)
+	n := w.start("d0", "dc0", "10.0.0.0:1")
+	s := n.shares
+	s.limits[requestsOfA] = 900
+	s.owner = PeerID{DataCentre: "dc0", Name: "owner"}
+	s.demand(w.now)
+	w.now = w.now.Add(GrantValidity)
+	s.applyGrants(Identity{Name: "owner", DataCentre: "dc0"}, ShareGrants{
+		Sequence: s.sequence, Fence: 1, Grants: []ShareAmount{{Key: requestsOfA, Units: ShareUnits}},
+	})
+	if got := n.amounts[requestsOfA].at(w.now); got != 0 {
+		t.Errorf("a grant of %v that arrived after its end counts", got)
+	}
+}
+
+// Guards against two daemons that poll one backend server, none that does, and
+// load digests that stay after a death.
+func TestLoadIsSpreadAndForgotten(t *testing.T) {
+	w := newWorld(7)
+	w.cluster(1, 3)
+	w.run(5*time.Second, nil)
+	for _, server := range []core.ServerID{"s0", "s1", "s2", "s3"} {
+		pollers := 0
+		for _, n := range w.nodes {
+			if Polls(n.peers.view, server) {
+				pollers++
+				n.load.Report(LocalReport{Server: server, At: w.now, Running: 3})
+			}
+			n.peers.SetWork([]ServerWork{{Server: KeyOf(server), Outstanding: 2}})
+			n.touch()
+		}
+		if pollers != 1 {
+			t.Errorf("%d daemons poll %s", pollers, server)
+		}
+	}
+	w.run(2*time.Second, nil)
+	var reports int
+	for _, n := range w.nodes {
+		reports += len(n.reports)
+		if n.work[KeyOf("s3")] != 4 {
+			t.Errorf("%s sees %d of others' work, want 4", n.id.Name, n.work[KeyOf("s3")])
+		}
+	}
+	if reports != 8 {
+		t.Errorf("%d reports arrived, want each of 4 at 2 daemons", reports)
+	}
+	w.end(w.nodes[1])
+	w.run(7*time.Second, nil)
+	if got := w.nodes[0].work[KeyOf("s3")]; got != 2 {
+		t.Errorf("after a death the others' work is %d, want 2", got)
+	}
+}
