--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -36,6 +36,7 @@
 	revision   int64
 	noStore    map[string]bool // by address or data centre
 	lostAnswer float64
+	slowWrite  float64 // share of writes that take effect seconds later, answer lost
 	storeCalls int
 	leases     map[string]*fakeLease
 	sent       map[string]int // messages by type
@@ -281,6 +282,11 @@
 		reply(platform.Result{Err: platform.ErrUnavailable})
 		return true
 	}
+	if op.Kind != platform.OpGet && w.random.Float64() < w.slowWrite {
+		w.at(time.Duration(w.random.Int64N(int64(8*time.Second))), func() { w.apply(op) })
+		w.at(time.Second, func() { op.Reply(platform.Result{Err: platform.ErrUnknownOutcome}); n.touch() })
+		return true
+	}
 	w.at(w.delay(), func() {
 		r := w.apply(op)
 		if w.random.Float64() < w.lostAnswer {
--- a/internal/daemon/peerlinks.go
+++ b/internal/daemon/peerlinks.go
@@ -179,7 +179,26 @@
 	if id.DataCentre == p.self.DataCentre {
 		return true
 	}
-	return p.isGateway() && first(gatewayKey(id.DataCentre), p.remoteNames(id.DataCentre), Gateways, id.Name)
+	return p.isGateway() && containsName(p.remoteGateways(id.DataCentre), id.Name)
+}
+
+// remoteGateways returns the gateways of another data centre by its own list,
+// and those that follow when some of them do not answer here. The first stay
+// included, so that the data centres meet again after a partition.
+func (p *Peers) remoteGateways(dataCentre string) []string {
+	var listed []string
+	for _, info := range p.remote[dataCentre].Members {
+		if info.State.live() {
+			listed = append(listed, info.Name)
+		}
+	}
+	ranked := Rank(gatewayKey(dataCentre), listed, Gateways)
+	for _, name := range Rank(gatewayKey(dataCentre), p.remoteNames(dataCentre), Gateways) {
+		if !containsName(ranked, name) {
+			ranked = append(ranked, name)
+		}
+	}
+	return ranked
 }
 
 func gatewayKey(dataCentre string) string { return "gateway/" + dataCentre }
@@ -243,7 +262,7 @@
 
 func (p *Peers) dialGateways() {
 	for _, dataCentre := range p.otherDataCentres() {
-		ranked := Rank(gatewayKey(dataCentre), p.remoteNames(dataCentre), Gateways)
+		ranked := p.remoteGateways(dataCentre)
 		for _, info := range p.remote[dataCentre].Members {
 			if !containsName(ranked, info.Name) {
 				continue
--- a/internal/daemon/peermessages.go
+++ b/internal/daemon/peermessages.go
@@ -20,7 +20,7 @@
 	}
 	m, accepted := p.identify(from)
 	if !accepted {
-		p.beatAs(l, m, 0)
+		p.beatTo(l, m)
 		return
 	}
 	now := p.now()
@@ -127,6 +127,7 @@
 func (p *Peers) handleHeartbeat(l *link, m *member, h Heartbeat) {
 	if h.Seen.Compare(p.self.Incarnation) > 0 {
 		p.self.Incarnation.Start = h.Seen.Start + 1
+		p.publish()
 	}
 	now := p.now()
 	m.sequence = max(m.sequence, h.Sequence)
@@ -143,7 +144,7 @@
 		m.replied = now
 		p.beat(l)
 	}
-	if h.MembersDigest != p.membersDigest() && now.Sub(m.listsSent) >= HeartbeatPeriod {
+	if h.MembersDigest != p.digest && now.Sub(m.listsSent) >= HeartbeatPeriod {
 		m.listsSent = now
 		p.sendLists(l)
 	}
@@ -222,20 +223,19 @@
 
 func (p *Peers) beatAll() {
 	p.sequence++
-	digest := p.membersDigest()
 	for _, id := range p.sortedLinks() {
 		l := p.links[id]
-		p.beatAs(l, p.members[l.peer], digest)
+		p.beatTo(l, p.members[l.peer])
 	}
 }
 
 func (p *Peers) beat(l *link) {
 	p.sequence++
-	p.beatAs(l, p.members[l.peer], p.membersDigest())
+	p.beatTo(l, p.members[l.peer])
 }
 
-func (p *Peers) beatAs(l *link, m *member, digest uint64) {
-	h := Heartbeat{Sequence: p.sequence, MembersDigest: digest, Config: p.configState}
+func (p *Peers) beatTo(l *link, m *member) {
+	h := Heartbeat{Sequence: p.sequence, MembersDigest: p.digest, Config: p.configState}
 	if l.known && m != nil {
 		h.Echo = m.sequence
 		h.EchoAge = p.now().Sub(m.heard)
@@ -280,6 +280,7 @@
 	}
 	sort.Strings(v.DataCentres)
 	p.view = v
+	p.digest = p.membersDigest()
 	for _, listener := range p.onMembers {
 		listener(v)
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -114,6 +114,7 @@
 	settled     bool
 	leaving     bool
 	view        *MembersView
+	digest      uint64 // of the live members, renewed with the view
 	onMembers   []MembersListener
 	onMessage   []MessageListener
 }
--- a/internal/daemon/peers_test.go
+++ b/internal/daemon/peers_test.go
@@ -151,3 +151,29 @@
 		t.Errorf("the restarted daemon is %v as %v, its own incarnation is %v", m.state, m.Incarnation, restarted.peers.self.Incarnation)
 	}
 }
+
+// Guards against data centres that stay apart after a partition, because each
+// holds the other's gateways for dead.
+func TestDataCentresMeetAgainAfterPartition(t *testing.T) {
+	w := newWorld(9)
+	w.cluster(2, 5)
+	w.run(5*time.Second, nil)
+	w.cutBoth("dc0", "dc1", true)
+	w.run(30*time.Second, nil)
+	for _, n := range w.nodes {
+		if len(n.peers.view.Reachable) != 0 {
+			t.Errorf("%s/%s reaches %v through the partition", n.id.DataCentre, n.id.Name, n.peers.view.Reachable)
+		}
+	}
+	w.cutBoth("dc0", "dc1", false)
+	w.run(10*time.Second, nil)
+	links := len(w.wires)
+	w.run(20*time.Second, func() {
+		if len(w.wires) != links {
+			t.Fatalf("links between data centres come and go: %d, then %d", links, len(w.wires))
+		}
+	})
+	if want := 10 + 10 + 4; links != want {
+		t.Errorf("%d links are open, want %d", links, want)
+	}
+}
--- a/internal/daemon/shares_test.go
+++ b/internal/daemon/shares_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -130,6 +131,7 @@
 func TestSumOfSharesNeverExceedsLimit(t *testing.T) {
 	for seed := uint64(1); seed <= randomSeeds; seed++ {
 		w := sharesWorld(seed, 2, 3)
+		w.slowWrite = 0.1
 		w.jitter = 200 * time.Millisecond
 		w.lostAnswer = 0.1
 		script := rand.New(rand.NewPCG(seed, 3))
@@ -139,6 +141,7 @@
 		w.run(12*time.Second, check)
 		for range 12 {
 			w.randomFault(script)
+			w.randomOwnerFault(script)
 			for _, n := range w.liveNodes() {
 				wanted[n] = float64(script.IntN(3) * 450)
 			}
@@ -148,6 +151,29 @@
 	t.Logf("seeds 1 to %d", randomSeeds)
 }
 
+// randomOwnerFault changes one thing about the shares owner of a data centre.
+func (w *world) randomOwnerFault(script *rand.Rand) {
+	lease := w.leases["dc0"]
+	live := w.liveNodes()
+	other := live[script.IntN(len(live))]
+	if lease == nil || lease.holder.ended {
+		return
+	}
+	owner := lease.holder.id
+	switch script.IntN(6) {
+	case 0, 1:
+		w.noStore[owner.Address] = true
+		w.at(7*time.Second, func() { delete(w.noStore, owner.Address) })
+	case 2:
+		w.cutBoth(owner.Address, other.id.Address, true)
+	case 3:
+		if len(live) < 9 {
+			address := fmt.Sprintf("10.0.0.%d:1", 10+len(w.nodes))
+			w.start(fmt.Sprintf("new%d", len(w.nodes)), "dc0", address, other.id.Address, owner.Address)
+		}
+	}
+}
+
 // Guards against grants that count longer at the receiver than at the owner
 // when the answer was under way for long.
 func TestLateGrantIsNotUsed(t *testing.T) {
@@ -203,3 +229,20 @@
 		t.Errorf("after a death the others' work is %d, want 2", got)
 	}
 }
+
+// Guards against a base that grows again within a roster version, after the
+// owner was told that it had been lowered.
+func TestBaseOnlyFallsWithinRosterVersion(t *testing.T) {
+	w := newWorld(8)
+	s := w.start("d0", "dc0", "10.0.0.0:1").shares
+	for _, units := range []int64{500_000, 300_000, 500_000} {
+		s.applyRoster(ShareGrants{RosterVersion: 4, BaseUnits: units})
+	}
+	if s.baseUnits != 300_000 {
+		t.Errorf("the base is %d units, want 300000", s.baseUnits)
+	}
+	s.applyRoster(ShareGrants{RosterVersion: 3, BaseUnits: 200_000})
+	if s.baseUnits != 300_000 {
+		t.Errorf("an earlier roster changed the base to %d units", s.baseUnits)
+	}
+}
