--- a/internal/daemon/daemonrpc/links_test.go
+++ b/internal/daemon/daemonrpc/links_test.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	links := testLinks(t, 8)
 	events := ring.New[daemon.LinkEvent]("events", 64)
 	links.Start(events.TryPut)
--- a/internal/daemon/peerlinks.go
+++ b/internal/daemon/peerlinks.go
@@ -101,6 +101,9 @@
 	if now.Sub(p.start) >= StartWindow {
 		return true
 	}
+	if p.o.AwaitHosts && !p.hostsRead {
+		return false
+	}
 	for address := range p.contacts {
 		d := p.dials[address]
 		refused := d != nil && d.failures > 0
@@ -207,9 +210,8 @@
 	return Rank(gatewayKey(p.self.DataCentre), p.liveHere(), Gateways)
 }
 
-func (p *Peers) isGateway() bool {
-	return first(gatewayKey(p.self.DataCentre), p.liveHere(), Gateways, p.self.Name)
-}
+// isGateway reports whether this daemon is a gateway in the present view.
+func (p *Peers) isGateway() bool { return p.view != nil && p.view.Gateway }
 
 func (p *Peers) liveHere() []string {
 	names := []string{p.self.Name}
--- a/internal/daemon/peermessages.go
+++ b/internal/daemon/peermessages.go
@@ -156,8 +156,11 @@
 		if !direct && list.Stamp <= p.remote[list.DataCentre].Stamp {
 			return
 		}
+		held := p.remote[list.DataCentre]
 		p.remote[list.DataCentre] = list
-		p.publish()
+		if held.Stamp != list.Stamp || listDigest(held.Members) != listDigest(list.Members) {
+			p.publish()
+		}
 		return
 	}
 	for _, info := range list.Members {
@@ -275,7 +278,7 @@
 		Members:     list.Members,
 		DataCentres: append(p.otherDataCentres(), p.self.DataCentre),
 		Reachable:   p.reachable(p.now()),
-		Gateway:     p.isGateway(),
+		Gateway:     containsName(p.gatewaysHere(), p.self.Name),
 		Settled:     p.settled,
 	}
 	sort.Strings(v.DataCentres)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -54,12 +54,14 @@
 
 // PeersOptions are the parameters of the peers duty.
 type PeersOptions struct {
-	Self   Identity
-	Peers  []string // addresses from the settings
-	Clock  duty.Clock
-	Random *rand.Rand
-	Links  Links
-	Log    *logrus.Entry
+	Self  Identity
+	Peers []string // addresses from the settings
+	// AwaitHosts makes the first view wait for SetHosts, within the start window.
+	AwaitHosts bool
+	Clock      duty.Clock
+	Random     *rand.Rand
+	Links      Links
+	Log        *logrus.Entry
 }
 
 type outgoing struct {
@@ -111,6 +113,7 @@
 	sequence    uint64
 	stamp       int64
 	lastBeat    time.Time
+	hostsRead   bool
 	settled     bool
 	leaving     bool
 	view        *MembersView
@@ -204,6 +207,7 @@
 }
 
 func (p *Peers) handleHosts(contacts []Contact) {
+	p.hostsRead = true
 	for _, c := range contacts {
 		p.addContact(c)
 	}
