--- a/internal/daemon/daemonrpc/codec.go
+++ b/internal/daemon/daemonrpc/codec.go
@@ -352,7 +352,7 @@
 func amountsToWire(amounts []daemon.ShareAmount) []*ShareAmount {
 	w := make([]*ShareAmount, 0, len(amounts))
 	for _, a := range amounts {
-		w = append(w, &ShareAmount{Customer: string(a.Key.Customer), Limit: string(a.Key.Limit), Units: a.Units})
+		w = append(w, &ShareAmount{Customer: string(a.Key.Customer), Limit: limitToWire(a.Key.Limit), Units: a.Units})
 	}
 	return w
 }
@@ -360,12 +360,36 @@
 func amountsFromWire(w []*ShareAmount) []daemon.ShareAmount {
 	var amounts []daemon.ShareAmount
 	for _, a := range w {
-		key := daemon.ShareKey{Customer: core.CustomerID(a.Customer), Limit: daemon.Limit(a.Limit)}
+		key := daemon.ShareKey{Customer: core.CustomerID(a.Customer), Limit: limitFromWire(a.Limit)}
 		amounts = append(amounts, daemon.ShareAmount{Key: key, Units: a.Units})
 	}
 	return amounts
 }
 
+func limitToWire(l daemon.Limit) Limit {
+	switch l {
+	case daemon.LimitRequests:
+		return Limit_LIMIT_REQUESTS
+	case daemon.LimitTokens:
+		return Limit_LIMIT_TOKENS
+	case daemon.LimitConcurrency:
+		return Limit_LIMIT_CONCURRENCY
+	}
+	return Limit_LIMIT_UNSPECIFIED
+}
+
+func limitFromWire(l Limit) daemon.Limit {
+	switch l {
+	case Limit_LIMIT_REQUESTS:
+		return daemon.LimitRequests
+	case Limit_LIMIT_TOKENS:
+		return daemon.LimitTokens
+	case Limit_LIMIT_CONCURRENCY:
+		return daemon.LimitConcurrency
+	}
+	return ""
+}
+
 // isEncodingError reports whether the message, and not the link, is at fault.
 func isEncodingError(err error) bool {
 	return errors.Is(err, ErrTooLarge) || errors.Is(err, ErrMalformed)
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -42,8 +42,8 @@
 // Envelope is one message on a link.
 type Envelope struct {
 	From Identity
-	// ToDataCentre is set for a message that gateways forward to every daemon
-	// of that data centre.
+	// ToDataCentre is set for a message that gateways forward to a gateway of
+	// that data centre.
 	ToDataCentre string
 	Message      Message
 }
--- a/internal/daemon/peermessages.go
+++ b/internal/daemon/peermessages.go
@@ -48,27 +48,13 @@
 }
 
 // relay passes on a message between data centres. The gateway that receives it
-// in the data centre it is for tells every daemon there.
+// in the data centre it is for hands it to its duties.
 func (p *Peers) relay(e Envelope) {
 	if e.ToDataCentre != p.self.DataCentre {
 		p.forward(e)
 		return
 	}
 	p.tell(e.From, e.Message)
-	if p.isGateway() && e.From.DataCentre != p.self.DataCentre {
-		p.broadcastOnce(e)
-	}
-}
-
-// broadcastOnce sends the message to the other daemons here as one from a
-// gateway, so that a second gateway does not send it again.
-func (p *Peers) broadcastOnce(e Envelope) {
-	if carrier, ok := e.Message.(ShareAsk); ok {
-		p.broadcast(p.envelope(carrier))
-	}
-	if carrier, ok := e.Message.(ShareGiven); ok {
-		p.broadcast(p.envelope(carrier))
-	}
 }
 
 // identify returns the member for the identity and whether its messages count.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -48,8 +48,8 @@
 // the message was queued, which does not prove that it arrives.
 type Sender interface {
 	Send(to PeerID, m Message) bool
-	Broadcast(m Message) bool // to the live members of this data centre
-	SendToDataCentre(dataCentre string, m Message) bool
+	Broadcast(m Message) bool                           // to the live members of this data centre
+	SendToDataCentre(dataCentre string, m Message) bool // to a gateway there
 }
 
 // PeersOptions are the parameters of the peers duty.
@@ -190,7 +190,7 @@
 // Broadcast queues a message to the live members of this data centre.
 func (p *Peers) Broadcast(m Message) bool { return p.sends.TryPut(outgoing{all: true, message: m}) }
 
-// SendToDataCentre queues a message to every daemon of another data centre.
+// SendToDataCentre queues a message to a gateway of another data centre.
 func (p *Peers) SendToDataCentre(dataCentre string, m Message) bool {
 	return p.sends.TryPut(outgoing{dataCentre: dataCentre, message: m})
 }
--- a/internal/daemon/shareowner.go
+++ b/internal/daemon/shareowner.go
@@ -17,6 +17,9 @@
 	// splitRefresh is how often a split is read again while more is wanted, in
 	// case the message about a gift was lost.
 	splitRefresh = 5 * time.Second
+	// askSlowdown is the number of periods between asks once every other data
+	// centre was asked and something is still short.
+	askSlowdown = 5
 )
 
 // customerSplit is the owner's state of one customer.
@@ -28,6 +31,7 @@
 	readAt   time.Time
 	gift     map[Limit]gift
 	giftNow  bool // the write in progress carries the gifts
+	keepGift bool // the last write of the gifts was refused and is made again
 }
 
 // gift is a part of the pool that is withheld from grants to be given away.
@@ -66,7 +70,8 @@
 	splits     map[core.CustomerID]*customerSplit
 	reserved   map[ShareKey]map[runID][]reservation
 	wishes     map[ShareKey]map[runID]wish
-	askNext    int
+	askNext    int // data centre to ask next
+	askTicks   int // periods for which something has been short
 
 	roster        *ShareRoster // nil until claimed
 	rosterVersion int64
@@ -337,6 +342,7 @@
 		// Whatever the error, the write may yet take effect. The pool stays as
 		// it is until a later write of this owner has succeeded.
 		c.doubtful = true
+		c.keepGift = (gave || c.keepGift) && errors.Is(r.result.Err, platform.ErrConflict)
 		if errors.Is(r.result.Err, platform.ErrConflict) && o.holds() {
 			c.busy = o.readSplit(r.customer)
 		}
@@ -346,6 +352,10 @@
 	c.version = r.result.Object.Version
 	c.doubtful = false
 	receivers := c.gift
+	if !gave && c.keepGift {
+		o.dropUncovered(c)
+		return
+	}
 	c.gift = map[Limit]gift{}
 	if !gave {
 		return
@@ -355,6 +365,17 @@
 	}
 }
 
+// dropUncovered keeps the gifts whose write was refused, to be written again,
+// unless the pool has become too small.
+func (o *shareOwner) dropUncovered(c *customerSplit) {
+	c.keepGift = false
+	for limit, g := range c.gift {
+		if c.split.Parts[limit][o.shares.self.DataCentre].Pool < g.units {
+			delete(c.gift, limit)
+		}
+	}
+}
+
 func (o *shareOwner) splitRead(r shareResult, c *customerSplit) {
 	c.readAt = o.now()
 	if absent(r.result) {
@@ -484,6 +505,11 @@
 		}
 	}
 	if len(others) == 0 || len(wants) == 0 {
+		o.askTicks = 0
+		return
+	}
+	o.askTicks++
+	if o.askTicks > len(others) && o.askTicks%askSlowdown != 0 {
 		return
 	}
 	sortAmounts(wants)
--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -39,8 +39,9 @@
 	// GrantValidity is how long a grant counts, from when it was asked for.
 	GrantValidity = 3 * time.Second
 	// grantMargin covers clocks that run at different rates over the validity.
-	grantMargin  = 300 * time.Millisecond
-	sharesPeriod = 500 * time.Millisecond
+	grantMargin = 300 * time.Millisecond
+	// sharesPeriod lets one demand or answer be lost without the end of a grant.
+	sharesPeriod = time.Second
 	// demandValidity is how long a wish for more counts without being repeated.
 	demandValidity = 3 * time.Second
 	// demandHeadroom lets a daemon's use grow between two demands.
@@ -231,6 +232,21 @@
 		s.ownership.handleDemand(r.from, m)
 	case ShareGrants:
 		s.applyGrants(r.from, m)
+	case ShareAsk, ShareGiven:
+		s.handleAbroad(r)
+	}
+}
+
+// handleAbroad takes a message of another data centre, which reaches a gateway
+// and is for the shares owner.
+func (s *Shares) handleAbroad(r relayed) {
+	if !s.ownership.holds() {
+		if r.from.DataCentre != s.self.DataCentre && s.owner != s.self.ID() {
+			s.link.Send(s.owner, r.message)
+		}
+		return
+	}
+	switch m := r.message.(type) {
 	case ShareAsk:
 		s.ownership.handleAsk(m)
 	case ShareGiven:
