Test the waits and claims of a new shares owner by themselves

With demands once per second the randomised test no longer reaches the two states. Each test fails without its guard: TestNewOwnerWaitsForEarlierGrants: a new owner granted 1000 units at once TestLateWriteOfEarlierOwnerFails: a write of the earlier owner took effect after the new owner took the split into use

--- a/internal/daemon/shares_test.go
+++ b/internal/daemon/shares_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
 )
 
 var requestsOfA = ShareKey{Customer: "a", Limit: LimitRequests}
@@ -273,3 +274,42 @@
 		t.Errorf("after a lost change the others' work is %v", receiver.work)
 	}
 }
+
+// Guards against grants of a new owner beside those of the earlier one.
+func TestNewOwnerWaitsForEarlierGrants(t *testing.T) {
+	w := newWorld(10)
+	n := w.start("d0", "dc0", "10.0.0.0:1")
+	o := n.shares.ownership
+	o.view = &MembersView{Self: n.id}
+	o.handleLease(OwnerLease{Fence: 2, ValidUntil: w.now.Add(time.Minute)})
+	o.roster = &ShareRoster{}
+	o.splits["a"] = &customerSplit{split: NewSplit([]string{"dc0"})}
+	demand := ShareDemand{Wants: []ShareAmount{{Key: requestsOfA, Units: 1000}}}
+	o.handleDemand(n.id, demand)
+	if got := o.reservedBy(requestsOfA, nil); got != 0 {
+		t.Errorf("a new owner granted %d units at once", got)
+	}
+	w.now = w.now.Add(GrantValidity + grantMargin)
+	o.handleDemand(n.id, demand)
+	if got := o.reservedBy(requestsOfA, nil); got != 1000 {
+		t.Errorf("after the wait the owner granted %d units, want 1000", got)
+	}
+}
+
+// Guards against a gift of an earlier owner that takes effect late, while a new
+// owner grants from the pool as it was before.
+func TestLateWriteOfEarlierOwnerFails(t *testing.T) {
+	w := sharesWorld(11, 2, 1)
+	w.run(10*time.Second, nil)
+	n := w.nodes[0]
+	key := SharePrefix + "a"
+	late := platform.Op{Kind: platform.OpPut, Key: key, IfVersion: w.objects[key].Version, Value: w.objects[key].Value}
+	w.leases["dc0"].fence++
+	w.run(5*time.Second, nil)
+	if n.shares.ownership.splits["a"].split == nil {
+		t.Fatal("the new owner has no split")
+	}
+	if r := w.apply(late); r.Err == nil {
+		t.Error("a write of the earlier owner took effect after the new owner took the split into use")
+	}
+}
