Join membership, leases and shares of limits to the daemon

Cause: every daemon watched the store and used the whole of each limit; dead daemons were not told to the claims.

--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -25,13 +25,22 @@
 
 	platformClient *platformhttp.Client
 	storePool      *duty.Pool
+	budget         *platform.Budget
 	store          *platform.Store
+	lessor         *platform.Lessor
 	dispatch       *backend.Dispatch
+	claims         *caller.Claims
 	admission      *caller.Admission
 	trainers       *trainer.Trainer
 	config         *daemon.Config
 	status         *operator.Status
 	metrics        *settings.Metrics
+
+	incarnation daemon.Incarnation
+	identity    daemon.Identity
+	// onWatching is told whether this daemon is one of those of its data
+	// centre that watch the store.
+	onWatching []func(active bool)
 }
 
 func (b *builder) build() error {
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"time"
 
+	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/daemon/daemonrpc"
 	"github.com/berylfall/berylfall/internal/platform"
@@ -13,23 +15,25 @@
 // others, and as many again while connections are replaced.
 const linkWorkers = 256 * daemonrpc.WorkersPerLink
 
-// peerAddresses are the daemons named in the settings.
-func (b *builder) peerAddresses() []string { return nil }
-
 func (b *builder) buildDaemon() error {
 	peers, err := b.buildPeers()
 	if err != nil {
 		return err
 	}
+	shares := b.buildShares(peers)
 	log := b.server.log.WithField("duty", "config")
-	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts)
-	watcher := platform.NewWatcher(b.clock, b.platformClient, b.storePool, daemon.ContractPrefix, b.config.Deliver)
-	b.config.Connect(peers, storeWatch{watcher})
+	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts, shares.SetContracts)
+	watcher := platform.NewWatcher(b.clock, b.platformClient, b.storePool, daemon.ContractPrefix, b.config.Deliver,
+		platform.WatcherOptions{Budget: b.budget, Inactive: true, Random: b.random()})
+	b.onWatching = append(b.onWatching, watcher.SetActive)
+	b.config.Connect(peers, watching(b.onWatching))
 	peers.OnMembers(b.config.SetMembers)
+	peers.OnMembers(b.reportDead)
 	peers.OnMessage(b.config.Receive)
 	hosts := daemon.NewHosts(b.clock, daemonHosts{b.platformClient}, b.storePool, peers.SetHosts)
 	peers.OnMembers(hosts.SetMembers)
-	return b.start(b.config.Loop(), watcher.Loop(), peers.Loop(), hosts.Loop())
+	b.server.leave = peers.Leave
+	return b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), peers.Loop(), hosts.Loop())
 }
 
 func (b *builder) buildPeers() (*daemon.Peers, error) {
@@ -41,14 +45,16 @@
 	if err != nil {
 		return nil, err
 	}
+	b.server.peerAddress = links.Address()
+	b.identity = daemon.Identity{
+		Name:        b.settings.Name,
+		DataCentre:  b.settings.DataCentre,
+		Address:     links.Address(),
+		Incarnation: b.incarnation,
+	}
 	peers := daemon.NewPeers(daemon.PeersOptions{
-		Self: daemon.Identity{
-			Name:        b.settings.Name,
-			DataCentre:  b.settings.DataCentre,
-			Address:     links.Address(),
-			Incarnation: daemon.Incarnation{Start: b.clock.Now().UnixNano(), Random: rand.Uint64()},
-		},
-		Peers:      b.peerAddresses(),
+		Self:       b.identity,
+		Peers:      b.settings.Peers,
 		AwaitHosts: true,
 		Clock:      b.clock,
 		Random:     b.random(),
@@ -59,16 +65,54 @@
 	return peers, b.server.runner.Serve("daemons", links.Serve, links.Shutdown)
 }
 
-// storeWatch turns the watch of the contracts on and off. A watcher that cannot
-// be turned off keeps watching, which costs store calls and nothing else.
-type storeWatch struct {
-	watcher any
+// buildShares joins the shares duty to admission, the store and the lease of
+// the shares owner.
+func (b *builder) buildShares(peers *daemon.Peers) *daemon.Shares {
+	log := b.server.log.WithField("duty", "shares")
+	shares := daemon.NewShares(b.identity, b.clock, log, peers, b.store, b.setShare)
+	owner := &candidacy{
+		lessor: b.lessor,
+		name:   "shares/" + b.settings.DataCentre,
+		listener: func(e platform.LeaseEvent) {
+			if e.Kind == platform.LeaseGained || e.Kind == platform.LeaseRenewed {
+				shares.SetLease(daemon.OwnerLease{Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline})
+			}
+		},
+	}
+	b.onWatching = append(b.onWatching, owner.setActive)
+	peers.OnMembers(shares.SetMembers)
+	peers.OnMessage(shares.Receive)
+	return shares
+}
+
+// limitOf names admission's limits as the daemons name them to each other.
+var limitOf = map[daemon.Limit]caller.Limit{
+	daemon.LimitRequests:    caller.LimitRequests,
+	daemon.LimitTokens:      caller.LimitTokens,
+	daemon.LimitConcurrency: caller.LimitConcurrency,
 }
 
-// SetActive starts or stops the watch.
-func (w storeWatch) SetActive(active bool) {
-	if watch, ok := w.watcher.(daemon.StoreWatch); ok {
-		watch.SetActive(active)
+func (b *builder) setShare(customer core.CustomerID, limit daemon.Limit, amount float64, validUntil time.Time) {
+	b.admission.SetLimitShare(customer, limitOf[limit], amount, validUntil)
+}
+
+// reportDead tells the claims duty which daemons are gone, so that callers do
+// not wait for the outcome of their calls.
+func (b *builder) reportDead(v *daemon.MembersView) {
+	for _, m := range v.Members {
+		if m.State == daemon.MemberDead || m.State == daemon.MemberLeft {
+			b.claims.SetDead(daemonIDOf(m.Identity))
+		}
+	}
+}
+
+// watching starts or stops what only the daemons that watch the store do.
+type watching []func(active bool)
+
+// SetActive passes the change on.
+func (w watching) SetActive(active bool) {
+	for _, set := range w {
+		set(active)
 	}
 }
 
--- a/internal/server/latency_test.go
+++ b/internal/server/latency_test.go
@@ -36,7 +36,7 @@
 	}
 	tb.Cleanup(func() { standins.Stop(context.Background()) })
 	set, err := settings.Parse([]string{
-		"--drain-grace", "0s", "--platform-url", standins.PlatformURL(), "--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0",
+		"--drain-grace", "0s", "--platform-url", standins.PlatformURL(), "--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
 	})
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/server/main.go
+++ b/internal/server/main.go
@@ -60,6 +60,7 @@
 type AddressesMessage struct {
 	Callers   string `json:"callers"`
 	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
 }
 
 // WriteAddresses writes the addresses in use to the file, for settings whose
@@ -69,7 +70,7 @@
 	if file == "" {
 		return nil
 	}
-	content, err := json.Marshal(AddressesMessage{Callers: s.CallerAddress(), Operators: s.OperatorAddress()})
+	content, err := json.Marshal(AddressesMessage{Callers: s.CallerAddress(), Operators: s.OperatorAddress(), Peers: s.peerAddress})
 	if err != nil {
 		return err
 	}
--- a/internal/server/path_test.go
+++ b/internal/server/path_test.go
@@ -52,7 +52,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	set, err := settings.Parse([]string{
-		"--drain-grace", "0s", "--platform-url", api.URL(), "--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0",
+		"--drain-grace", "0s", "--platform-url", api.URL(), "--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
 	})
 	check(t, err)
 	d, err := Start(set, log)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,9 +26,11 @@
 	callers  *transport.Server
 	operator *transport.Server
 
-	gate       *operator.Gate
-	admission  *caller.Admission
-	drainGrace time.Duration
+	gate        *operator.Gate
+	admission   *caller.Admission
+	drainGrace  time.Duration
+	peerAddress string
+	leave       func() // tells the other daemons that this one stops
 }
 
 // Start builds and starts a daemon.
@@ -64,6 +66,7 @@
 		s.gate.Drain(true)
 		time.Sleep(s.drainGrace)
 		s.admission.Drain()
+		s.leave()
 		s.admission.Idle(ctx)
 	}
 	s.runner.Stop(ctx)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -20,6 +20,8 @@
 	maxOperatorBody   = 1 << 20  // bytes; the object API holds no larger value
 	maxExchanges      = 16384    // the dispatch duty's bound on attempts
 	maxStoreCalls     = 1024
+	maxStoreReads     = 2000 // a second, what the platform takes in all
+	maxStoreWrites    = 500  // a second, what the platform takes in all
 	maxSamples        = 4096
 	minStopTimeout    = time.Second
 	maxStopTimeout    = 24 * time.Hour
@@ -48,6 +50,8 @@
 	k.integer("--operator-max-body", d.OperatorMaxBody, minBody, maxOperatorBody)
 	k.integer("--exchanges", d.Exchanges, 1, maxExchanges)
 	k.integer("--store-calls", d.StoreCalls, 1, maxStoreCalls)
+	k.rate("--store-reads", d.StoreReads, maxStoreReads)
+	k.rate("--store-writes", d.StoreWrites, maxStoreWrites)
 	k.integer("--samples", d.Samples, 1, maxSamples)
 	if d.DrainGrace < 0 || d.DrainGrace > maxDrainGrace {
 		k.fail("--drain-grace", d.DrainGrace.String(), fmt.Sprintf("0s to %v", maxDrainGrace), "is out of range")
@@ -164,3 +168,10 @@
 		k.wrap("--tls-certificate", d.TLSCertificate, "a PEM certificate that matches --tls-key "+d.TLSKey, err)
 	}
 }
+
+// rate checks a number of calls a second.
+func (k *checker) rate(flag string, value, highest float64) {
+	if !(value >= 1 && value <= highest) {
+		k.fail(flag, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("1 to %g", highest), "is out of range")
+	}
+}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,7 +43,9 @@
 type process struct {
 	cmd  *exec.Cmd
 	done sync.WaitGroup
-	err  error
+	// ended is set when the program has ended, for waits that would be in vain.
+	ended atomic.Bool
+	err   error
 }
 
 type answer struct {
@@ -86,7 +89,10 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	ts.Check(cmd.Start())
 	p := &process{cmd: cmd}
-	p.done.Go(func() { p.err = cmd.Wait() })
+	p.done.Go(func() {
+		p.err = cmd.Wait()
+		p.ended.Store(true)
+	})
 	mu.Lock()
 	processes[scoped(ts, name)] = p
 	mu.Unlock()
@@ -96,7 +102,7 @@
 		p.done.Wait()
 		_ = log.Close()
 	})
-	readAddresses(ts, name, file)
+	readAddresses(ts, name, file, p)
 }
 
 func lookPath(ts *testscript.TestScript, program string) (string, error) {
@@ -109,9 +115,12 @@
 	return "", fmt.Errorf("program %s not found", program)
 }
 
-func readAddresses(ts *testscript.TestScript, name, file string) {
+func readAddresses(ts *testscript.TestScript, name, file string, p *process) {
 	var content []byte
 	await(ts, "addresses of "+name, func() error {
+		if p.ended.Load() {
+			ts.Fatalf("%s ended: %s", name, ts.ReadFile(name+".log"))
+		}
 		var err error
 		content, err = os.ReadFile(file)
 		return err
