Give each service its own queues, slots and reserve

A service without free slots no longer holds up or refuses the calls of others. The reserve for short work on plain services follows its recent use; engines pause rollouts for more urgent work, so these need none. Trainer shares bound rollouts, and calls that wait carry the reason in their trace. The expected service time is kept per class, so that rollouts do not make interactive calls of their model count as long.

TestQueueOrder and TestShortWorkKeepsSlots use two operations of the plain service in place of two services, since services no longer share queues or slots; their checks are unchanged.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -24,6 +24,9 @@
 	// dropped grant is replaced by the next one within seconds.
 	shareRingCapacity   = 4096
 	controlRingCapacity = 16
+	// slotRingCapacity holds a change for each of many services. A dropped
+	// change is replaced when the number of slots is reported again.
+	slotRingCapacity = 1024
 	// MaxInFlight bounds the calls that a daemon has accepted and not yet
 	// ended, waiting ones included. The rings of ends, of cancelled callers and
 	// of claim results have capacities to match, so none of them refuses.
@@ -62,6 +65,11 @@
 	validUntil time.Time
 }
 
+type slotChange struct {
+	service string
+	slots   int
+}
+
 // Admission is the duty that decides which calls may go on to a backend server,
 // and when.
 type Admission struct {
@@ -75,7 +83,7 @@
 	gone         *ring.Ring[*entry]
 	configs      *ring.Ring[*core.ContractSet]
 	shares       *ring.Ring[shareChange]
-	slotChanges  *ring.Ring[int]
+	slotChanges  *ring.Ring[slotChange]
 	claimResults *ring.Ring[*claimResult]
 	drains       *ring.Ring[struct{}]
 	queries      *duty.AskRing[Query, Reply]
@@ -87,8 +95,7 @@
 
 	contracts *core.ContractSet
 	customers map[core.CustomerID]*customerState
-	queues    queues
-	slots     slots
+	services  services
 	inFlight  int
 	local     map[claimKey]*localClaim
 	active    map[requestKey]*entry
@@ -109,13 +116,13 @@
 		gone:         ring.New[*entry]("admission.gone", MaxInFlight),
 		configs:      ring.New[*core.ContractSet]("admission.config", configRingCapacity),
 		shares:       ring.New[shareChange]("admission.shares", shareRingCapacity),
-		slotChanges:  ring.New[int]("admission.slots", 1),
+		slotChanges:  ring.New[slotChange]("admission.slots", slotRingCapacity),
 		claimResults: ring.New[*claimResult]("admission.claims", claimResultCapacity),
 		drains:       ring.New[struct{}]("admission.drain", controlRingCapacity),
 		queries:      duty.NewAskRing[Query, Reply]("admission.queries", queryRingCapacity),
 		idle:         ring.New[struct{}]("admission.idle", 1),
 		customers:    map[core.CustomerID]*customerState{},
-		slots:        slots{limit: MaxInFlight},
+		services:     newServices(),
 		local:        map[claimKey]*localClaim{},
 		active:       map[requestKey]*entry{},
 	}
@@ -159,8 +166,14 @@
 	a.shares.PutLatest(shareChange{customer: customer, limit: limit, amount: amount, validUntil: validUntil})
 }
 
-// SetSlots bounds the calls that are handed to dispatch and have not ended.
-func (a *Admission) SetSlots(n int) { a.slotChanges.PutLatest(n) }
+// SetSlots bounds the calls of a service that are handed to dispatch and have
+// not ended; UnknownSlots removes the bound. At 0 the service's calls wait until
+// their deadlines. An engine service gets short calls up to n beside its long
+// calls, since engines pause long calls for them. The number should be reported
+// again from time to time, because a full ring drops the oldest change.
+func (a *Admission) SetSlots(service string, n int) {
+	a.slotChanges.PutLatest(slotChange{service: service, slots: n})
+}
 
 // Drain refuses all new calls from now on. Calls accepted before, waiting ones
 // included, run to their end; Idle tells when they have.
@@ -186,6 +199,7 @@
 
 func (a *Admission) handleContracts(s *core.ContractSet) {
 	a.contracts = s
+	a.services.setContracts(s, a.now())
 	a.ready.Store(true)
 	for id, state := range a.customers {
 		state.setContract(s.Lookup(id), a.now())
@@ -198,8 +212,8 @@
 	a.pump()
 }
 
-func (a *Admission) handleSlots(n int) {
-	a.slots.limit = min(max(n, 0), MaxInFlight)
+func (a *Admission) handleSlots(c slotChange) {
+	a.services.setSlots(c.service, c.slots, a.now())
 	a.pump()
 }
 
@@ -208,281 +222,6 @@
 	a.reportIdle()
 }
 
-func (a *Admission) handleCall(c *core.Call) {
-	if err := a.check(c); err != nil {
-		if a.startedHere(c.Request) {
-			err.Verdict = core.MayHaveRun
-		}
-		c.Fail(err)
-		return
-	}
-	e := a.accept(c)
-	if a.joinEarlier(e) {
-		return
-	}
-	if err := a.enqueue(e); err != nil {
-		a.end(e, err)
-		return
-	}
-	a.pump()
-	if e.phase == phaseQueued && !e.ending {
-		a.watch(e)
-	}
-}
-
-// check decides whether the daemon takes the call at all.
-func (a *Admission) check(c *core.Call) *core.Error {
-	r := c.Request
-	now := a.now()
-	if a.draining.Load() {
-		err := core.NotRunError(core.CodeDraining, "the daemon is stopping; send the request again")
-		err.RetryAfter = a.retryAfter(drainRetryAfter)
-		return err
-	}
-	contract := a.contracts.Lookup(r.Customer)
-	if contract == nil {
-		return core.NotRunError(core.CodeNotFound, "no contract is in force for customer %q", r.Customer)
-	}
-	if err := applyContract(contract, r, now); err != nil {
-		return err
-	}
-	if c.Context.Err() != nil || expired(r, now) {
-		return notStartedError(c)
-	}
-	if a.inFlight >= MaxInFlight {
-		return a.overloaded("the daemon has %d requests in flight", a.inFlight)
-	}
-	if r.Repeatable && a.active[keyOfRequest(r)] != nil {
-		return core.MayHaveRunError(core.CodeConflict, "request %s is in progress already", r.ID)
-	}
-	return nil
-}
-
-func expired(r *core.Request, now time.Time) bool {
-	return !r.Deadline.IsZero() && !now.Before(r.Deadline)
-}
-
-// accept takes the call into the accounts. From here on it leaves them through
-// handleEnd only.
-func (a *Admission) accept(c *core.Call) *entry {
-	r := c.Request
-	e := &entry{call: c, customer: a.customer(r.Customer)}
-	previous := c.OnEnd
-	c.OnEnd = func(call *core.Call, end core.End) {
-		a.ended.TryPut(endedCall{entry: e, end: end})
-		if previous != nil {
-			previous(call, end)
-		}
-	}
-	a.inFlight++
-	if a.active[keyOfRequest(r)] == nil {
-		a.active[keyOfRequest(r)] = e
-	}
-	return e
-}
-
-// enqueue charges the limits and puts the call into its customer's queue.
-func (a *Admission) enqueue(e *entry) *core.Error {
-	r := e.call.Request
-	c := e.customer
-	now := a.now()
-	if !r.Repeatable {
-		a.claimLocally(e)
-	}
-	if c.queued[r.Class] >= c.queue {
-		return a.overloaded("customer %q has %d %s requests waiting, its bound", r.Customer, c.queue, r.Class)
-	}
-	if err := a.makeRoom(c, r); err != nil {
-		return err
-	}
-	limit, wait, ok := c.limits.admit(r.MaxTokens, now)
-	if !ok {
-		return a.limited(r, limit, wait)
-	}
-	e.reserved = r.MaxTokens
-	estimate := c.estimate(r)
-	e.cost = max(estimate, minCost)
-	e.long = estimate >= longWork || r.Class == core.ClassRollout
-	e.place = order(r, now, estimate)
-	e.phase = phaseQueued
-	a.queues.push(e)
-	return nil
-}
-
-// makeRoom sheds the waiting work that ranks lowest when the daemon's queues
-// are full, or refuses the new call when that is it.
-func (a *Admission) makeRoom(c *customerState, r *core.Request) *core.Error {
-	if a.queues.size < maxQueued {
-		return nil
-	}
-	victim := a.queues.shedBefore(c.shedRank, r.Class)
-	if victim == nil {
-		return a.overloaded("the daemon has %d requests waiting", a.queues.size)
-	}
-	a.end(victim, a.overloaded("shed for work that ranks higher"))
-	return nil
-}
-
-func (a *Admission) overloaded(format string, args ...any) *core.Error {
-	err := core.NotRunError(core.CodeOverloaded, format, args...)
-	err.RetryAfter = a.retryAfter(overloadRetryAfter)
-	return err
-}
-
-func (a *Admission) limited(r *core.Request, limit Limit, wait time.Duration) *core.Error {
-	name := [...]string{LimitRequests: "requests", LimitTokens: "tokens"}[limit]
-	err := core.NotRunError(core.CodeLimited, "customer %q has used its %s per second", r.Customer, name)
-	err.RetryAfter = a.retryAfter(max(wait, time.Millisecond))
-	return err
-}
-
-// retryAfter spreads retries between once and twice the base, so that callers
-// refused together do not come back together.
-func (a *Admission) retryAfter(base time.Duration) time.Duration {
-	return base + time.Duration(a.random.Int64N(int64(base)))
-}
-
-// watch ends the waiting call when its deadline passes or its caller leaves.
-func (a *Admission) watch(e *entry) {
-	if d := e.call.Request.Deadline; !d.IsZero() {
-		e.stops = append(e.stops, a.loop.After(d.Sub(a.now()), func() { a.handleGone(e) }))
-	}
-	if e.call.Context.Done() != nil {
-		e.stops = append(e.stops, context.AfterFunc(e.call.Context, func() { a.gone.TryPut(e) }))
-	}
-}
-
-// handleGone ends a call that nobody waits for any more, unless dispatch has it.
-func (a *Admission) handleGone(e *entry) {
-	if e.ending || e.phase == phaseSent || e.phase == phaseEnded {
-		return
-	}
-	err := notStartedError(e.call)
-	if e.claim != nil && (e.claim.started || e.phase == phaseRepeat) {
-		err = earlierAttemptError()
-	}
-	a.end(e, err)
-	a.pump()
-}
-
-func notStartedError(c *core.Call) *core.Error {
-	if c.Context.Err() != nil && !isDeadline(c.Context) {
-		return core.NotRunError(core.CodeCancelled, "the caller went away before the request was sent to a backend server")
-	}
-	return core.NotRunError(core.CodeDeadline, "the deadline passed before the request was sent to a backend server")
-}
-
-func isDeadline(ctx context.Context) bool { return ctx.Err() == context.DeadlineExceeded }
-
-// pump starts waiting calls while there are slots.
-func (a *Admission) pump() {
-	for a.slots.free() && a.queues.size > 0 {
-		e := a.queues.next(a.slots.allowLong(), a.now())
-		if e == nil {
-			return
-		}
-		a.start(e)
-	}
-}
-
-// start gives the call a slot.
-func (a *Admission) start(e *entry) {
-	e.phase = phaseClaiming
-	a.slots.take(e.long)
-	e.customer.running++
-	if e.call.Context.Err() != nil || expired(e.call.Request, a.now()) {
-		a.end(e, notStartedError(e.call))
-		return
-	}
-	if e.call.Request.Repeatable || e.claim.held {
-		a.send(e)
-		return
-	}
-	a.acquire(e)
-	if len(e.stops) == 0 {
-		a.watch(e)
-	}
-}
-
-// send hands the call to dispatch. The context that dispatch sees ends with the
-// contract's deadline. A call under a claim runs on when its caller leaves, so
-// that a repeat finds the answer.
-func (a *Admission) send(e *entry) {
-	e.stopWatches()
-	c := e.call
-	parent := c.Context
-	deadline := c.Request.Deadline
-	if !c.Request.Repeatable {
-		parent = context.WithoutCancel(parent)
-		if deadline.IsZero() {
-			deadline = a.now().Add(unboundedDeadline)
-		}
-	}
-	if current, ok := parent.Deadline(); !deadline.IsZero() && (!ok || deadline.Before(current)) {
-		c.Context, e.release = context.WithDeadline(parent, deadline)
-	}
-	if e.claim != nil {
-		e.claim.started = true
-	}
-	e.phase = phaseSent
-	e.sent = a.now()
-	if !a.dispatch.Submit(c) {
-		a.end(e, a.overloaded("the dispatch queue is full"))
-	}
-}
-
-// end ends the call with an error. The accounts follow in handleEnd.
-func (a *Admission) end(e *entry, err *core.Error) {
-	if e.ending {
-		return
-	}
-	e.ending = true
-	if e.phase == phaseQueued {
-		a.queues.remove(e)
-	}
-	e.call.Fail(err)
-}
-
-func (a *Admission) handleEnd(ended endedCall) {
-	e := ended.entry
-	reached := e.phase
-	if reached == phaseEnded {
-		return
-	}
-	e.phase = phaseEnded
-	e.stopWatches()
-	if e.release != nil {
-		e.release()
-	}
-	a.inFlight--
-	a.forget(e, ended.end)
-	if reached == phaseClaiming || reached == phaseSent {
-		a.giveSlot(e)
-	}
-	a.account(e, reached, ended.end)
-	a.endClaim(e, reached, ended.end)
-	a.pump()
-	a.reportIdle()
-}
-
-func (a *Admission) giveSlot(e *entry) {
-	a.slots.give(e.long)
-	e.customer.running--
-}
-
-// account gives unused tokens back and learns from the service time.
-func (a *Admission) account(e *entry, reached phase, end core.End) {
-	now := a.now()
-	used := 0
-	if end.Verdict != core.NotRun {
-		used = min(e.call.Answer.Tokens(), e.reserved)
-	}
-	e.customer.limits.giveBack(e.reserved-used, now)
-	if reached == phaseSent && end.Verdict == core.Ran {
-		e.customer.observe(e.call.Request, now.Sub(e.sent))
-	}
-}
-
 func (a *Admission) reportIdle() {
 	if !a.draining.Load() || a.drained || a.inFlight > 0 || len(a.local) > 0 || a.calls.Len() > 0 {
 		return
@@ -494,29 +233,9 @@
 func (a *Admission) customer(id core.CustomerID) *customerState {
 	state := a.customers[id]
 	if state == nil {
-		state = &customerState{
-			limits:    newLimiter(a.now()),
-			queued:    map[core.Class]int{},
-			estimates: map[workKey]time.Duration{},
-		}
+		state = newCustomerState(a.now())
 		state.setContract(a.contracts.Lookup(id), a.now())
 		a.customers[id] = state
 	}
 	return state
 }
-
-// setContract takes what the contract in force says; nil leaves the amounts as
-// they are for the work that is still in flight.
-func (c *customerState) setContract(contract *core.Contract, now time.Time) {
-	if contract == nil {
-		c.queue = defaultQueue
-		return
-	}
-	c.limits.setContract(contract.Limits, now)
-	c.weight = contract.Weight
-	c.shedRank = contract.ShedRank
-	c.queue = contract.Limits.Queue
-	if c.queue == 0 {
-		c.queue = defaultQueue
-	}
-}
--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -124,14 +124,14 @@
 // Guards against an unbounded queue and against a bound shared between classes.
 func TestQueueBound(t *testing.T) {
 	w := newWorld(1, 1, contractOf("c", core.Limits{Queue: 2}))
-	w.first().admission.SetSlots(0)
+	w.first().admission.SetSlots("desk", 0)
 	waiting := []*core.Call{lookCall(w, "c", ""), lookCall(w, "c", ""), lookCall(w, "c", core.ClassBackground)}
 	w.submit(waiting...)
 	refused := lookCall(w, "c", "")
 	w.submit(refused)
 	wantRetryAfter(t, wantEnd(t, refused, core.NotRun, core.CodeOverloaded))
 	wantOpen(t, waiting...)
-	w.first().admission.SetSlots(3)
+	w.first().admission.SetSlots("desk", 3)
 	w.run()
 	wantSent(t, w, 3)
 }
@@ -140,7 +140,7 @@
 // against places in the queue that are not freed.
 func TestQueuedCallsEndAsNotRun(t *testing.T) {
 	w := newWorld(1, 1, contractOf("c", core.Limits{}))
-	w.first().admission.SetSlots(0)
+	w.first().admission.SetSlots("desk", 0)
 	expired, cancelled := lookCall(w, "c", ""), newCall(w, "c", "book", "k", "")
 	ctx, cancel := context.WithCancel(context.Background())
 	cancelled.Context = ctx
@@ -157,11 +157,11 @@
 	wantOpen(t, expired)
 	w.advance(10 * time.Second)
 	wantEnd(t, expired, core.NotRun, core.CodeDeadline)
-	w.first().admission.SetSlots(1)
+	w.first().admission.SetSlots("desk", 1)
 	w.run()
 	wantSent(t, w, 0)
-	if a := w.first().admission; a.inFlight != 0 || a.queues.size != 0 || len(a.local) != 0 {
-		t.Errorf("%d calls in flight, %d queued and %d claims are left", a.inFlight, a.queues.size, len(a.local))
+	if a := w.first().admission; a.inFlight != 0 || a.services.size != 0 || len(a.local) != 0 {
+		t.Errorf("%d calls in flight, %d queued and %d claims are left", a.inFlight, a.services.size, len(a.local))
 	}
 }
 
@@ -191,17 +191,14 @@
 	w.submit(newCall(w, "c", "look", "", ""))
 	w.clock.Advance(2 * time.Second)
 	w.end(ranEnd("")) // a look takes 2 s
-	a.SetSlots(0)
-	rollout := modelCall(w, "c", 1)
-	rollout.Request.Class = core.ClassRollout
-	background := modelCall(w, "c", 1)
-	background.Request.Class = core.ClassBackground
-	slow, fast := lookCall(w, "c", ""), modelCall(w, "c", 1)
+	a.SetSlots("desk", 0)
+	rollout, background := listCall(w, "c", core.ClassRollout), listCall(w, "c", core.ClassBackground)
+	slow, fast := lookCall(w, "c", ""), listCall(w, "c", "")
 	w.submit(rollout, background, slow, fast)
 	w.advance(3 * time.Second)
-	late := modelCall(w, "c", 1)
+	late := listCall(w, "c", "")
 	w.submit(late)
-	a.SetSlots(1)
+	a.SetSlots("desk", 1)
 	w.run()
 	for i, want := range []*core.Call{fast, background, late, slow, rollout} {
 		if got := w.end(ranEnd("")); got != want {
@@ -217,11 +214,11 @@
 	heavy.Weight = 3
 	w := newWorld(1, 1, heavy, light)
 	a := w.first().admission
-	a.SetSlots(0)
+	a.SetSlots("desk", 0)
 	for range 200 {
 		w.submit(lookCall(w, "heavy", ""), lookCall(w, "light", ""))
 	}
-	a.SetSlots(80)
+	a.SetSlots("desk", 80)
 	w.run()
 	started := map[core.CustomerID]int{}
 	for _, c := range w.first().dispatch.calls {
@@ -235,11 +232,9 @@
 // Guards against long work that takes the slots that short work needs.
 func TestShortWorkKeepsSlots(t *testing.T) {
 	w := newWorld(1, 1, contractOf("c", core.Limits{}))
-	w.first().admission.SetSlots(16)
+	w.first().admission.SetSlots("desk", 16)
 	for range 32 {
-		c := modelCall(w, "c", 1)
-		c.Request.Class = core.ClassRollout
-		w.submit(c)
+		w.submit(listCall(w, "c", core.ClassRollout))
 	}
 	wantSent(t, w, 8)
 	for range 9 {
@@ -257,7 +252,7 @@
 	low, high := contractOf("low", core.Limits{Queue: maxQueued}), contractOf("high", core.Limits{Queue: maxQueued})
 	low.ShedRank, high.ShedRank = 1, 2
 	w := newWorld(1, 1, low, high)
-	w.first().admission.SetSlots(0)
+	w.first().admission.SetSlots("desk", 0)
 	calls := make([]*core.Call, maxQueued)
 	for i := range calls {
 		calls[i] = lookCall(w, "low", "")
@@ -271,7 +266,7 @@
 	wantOpen(t, calls[0])
 
 	last := lookCall(w, "high", core.ClassBackground)
-	for w.first().admission.customers["low"].waiting() > 0 {
+	for w.first().admission.services.byName["desk"].lanes["low"].waiting() > 0 {
 		w.submit(lookCall(w, "high", core.ClassBackground))
 	}
 	w.submit(last)
@@ -308,7 +303,7 @@
 	if !a.Ready() {
 		t.Error("daemon with contracts is not ready")
 	}
-	a.SetSlots(1)
+	a.SetSlots("desk", 1)
 	running, queued := newCall(w, "c", "book", "k", ""), lookCall(w, "c", "")
 	w.submit(running, queued)
 	a.Drain()
@@ -342,7 +337,7 @@
 func TestRequestState(t *testing.T) {
 	w := newWorld(1, 1, contractOf("c", core.Limits{}), contractOf("d", core.Limits{}))
 	a := w.first().admission
-	a.SetSlots(1)
+	a.SetSlots("desk", 1)
 	running, queued := lookCall(w, "c", ""), lookCall(w, "c", "")
 	w.submit(running, queued)
 	state := func(customer core.CustomerID, c *core.Call) string {
--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,16 +61,30 @@
 func (f submitFunc) Submit(c *core.Call) bool { return f(c) }
 
 // mix is a simulated day at one daemon on a manual clock: short work arrives at
-// random, and long work always waits.
+// random, and long work always waits. The plain service runs what it gets. The
+// engine runs as many calls as it has slots and pauses rollouts for short work.
 type mix struct {
 	clock    *duty.ManualClock
 	random   *rand.Rand
 	submit   core.Submitter
 	loop     *duty.Loop
+	engine   bool
 	latency  *hdrhistogram.Histogram // of short work, in microseconds
 	wait     *hdrhistogram.Histogram // of short work until it is handed on, in microseconds
 	arrived  map[*core.Call]time.Time
 	finished int
+	running  []*mixCall
+	used     time.Duration // slots times the time that they were in use
+	usedAt   time.Time
+}
+
+// mixCall is a call at the simulated servers.
+type mixCall struct {
+	call    *core.Call
+	long    bool
+	left    time.Duration
+	resumed time.Time
+	stop    func() bool // nil while paused
 }
 
 const (
@@ -78,23 +93,44 @@
 	mixLongTime  = 5 * time.Second
 	mixLongCalls = 64
 	mixShort     = 20000 // calls measured
+	mixQuiet     = time.Hour
 )
 
 // run returns the p99 of the latency and of the wait of short work in microseconds.
 func (m *mix) run(shortLoad float64, long bool) (latency, wait float64) {
-	m.latency = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
-	m.wait = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
-	m.arrived = map[*core.Call]time.Time{}
 	w := &world{clock: m.clock}
 	if long {
-		for range mixLongCalls {
-			m.startLong(w)
-		}
+		m.fill(w)
+	}
+	return m.short(w, shortLoad)
+}
+
+func (m *mix) fill(w *world) {
+	for range mixLongCalls {
+		m.startLong(w)
 	}
-	gap := float64(mixShortTime) / (shortLoad * mixSlots)
+}
+
+// quiet runs long work only and returns the share of the slots that it used.
+func (m *mix) quiet(d time.Duration) float64 {
+	m.count()
+	m.used = 0
+	for end := m.clock.Now().Add(d); m.clock.Now().Before(end); m.loop.Step() {
+		m.clock.Advance(tickPeriod)
+	}
+	m.count()
+	return float64(m.used) / float64(d) / mixSlots
+}
+
+func (m *mix) short(w *world, load float64) (latency, wait float64) {
+	gap := float64(mixShortTime) / (load * mixSlots)
 	for m.finished < mixShort {
 		m.clock.Advance(time.Duration(m.random.ExpFloat64() * gap))
 		c := lookCall(w, "c", core.ClassInteractive)
+		if m.engine {
+			c = modelCall(w, "c", 1)
+			c.Request.Class = core.ClassInteractive
+		}
 		m.arrived[c] = m.clock.Now()
 		m.submit.Submit(c)
 		m.loop.Step()
@@ -103,44 +139,90 @@
 }
 
 func (m *mix) startLong(w *world) {
-	c := modelCall(w, "c", 1)
-	c.Request.Class = core.ClassRollout
+	c := listCall(w, "c", core.ClassRollout)
+	if m.engine {
+		c = rolloutCall(w)
+	}
 	c.Request.Deadline = time.Time{}
 	c.OnEnd = func(*core.Call, core.End) { m.startLong(w) }
 	m.submit.Submit(c)
 	m.loop.Step()
 }
 
-// dispatch runs each call for its service time.
+// dispatch starts a call at the servers.
 func (m *mix) dispatch(c *core.Call) bool {
-	took := mixLongTime
-	if !c.Request.IsModelCall() {
-		took = time.Duration(m.random.ExpFloat64() * float64(mixShortTime))
-		_ = m.wait.RecordValue(m.clock.Now().Sub(m.arrived[c]).Microseconds())
+	at, short := m.arrived[c]
+	r := &mixCall{call: c, long: !short, left: mixLongTime}
+	if short {
+		r.left = time.Duration(m.random.ExpFloat64() * float64(mixShortTime))
+		_ = m.wait.RecordValue(m.clock.Now().Sub(at).Microseconds())
 	}
-	m.clock.AfterFunc(took, func() {
-		if at, short := m.arrived[c]; short {
-			_ = m.latency.RecordValue(m.clock.Now().Sub(at).Microseconds() + 1)
-			delete(m.arrived, c)
-			m.finished++
-		}
-		c.End(core.End{Verdict: core.Ran})
-		m.loop.Step()
-	})
+	m.count()
+	m.running = append(m.running, r)
+	m.schedule()
 	return true
 }
 
+// schedule runs short calls first, then long calls in order of arrival.
+func (m *mix) schedule() {
+	free := mixSlots
+	for _, long := range []bool{false, true} {
+		for _, r := range m.running {
+			if r.long != long {
+				continue
+			}
+			free--
+			switch run := free >= 0 || !m.engine; {
+			case run && r.stop == nil:
+				r.resumed = m.clock.Now()
+				r.stop = m.clock.AfterFunc(r.left, func() { m.finish(r) })
+			case !run && r.stop != nil:
+				r.stop()
+				r.stop = nil
+				r.left -= m.clock.Now().Sub(r.resumed)
+			}
+		}
+	}
+}
+
+func (m *mix) finish(r *mixCall) {
+	m.count()
+	m.running = slices.DeleteFunc(m.running, func(other *mixCall) bool { return other == r })
+	if at, short := m.arrived[r.call]; short {
+		_ = m.latency.RecordValue(m.clock.Now().Sub(at).Microseconds() + 1)
+		delete(m.arrived, r.call)
+		m.finished++
+	}
+	m.schedule()
+	r.call.End(core.End{Verdict: core.Ran})
+	m.loop.Step()
+}
+
+// count adds the use of slots since the last call.
+func (m *mix) count() {
+	now := m.clock.Now()
+	m.used += time.Duration(min(len(m.running), mixSlots)) * now.Sub(m.usedAt)
+	m.usedAt = now
+}
+
 func newMix() *mix {
-	return &mix{clock: duty.NewManualClock(testStart), random: rand.New(rand.NewPCG(benchSeed, 1))}
+	return &mix{
+		clock: duty.NewManualClock(testStart), random: rand.New(rand.NewPCG(benchSeed, 1)), usedAt: testStart,
+		latency: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3),
+		wait:    hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3),
+		arrived: map[*core.Call]time.Time{},
+	}
 }
 
-func admissionMix() *mix {
+func admissionMix(engine bool) *mix {
 	m := newMix()
+	m.engine = engine
 	w := newWorld(0, benchSeed, contractOf("c", core.Limits{}))
 	claims := NewClaims(m.clock, nil, m.random, "d")
 	a := NewAdmission(m.clock, submitFunc(m.dispatch), claims, rand.New(rand.NewPCG(benchSeed, 2)))
 	a.SetContracts(w.set)
-	a.SetSlots(mixSlots)
+	a.SetSlots("desk", mixSlots)
+	a.SetSlots("engine", mixSlots)
 	m.submit, m.loop = a, a.Loop()
 	m.loop.Step()
 	return m
@@ -158,17 +240,59 @@
 // from arrival to end, since short work alone does not wait at all. The target
 // for admission is at most 1.3.
 func BenchmarkShortBesideLong(b *testing.B) {
-	for _, load := range []float64{0.1, 0.25, 0.4} {
-		b.Run(fmt.Sprintf("load=%.0f%%", load*100), func(b *testing.B) {
+	forEachMix(b, func(b *testing.B, engine bool, load float64) {
+		alone, aloneWait := admissionMix(engine).run(load, false)
+		beside, besideWait := admissionMix(engine).run(load, true)
+		b.ReportMetric(aloneWait/1000, "alone-wait-p99-ms")
+		b.ReportMetric(besideWait/1000, "beside-wait-p99-ms")
+		b.ReportMetric(alone/1000, "alone-p99-ms")
+		b.ReportMetric(beside/alone, "ratio")
+		if !engine {
+			inFIFO, _ := fifoMix().run(load, true)
+			b.ReportMetric(inFIFO/alone, "fifo-ratio")
+		}
+	})
+}
+
+// BenchmarkShortAfterQuiet is the same after an hour of long work only, in which
+// the reserve has fallen to its floor.
+func BenchmarkShortAfterQuiet(b *testing.B) {
+	forEachMix(b, func(b *testing.B, engine bool, load float64) {
+		alone, _ := admissionMix(engine).run(load, false)
+		m := admissionMix(engine)
+		w := &world{clock: m.clock}
+		m.fill(w)
+		m.quiet(mixQuiet)
+		beside, _ := m.short(w, load)
+		b.ReportMetric(beside/alone, "ratio")
+	})
+}
+
+func forEachMix(b *testing.B, measure func(b *testing.B, engine bool, load float64)) {
+	for _, engine := range []bool{false, true} {
+		for _, load := range []float64{0.1, 0.25, 0.4} {
+			b.Run(fmt.Sprintf("engine=%v/load=%.0f%%", engine, load*100), func(b *testing.B) {
+				for range b.N {
+					measure(b, engine, load)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkOnlyLong measures the share of the slots that long work uses when
+// there is no other: in the first minute, in the first hour, and after it.
+func BenchmarkOnlyLong(b *testing.B) {
+	for _, engine := range []bool{false, true} {
+		b.Run(fmt.Sprintf("engine=%v", engine), func(b *testing.B) {
 			for range b.N {
-				alone, aloneWait := admissionMix().run(load, false)
-				beside, besideWait := admissionMix().run(load, true)
-				inFIFO, _ := fifoMix().run(load, true)
-				b.ReportMetric(aloneWait/1000, "alone-wait-p99-ms")
-				b.ReportMetric(besideWait/1000, "beside-wait-p99-ms")
-				b.ReportMetric(alone/1000, "alone-p99-ms")
-				b.ReportMetric(beside/alone, "ratio")
-				b.ReportMetric(inFIFO/alone, "fifo-ratio")
+				m := admissionMix(engine)
+				m.fill(&world{clock: m.clock})
+				first := m.quiet(time.Minute)
+				rest := m.quiet(mixQuiet - time.Minute)
+				b.ReportMetric(first, "first-minute")
+				b.ReportMetric((first+59*rest)/60, "first-hour")
+				b.ReportMetric(m.quiet(time.Minute), "after-an-hour")
 			}
 		})
 	}
--- a/internal/caller/claims_test.go
+++ b/internal/caller/claims_test.go
@@ -492,8 +492,8 @@
 		}
 	}
 	for _, d := range f.w.daemons {
-		if n := len(d.admission.local); n != 0 || d.admission.inFlight != 0 || d.admission.slots.running != 0 {
-			f.t.Errorf("%s keeps %d claims, %d calls and %d slots", d.id, n, d.admission.inFlight, d.admission.slots.running)
+		if n := len(d.admission.local); n != 0 || d.admission.inFlight != 0 || d.runningCalls() != 0 {
+			f.t.Errorf("%s keeps %d claims, %d calls and %d slots", d.id, n, d.admission.inFlight, d.runningCalls())
 		}
 	}
 }
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -29,15 +29,18 @@
 type entry struct {
 	call     *core.Call
 	customer *customerState
+	lane     *lane
 	phase    phase
 	ending   bool // admission has ended the call; its end is in the ring
 
-	place    time.Time // in the customer's queue
+	place    time.Time // in the lane
 	sequence uint64    // of arrival in the queues; first in, first out at equal places
-	index    int       // in the customer's heap
+	index    int       // in the lane's heap
 	cost     time.Duration
-	long     bool
-	reserved int // tokens
+	work     work
+	reserved int       // tokens
+	queued   time.Time // when it was put into the queue
+	heldBy   hold      // what kept it there at first
 	sent     time.Time
 
 	claim *localClaim
@@ -55,6 +58,13 @@
 	return e.place.Before(other.place)
 }
 
+// countRunning counts the call among those that hold a slot, or with -1 no longer.
+func (e *entry) countRunning(n int) {
+	e.customer.running += n
+	e.lane.running[e.work] += n
+	e.lane.service.slots.running[e.work] += n
+}
+
 func (e *entry) stopWatches() {
 	for _, stop := range e.stops {
 		stop()
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -141,6 +141,15 @@
 
 func (d *testDaemon) step() int { return d.admission.Loop().Step() + d.claims.Loop().Step() }
 
+// runningCalls counts the calls that hold a slot of any service.
+func (d *testDaemon) runningCalls() int {
+	n := 0
+	for _, s := range d.admission.services.order {
+		n += s.slots.running.total()
+	}
+	return n
+}
+
 // world is a set of daemons with one store and one clock.
 type world struct {
 	clock   *duty.ManualClock
@@ -206,7 +215,7 @@
 func contractOf(customer core.CustomerID, limits core.Limits) *core.Contract {
 	return &core.Contract{Customer: customer, Weight: 1, Limits: limits, Services: []core.Service{
 		{Name: "desk", Kind: core.KindPlain, Operations: []core.Operation{
-			{Name: "book"}, {Name: "look", Idempotent: true},
+			{Name: "book"}, {Name: "look", Idempotent: true}, {Name: "list", Idempotent: true},
 		}},
 		{Name: "engine", Kind: core.KindEngine, Models: []core.Model{{Name: "wear"}}},
 	}}
@@ -230,6 +239,13 @@
 	return c
 }
 
+// listCall is work of the plain service with a service time of its own.
+func listCall(w *world, customer core.CustomerID, class core.Class) *core.Call {
+	c := lookCall(w, customer, class)
+	c.Request.Operation = "list"
+	return c
+}
+
 func modelCall(w *world, customer core.CustomerID, maxTokens int) *core.Call {
 	c := newCall(w, customer, "", "", "")
 	c.Request.Service, c.Request.Model, c.Request.MaxTokens = "", "wear", maxTokens
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
@@ -10,10 +11,10 @@
 
 // Bounds and weights of the queues.
 const (
-	// defaultQueue bounds the calls of one customer and class that wait at a
-	// daemon when the contract sets no bound.
+	// defaultQueue bounds the calls of one customer, service and class that wait
+	// at a daemon when the contract sets no bound.
 	defaultQueue = 1024
-	// maxQueued bounds the waiting calls of all customers; above it the work
+	// maxQueued bounds the waiting calls of all services; above it the work
 	// with the lowest shed rank is refused.
 	maxQueued = 8192
 	// longWork is the expected service time from which work counts as long.
@@ -93,95 +94,147 @@
 	return last
 }
 
-// queues holds the waiting calls of all customers and shares slots between the
-// customers by deficit round robin.
-type queues struct {
-	active []*customerState // customers with waiting calls
-	cursor int
-	size   int
-	pushed uint64
-}
-
-func (q *queues) push(e *entry) {
-	c := e.customer
-	if c.waiting() == 0 {
-		q.active = append(q.active, c)
+// push adds a call to its lane.
+func (q *services) push(e *entry, now time.Time) {
+	l := e.lane
+	s := l.service
+	if l.waiting() == 0 {
+		s.active = append(s.active, l)
 	}
-	c.queued[e.call.Request.Class]++
+	l.queued[e.call.Request.Class]++
+	s.waiting[e.work]++
 	q.size++
 	q.pushed++
 	e.sequence = q.pushed
-	heap.Push(c.heapOf(e), e)
+	heap.Push(&l.heaps[e.work], e)
+	if !e.work.isLong() {
+		s.slots.demand(s.waiting.short(), now)
+	}
 }
 
-func (q *queues) remove(e *entry) {
-	c := e.customer
-	heap.Remove(c.heapOf(e), e.index)
-	c.queued[e.call.Request.Class]--
+func (q *services) remove(e *entry) {
+	l := e.lane
+	heap.Remove(&l.heaps[e.work], e.index)
+	l.queued[e.call.Request.Class]--
+	l.service.waiting[e.work]--
 	q.size--
-	if c.waiting() > 0 {
-		return
+	if l.waiting() == 0 {
+		l.deficit = 0
+		l.service.deactivate(l)
 	}
-	c.deficit = 0
-	for i, other := range q.active {
-		if other != c {
-			continue
-		}
-		q.active = append(q.active[:i], q.active[i+1:]...)
-		if i < q.cursor {
-			q.cursor--
-		}
-		break
+}
+
+func (s *service) deactivate(l *lane) {
+	i := slices.Index(s.active, l)
+	s.active = slices.Delete(s.active, i, i+1)
+	if i < s.cursor {
+		s.cursor--
 	}
 }
 
-// next removes and returns the call to start next, or nil when none may start.
-func (q *queues) next(allowLong bool, now time.Time) *entry {
+// next returns the service's call to start next, or nil when none may start.
+// Lanes share the slots by deficit round robin.
+func (s *service) next(now time.Time) *entry {
 	for {
 		rounds := math.MaxInt
-		for i := range q.active {
-			at := (q.cursor + i) % len(q.active)
-			c := q.active[at]
-			e := c.head(allowLong, now)
+		for i := range s.active {
+			at := (s.cursor + i) % len(s.active)
+			l := s.active[at]
+			e := l.head(now)
 			if e == nil {
 				continue
 			}
-			if c.deficit >= e.cost {
-				c.deficit -= e.cost
-				q.cursor = at
-				q.remove(e)
+			if l.deficit >= e.cost {
+				l.deficit -= e.cost
+				s.cursor = at
 				return e
 			}
-			rounds = min(rounds, c.roundsUntil(e.cost))
+			rounds = min(rounds, l.roundsUntil(e.cost))
 		}
 		if rounds == math.MaxInt {
 			return nil
 		}
-		q.addRounds(rounds, allowLong, now)
+		s.addRounds(rounds, now)
 	}
 }
 
-// addRounds gives each customer that may start work its share of several
-// rounds at once, which spares empty rounds when all waiting work is long.
-func (q *queues) addRounds(rounds int, allowLong bool, now time.Time) {
-	for _, c := range q.active {
-		if c.head(allowLong, now) != nil {
-			c.deficit += time.Duration(rounds) * c.quantum()
+// addRounds gives each lane that may start work its share of several rounds at
+// once, which spares empty rounds when all waiting work is long.
+func (s *service) addRounds(rounds int, now time.Time) {
+	for _, l := range s.active {
+		if l.head(now) != nil {
+			l.deficit += time.Duration(rounds) * l.customer.quantum()
 		}
 	}
 }
 
+func (l *lane) roundsUntil(cost time.Duration) int {
+	quantum := l.customer.quantum()
+	return int((cost - l.deficit + quantum - 1) / quantum)
+}
+
+// head returns the call of the lane that may start now, if there is one. While
+// the customer's concurrency is limited, its services take turns by the order
+// of their first calls, so that none of them keeps the others waiting.
+func (l *lane) head(now time.Time) *entry {
+	c := l.customer
+	if !c.limits.hasRoom(c.running, now) {
+		return nil
+	}
+	e := l.startable(now)
+	if e == nil || len(c.lanes) == 1 {
+		return e
+	}
+	if _, limited := c.limits.amount(LimitConcurrency, now); !limited {
+		return e
+	}
+	for _, other := range c.lanes {
+		if first := other.startable(now); first != nil && first.before(e) {
+			return nil
+		}
+	}
+	return e
+}
+
+// startable returns the first call for which the service has a slot.
+func (l *lane) startable(now time.Time) *entry {
+	var first *entry
+	for w := range workCount {
+		e := l.heaps[w].first()
+		if e == nil || first != nil && first.before(e) {
+			continue
+		}
+		if l.service.slots.allows(w, now) && (w != workRollout || l.rolloutRoom(now)) {
+			first = e
+		}
+	}
+	return first
+}
+
+// rolloutRoom reports whether the trainers' share has room for one more rollout.
+// One may always run, since a step without any would never end.
+func (l *lane) rolloutRoom(now time.Time) bool {
+	amount, limited := l.customer.limits.amount(LimitConcurrency, now)
+	if l.trainerShare == 0 || !limited {
+		return true
+	}
+	const rounding = 1e-9 // 0.29 times 100 is below 29 in floating point
+	return l.running[workRollout] < max(1, int(l.trainerShare*amount+rounding))
+}
+
 // shedBefore returns the waiting call that is shed before one with the given
 // rank and class, or nil. Among customers of the lowest rank it is the call of
-// the latest class.
-func (q *queues) shedBefore(rank int, class core.Class) *entry {
+// the latest class, in any service.
+func (q *services) shedBefore(rank int, class core.Class) *entry {
 	var victim *entry
-	for _, c := range q.active {
-		if c.shedRank > rank {
-			continue
-		}
-		if e := c.lastWaiting(); victim == nil || e.shedsBefore(victim) {
-			victim = e
+	for _, s := range q.order {
+		for _, l := range s.active {
+			if l.customer.shedRank > rank {
+				continue
+			}
+			if e := l.lastWaiting(); victim == nil || e.shedsBefore(victim) {
+				victim = e
+			}
 		}
 	}
 	if victim == nil {
@@ -200,85 +253,13 @@
 	return e.call.Request.Class.Rank() > other.call.Request.Class.Rank()
 }
 
-// customerState is what admission knows of one customer's work.
-type customerState struct {
-	limits    *limiter
-	weight    int
-	shedRank  int
-	queue     int // bound on waiting calls of each class
-	running   int
-	short     entryHeap
-	long      entryHeap
-	queued    map[core.Class]int
-	deficit   time.Duration
-	estimates map[workKey]time.Duration
-}
-
-func (c *customerState) heapOf(e *entry) *entryHeap {
-	if e.long {
-		return &c.long
-	}
-	return &c.short
-}
-
-func (c *customerState) waiting() int { return len(c.short) + len(c.long) }
-
-// head returns the call that goes next if the customer may start one.
-func (c *customerState) head(allowLong bool, now time.Time) *entry {
-	if !c.limits.hasRoom(c.running, now) {
-		return nil
-	}
-	short, long := c.short.first(), c.long.first()
-	if long == nil || !allowLong {
-		return short
-	}
-	if short == nil || long.before(short) {
-		return long
-	}
-	return short
-}
-
-func (c *customerState) lastWaiting() *entry {
-	if e := c.long.last(); e != nil {
-		return e
-	}
-	return c.short.last()
-}
-
-func (c *customerState) quantum() time.Duration { return quantum * time.Duration(max(1, c.weight)) }
-
-func (c *customerState) roundsUntil(cost time.Duration) int {
-	missing := cost - c.deficit
-	return int((missing + c.quantum() - 1) / c.quantum())
-}
-
-// workKey names work with a common service time.
-type workKey struct {
-	service string
-	work    string // operation or model
-}
-
-func keyOf(r *core.Request) workKey {
-	if r.IsModelCall() {
-		return workKey{r.Service, r.Model}
-	}
-	return workKey{r.Service, r.Operation}
-}
-
-// estimateWeight is the weight of the newest call in the mean service time.
-const estimateWeight = 0.2
-
-// estimate returns the expected service time; 0 without history.
-func (c *customerState) estimate(r *core.Request) time.Duration { return c.estimates[keyOf(r)] }
-
-// observe adds a finished call to the history. The contract names the services,
-// operations and models, which bounds the number of keys.
-func (c *customerState) observe(r *core.Request, took time.Duration) {
-	key := keyOf(r)
-	mean, known := c.estimates[key]
-	if !known {
-		c.estimates[key] = took
-		return
+// lastWaiting returns the call that is shed first: the last one of the latest
+// class, long work before short work.
+func (l *lane) lastWaiting() *entry {
+	for w := workCount - 1; w >= 0; w-- {
+		if e := l.heaps[w].last(); e != nil {
+			return e
+		}
 	}
-	c.estimates[key] = mean + time.Duration(estimateWeight*float64(took-mean))
+	return nil
 }
--- a/internal/caller/repeats.go
+++ b/internal/caller/repeats.go
@@ -35,6 +35,7 @@
 		err.RetryAfter = a.retryAfter(overloadRetryAfter)
 		a.end(e, err)
 	default:
+		e.trace(reasonRepeat)
 		claim.waiters = append(claim.waiters, e)
 		a.watch(e)
 	}
@@ -84,8 +85,9 @@
 	case r.outcome == claimWaiting:
 		// A call that waits for another daemon needs no slot.
 		claim.started = true
+		e.trace(reasonClaimFound)
 		e.phase = phaseElsewhere
-		a.giveSlot(e)
+		e.countRunning(-1)
 		a.pump()
 	case r.outcome == claimHeld:
 		a.held(e)
@@ -98,6 +100,7 @@
 // held goes on with a call whose claim is proven stored.
 func (a *Admission) held(e *entry) {
 	e.claim.held = true
+	e.trace(reasonClaimWritten)
 	if e.phase != phaseElsewhere {
 		a.send(e)
 		return
@@ -105,12 +108,16 @@
 	// The other daemon has proven that it ran nothing, and the slot was given back.
 	e.claim.started = false
 	e.phase = phaseQueued
-	a.queues.push(e)
+	e.queued = a.now()
+	a.services.push(e, e.queued)
 	a.pump()
 }
 
 // endFromStore ends a call whose key the store answers.
 func (a *Admission) endFromStore(e *entry, end core.End) {
+	if end.Verdict != core.NotRun {
+		e.trace(reasonClaimFound)
+	}
 	e.ending = true
 	e.claim.id = "" // nothing to settle: the stored claim belongs to another call
 	e.call.End(end)
