Accept sampling parameters of model servers' clients

temperature, top_p, seed, stop and the penalties go into core.Sampling and the fingerprint, with checks of their ranges. user, metadata, n: 1 and logprobs: false are accepted without effect; values that would change the shape of the answer are refused. stream_options.include_usage adds a chunk with the usage.

--- a/internal/caller/callerhttp/callerhttp.go
+++ b/internal/caller/callerhttp/callerhttp.go
@@ -84,35 +84,18 @@
 
 func (h *Handler) completions(ctx context.Context, c *app.RequestContext) {
 	var body CompletionRequest
-	request, failure := newRequest(c)
-	if failure == nil {
-		failure = readBody(c, &body, completionFields)
-	}
-	if failure == nil {
-		failure = checkModelCall(body.Model, body.MaxTokens, body.Priority)
-	}
+	request, failure := newModelRequest(c, &body, completionFields)
 	if failure != nil {
 		transport.WriteError(c, failure)
 		return
 	}
-	request.Model = body.Model
-	request.Adapter = body.Adapter
 	request.Prompt = body.Prompt
-	request.MaxTokens = body.MaxTokens
-	request.Priority = body.Priority
-	request.Stream = body.Stream
-	h.run(ctx, c, request, h.completionStyle.answer)
+	h.run(ctx, c, request, h.completionStyle.with(body.StreamOptions).answer)
 }
 
 func (h *Handler) chat(ctx context.Context, c *app.RequestContext) {
 	var body ChatRequest
-	request, failure := newRequest(c)
-	if failure == nil {
-		failure = readBody(c, &body, chatFields)
-	}
-	if failure == nil {
-		failure = checkModelCall(body.Model, body.MaxTokens, body.Priority)
-	}
+	request, failure := newModelRequest(c, &body, chatFields)
 	if failure == nil {
 		failure = checkMessages(body.Messages)
 	}
@@ -120,13 +103,8 @@
 		transport.WriteError(c, failure)
 		return
 	}
-	request.Model = body.Model
-	request.Adapter = body.Adapter
 	request.Prompt = chatPrompt(body.Messages)
-	request.MaxTokens = body.MaxTokens
-	request.Priority = body.Priority
-	request.Stream = body.Stream
-	h.run(ctx, c, request, h.chatStyle.answer)
+	h.run(ctx, c, request, h.chatStyle.with(body.StreamOptions).answer)
 }
 
 func (h *Handler) operation(ctx context.Context, c *app.RequestContext) {
--- a/internal/caller/callerhttp/checks.go
+++ b/internal/caller/callerhttp/checks.go
@@ -106,12 +106,57 @@
 
 // Fields of the bodies, as errors name them.
 const (
-	completionFields = "model, adapter, prompt, max_tokens, stream, priority"
-	chatFields       = "model, adapter, messages (role, content), max_tokens, stream, priority"
+	sharedFields     = "model, adapter, max_tokens, stream, stream_options (include_usage), priority, temperature, top_p, seed, stop, frequency_penalty, presence_penalty, n, logprobs, user, metadata"
+	completionFields = "prompt, " + sharedFields
+	chatFields       = "messages (role, content), " + sharedFields
 )
 
-// readBody decodes the JSON body into v, which has the given fields. Unknown fields are refused, since a
-// caller that sends one expects an effect that it would not get.
+// modelBody is the body of a completion or chat.
+type modelBody interface {
+	// common returns what both kinds have.
+	common() modelFields
+}
+
+// modelFields are the decoded fields that completions and chats share.
+type modelFields struct {
+	model     string
+	adapter   string
+	maxTokens int
+	stream    bool
+	priority  int
+	sampling  *SamplingFields
+}
+
+// newModelRequest reads a model call into body, which has the fields with the
+// given names.
+func newModelRequest(c *app.RequestContext, body modelBody, names string) (*core.Request, *core.Error) {
+	request, failure := newRequest(c)
+	if failure == nil {
+		failure = readBody(c, body, names)
+	}
+	if failure != nil {
+		return nil, failure
+	}
+	f := body.common()
+	if failure := checkModelCall(f.model, f.maxTokens, f.priority); failure != nil {
+		return nil, failure
+	}
+	sampling, failure := newSampling(f.sampling)
+	if failure != nil {
+		return nil, failure
+	}
+	request.Model = f.model
+	request.Adapter = f.adapter
+	request.MaxTokens = f.maxTokens
+	request.Priority = f.priority
+	request.Stream = f.stream
+	request.Sampling = sampling
+	return request, nil
+}
+
+// readBody decodes the JSON body into v, which has the given fields. Unknown
+// fields are refused, since a caller that sends one expects an effect that it
+// would not get.
 func readBody(c *app.RequestContext, v any, fields string) *core.Error {
 	body := c.Request.Body()
 	if failure := checkBodySize(body); failure != nil {
@@ -138,7 +183,7 @@
 func bodyError(err error, fields string) *core.Error {
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
-		return core.InvalidError(wrongType.Field, wrongType.Value, "a value of type "+wrongType.Type.String(), "has the wrong type")
+		return core.InvalidError(strings.TrimPrefix(wrongType.Field, "SamplingFields."), wrongType.Value, "a value of type "+wrongType.Type.String(), "has the wrong type")
 	}
 	if name, unknown := strings.CutPrefix(err.Error(), "json: unknown field "); unknown {
 		return core.InvalidError(strings.Trim(name, `"`), "", fields, "is not a field of this request")
--- a/internal/caller/callerhttp/messages.go
+++ b/internal/caller/callerhttp/messages.go
@@ -17,6 +17,27 @@
 	objectList       = "list"
 )
 
+// SamplingFields are the fields of completions and chats that clients of model
+// servers send beside the request itself.
+type SamplingFields struct {
+	Temperature      *float64       `json:"temperature,omitempty"`
+	TopP             *float64       `json:"top_p,omitempty"`
+	Seed             *int64         `json:"seed,omitempty"`
+	Stop             any            `json:"stop,omitempty"` // a string or a list of strings
+	FrequencyPenalty *float64       `json:"frequency_penalty,omitempty"`
+	PresencePenalty  *float64       `json:"presence_penalty,omitempty"`
+	N                *int           `json:"n,omitempty"`        // 1
+	Logprobs         any            `json:"logprobs,omitempty"` // false
+	StreamOptions    *StreamOptions `json:"stream_options,omitempty"`
+	User             any            `json:"user,omitempty"`     // accepted without effect
+	Metadata         any            `json:"metadata,omitempty"` // accepted without effect
+}
+
+// StreamOptions changes what a stream contains.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage,omitempty"` // a last chunk with the usage
+}
+
 // CompletionRequest is the body of POST /v1/completions.
 type CompletionRequest struct {
 	Model     string `json:"model"`
@@ -25,6 +46,11 @@
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream,omitempty"`
 	Priority  int    `json:"priority,omitempty"`
+	SamplingFields
+}
+
+func (r *CompletionRequest) common() modelFields {
+	return modelFields{r.Model, r.Adapter, r.MaxTokens, r.Stream, r.Priority, &r.SamplingFields}
 }
 
 // ChatRequest is the body of POST /v1/chat/completions.
@@ -35,6 +61,11 @@
 	MaxTokens int           `json:"max_tokens"`
 	Stream    bool          `json:"stream,omitempty"`
 	Priority  int           `json:"priority,omitempty"`
+	SamplingFields
+}
+
+func (r *ChatRequest) common() modelFields {
+	return modelFields{r.Model, r.Adapter, r.MaxTokens, r.Stream, r.Priority, &r.SamplingFields}
 }
 
 // ChatMessage is one message of a chat.
@@ -88,7 +119,7 @@
 	Content string `json:"content,omitempty"`
 }
 
-// CompletionUsage counts tokens.
+// CompletionUsage counts tokens. Engines do not report the tokens of the prompt.
 type CompletionUsage struct {
 	CompletionTokens int `json:"completion_tokens"`
 }
@@ -101,7 +132,8 @@
 	Model    string             `json:"model"`
 	Position int                `json:"position"` // of the first token in the answer
 	Version  core.Version       `json:"weight_version,omitempty"`
-	Choices  []CompletionChoice `json:"choices"`
+	Choices  []CompletionChoice `json:"choices"`         // empty in the chunk with the usage
+	Usage    *CompletionUsage   `json:"usage,omitempty"` // if the caller asked for it
 }
 
 // EndEvent is the data of the event "end", which closes a stream and carries its verdict.
@@ -145,6 +177,8 @@
 	chat        bool
 	// writeTimeout bounds one write to the caller.
 	writeTimeout time.Duration
+	// includeUsage adds a chunk with the usage to a stream.
+	includeUsage bool
 }
 
 var (
@@ -152,6 +186,12 @@
 	chatStyle       = style{object: objectChat, chunkObject: objectChatChunk, chat: true, writeTimeout: writeTimeout}
 )
 
+// with returns the style with the caller's options, which may be nil.
+func (s style) with(o *StreamOptions) style {
+	s.includeUsage = o != nil && o.IncludeUsage
+	return s
+}
+
 func (s style) choice(text, finishReason string) CompletionChoice {
 	if s.chat {
 		return CompletionChoice{Message: &ChatMessage{Role: "assistant", Content: text}, FinishReason: finishReason}
--- a/internal/caller/callerhttp/stream.go
+++ b/internal/caller/callerhttp/stream.go
@@ -140,15 +140,15 @@
 }
 
 func (s *eventStream) write(position int, version core.Version, choice CompletionChoice) error {
-	data, err := json.Marshal(StreamChunk{
-		ID:       string(s.call.Request.ID),
-		Object:   s.style.chunkObject,
-		Created:  s.created,
-		Model:    s.call.Request.Model,
-		Position: position,
-		Version:  version,
-		Choices:  []CompletionChoice{choice},
-	})
+	return s.writeChunk(StreamChunk{Position: position, Version: version, Choices: []CompletionChoice{choice}})
+}
+
+func (s *eventStream) writeChunk(chunk StreamChunk) error {
+	chunk.ID = string(s.call.Request.ID)
+	chunk.Object = s.style.chunkObject
+	chunk.Created = s.created
+	chunk.Model = s.call.Request.Model
+	data, err := json.Marshal(chunk)
 	if err != nil {
 		return err
 	}
@@ -159,6 +159,12 @@
 	if err := s.write(position, 0, s.style.delta("", end.FinishReason, s.first)); err != nil {
 		return
 	}
+	if s.style.includeUsage {
+		usage := &CompletionUsage{CompletionTokens: position}
+		if err := s.writeChunk(StreamChunk{Position: position, Choices: []CompletionChoice{}, Usage: usage}); err != nil {
+			return
+		}
+	}
 	data, _ := json.Marshal(EndEvent{Verdict: end.Verdict})
 	_ = s.event("end", data)
 	_ = s.event("", []byte("[DONE]"))
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -131,7 +131,7 @@
 		return true
 	case s.held(w) >= s.limit:
 		return false
-	case !w.isLong() || s.pausable && w == workRollout:
+	case !s.isReserveBound(w):
 		return true
 	default:
 		return s.heldForLong() < s.limit-s.reserve(now)
@@ -147,8 +147,13 @@
 	return s.running.sum(func(other work) bool { return other.rank() <= w.rank() })
 }
 
+// isReserveBound reports whether the reserve bounds work of this kind. On engines
+// it does not bound rollouts, because all other work pauses them.
+func (s *slots) isReserveBound(w work) bool {
+	return w.isLong() && (w != workRollout || !s.pausable)
+}
+
 // heldForLong returns the slots held by the long work that the reserve bounds.
-// On engines rollouts are not part of it, because all other work pauses them.
 func (s *slots) heldForLong() int {
-	return s.running.sum(func(w work) bool { return w.isLong() && !(s.pausable && w == workRollout) })
+	return s.running.sum(s.isReserveBound)
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,11 +61,29 @@
 	Body           []byte // for plain services
 	MaxTokens      int    // for engines
 	Stream         bool   // the caller takes the answer in pieces
+	Sampling       Sampling
 	// Fingerprint identifies the content of the request, whatever its ID, so
 	// that a request sent again is recognised.
 	Fingerprint uint64
 }
 
+// Sampling holds the parameters with which an engine chooses tokens. The engine's
+// own value holds for each one that is not set.
+type Sampling struct {
+	Temperature      *float64 `json:"temperature,omitempty"`       // 0 to 2
+	TopP             *float64 `json:"top_p,omitempty"`             // above 0, up to 1
+	Seed             *int64   `json:"seed,omitempty"`              // makes the choice repeatable where the engine can
+	Stop             []string `json:"stop,omitempty"`              // texts that end the answer
+	FrequencyPenalty *float64 `json:"frequency_penalty,omitempty"` // -2 to 2
+	PresencePenalty  *float64 `json:"presence_penalty,omitempty"`  // -2 to 2
+}
+
+// IsZero reports whether no parameter is set.
+func (s *Sampling) IsZero() bool {
+	return s.Temperature == nil && s.TopP == nil && s.Seed == nil && len(s.Stop) == 0 &&
+		s.FrequencyPenalty == nil && s.PresencePenalty == nil
+}
+
 // IsModelCall reports whether the request goes to an engine.
 func (r *Request) IsModelCall() bool { return r.Operation == "" }
 
@@ -73,12 +92,20 @@
 func (r *Request) ComputeFingerprint() uint64 {
 	h := xxhash.New()
 	var length [8]byte
-	for _, part := range []string{string(r.Customer), r.Service, r.Operation, r.Model, r.Adapter, r.Prompt, string(r.Body)} {
+	write := func(part string) {
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = h.Write(length[:])
 		_, _ = h.WriteString(part)
 	}
+	for _, part := range []string{string(r.Customer), r.Service, r.Operation, r.Model, r.Adapter, r.Prompt, string(r.Body)} {
+		write(part)
+	}
 	binary.LittleEndian.PutUint64(length[:], uint64(r.MaxTokens))
 	_, _ = h.Write(length[:])
+	if !r.Sampling.IsZero() {
+		// Finite numbers and strings always encode, in a fixed order of fields.
+		encoded, _ := json.Marshal(&r.Sampling)
+		write(string(encoded))
+	}
 	return h.Sum64()
 }
