--- a/internal/caller/contract.go
+++ b/internal/caller/contract.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -21,7 +22,7 @@
 	if model == nil {
 		return core.InvalidError("model", r.Model, strings.Join(modelNames(contract), ", "), "the contract names no such model")
 	}
-	if r.Adapter != "" && !containsString(model.Adapters, r.Adapter) {
+	if r.Adapter != "" && !slices.Contains(model.Adapters, r.Adapter) {
 		return core.InvalidError("adapter", r.Adapter, strings.Join(model.Adapters, ", "), "the contract names no such adapter")
 	}
 	r.Service = service.Name
@@ -101,12 +102,3 @@
 	}
 	return names
 }
-
-func containsString(list []string, s string) bool {
-	for _, item := range list {
-		if item == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -83,10 +83,10 @@
 	return h[0]
 }
 
-// last returns the entry that would be served last.
+// last returns the entry that would be served last, which is one of the leaves.
 func (h entryHeap) last() *entry {
 	var last *entry
-	for _, e := range h {
+	for _, e := range h[len(h)/2:] {
 		if last == nil || last.before(e) {
 			last = e
 		}
@@ -226,40 +226,36 @@
 // rank and class, or nil. Among customers of the lowest rank it is the call of
 // the latest class, in any service.
 func (q *services) shedBefore(rank int, class core.Class) *entry {
-	var victim *entry
+	var victim *lane
 	for _, s := range q.order {
 		for _, l := range s.active {
-			if l.customer.shedRank > rank {
-				continue
-			}
-			if e := l.lastWaiting(); victim == nil || e.shedsBefore(victim) {
-				victim = e
+			if l.customer.shedRank <= rank && (victim == nil || l.shedsBefore(victim)) {
+				victim = l
 			}
 		}
 	}
 	if victim == nil {
 		return nil
 	}
-	if victim.customer.shedRank < rank || victim.call.Request.Class.Rank() > class.Rank() {
-		return victim
+	if victim.customer.shedRank < rank || victim.latest().rank() > class.Rank() {
+		return victim.heaps[victim.latest()].last()
 	}
 	return nil
 }
 
-func (e *entry) shedsBefore(other *entry) bool {
-	if e.customer.shedRank != other.customer.shedRank {
-		return e.customer.shedRank < other.customer.shedRank
+func (l *lane) shedsBefore(other *lane) bool {
+	if l.customer.shedRank != other.customer.shedRank {
+		return l.customer.shedRank < other.customer.shedRank
 	}
-	return e.call.Request.Class.Rank() > other.call.Request.Class.Rank()
+	return l.latest().rank() > other.latest().rank()
 }
 
-// lastWaiting returns the call that is shed first: the last one of the latest
-// class, long work before short work.
-func (l *lane) lastWaiting() *entry {
-	for w := workCount - 1; w >= 0; w-- {
-		if e := l.heaps[w].last(); e != nil {
-			return e
-		}
+// latest returns the kind of the lane's waiting work that is shed first: of the
+// latest class, long work before short work. The lane must have waiting calls.
+func (l *lane) latest() work {
+	w := workCount - 1
+	for w > 0 && len(l.heaps[w]) == 0 {
+		w--
 	}
-	return nil
+	return w
 }
--- a/internal/caller/repeats.go
+++ b/internal/caller/repeats.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"slices"
+
 	"github.com/google/uuid"
 
 	"github.com/berylfall/berylfall/internal/core"
@@ -210,10 +212,7 @@
 }
 
 func (c *localClaim) removeWaiter(e *entry) {
-	for i, w := range c.waiters {
-		if w == e {
-			c.waiters = append(c.waiters[:i], c.waiters[i+1:]...)
-			return
-		}
+	if i := slices.Index(c.waiters, e); i >= 0 {
+		c.waiters = slices.Delete(c.waiters, i, i+1)
 	}
 }
