--- a/internal/caller/calls.go
+++ b/internal/caller/calls.go
@@ -25,7 +25,7 @@
 	}
 	a.pump()
 	if e.phase == phaseQueued && !e.ending {
-		e.heldBy = e.lane.heldBy(e.work, a.now())
+		e.noteHold(a.now())
 		a.watch(e)
 	}
 }
--- a/internal/caller/repeats.go
+++ b/internal/caller/repeats.go
@@ -112,6 +112,7 @@
 	e.phase = phaseQueued
 	e.queued = a.now()
 	a.services.push(e, e.queued)
+	e.noteHold(e.queued)
 	a.pump()
 }
 
@@ -208,6 +209,7 @@
 		a.end(e, err)
 		return
 	}
+	e.noteHold(e.queued)
 	a.watch(e)
 }
 
--- a/internal/caller/trace.go
+++ b/internal/caller/trace.go
@@ -39,15 +39,18 @@
 	}
 }
 
-// traceQueued notes the time in the queue of a call that had to wait.
+// traceQueued notes what kept the call in the queue, and for how long.
 func (e *entry) traceQueued(now time.Time) {
-	if e.heldBy == "" {
-		return
+	waited := now.Sub(e.queued).Round(time.Millisecond)
+	if e.heldBy != "" && waited > 0 {
+		e.traceLine(fmt.Sprintf("admission: queued %v, held by %s", waited, e.heldBy))
 	}
-	e.traceLine(fmt.Sprintf("admission: queued %v, held by %s", now.Sub(e.queued).Round(time.Millisecond), e.heldBy))
 	e.heldBy = ""
 }
 
+// noteHold remembers what keeps the call in the queue.
+func (e *entry) noteHold(now time.Time) { e.heldBy = e.lane.heldBy(e.work, now) }
+
 // heldBy returns the limit that keeps work of the lane waiting.
 func (l *lane) heldBy(w work, now time.Time) hold {
 	c := l.customer
