Find the lane of a call again when it is queued

A repeat that waited for an earlier call while its contract was removed was put into a forgotten service and never sent. Lanes of services that a contract no longer names are dropped.

--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -264,6 +264,9 @@
 	wantOpen(t, taken)
 	wantRetryAfter(t, wantEnd(t, calls[len(calls)-1], core.NotRun, core.CodeOverloaded))
 	wantOpen(t, calls[0])
+	if got := calls[len(calls)-1].Trace; len(got) != 1 || got[0] != string(reasonShed) {
+		t.Errorf("trace of the call that was shed is %q", got)
+	}
 
 	last := lookCall(w, "high", core.ClassBackground)
 	for w.first().admission.services.byName["desk"].lanes["low"].waiting() > 0 {
--- a/internal/caller/calls.go
+++ b/internal/caller/calls.go
@@ -74,7 +74,6 @@
 			previous(call, end)
 		}
 	}
-	e.lane = a.laneOf(r, e.customer)
 	a.inFlight++
 	if a.active[keyOfRequest(r)] == nil {
 		a.active[keyOfRequest(r)] = e
@@ -104,6 +103,8 @@
 	if !r.Repeatable {
 		a.claimLocally(e)
 	}
+	// A lane can be forgotten while none of its calls waits for a slot or has one.
+	e.lane = a.laneOf(r, c)
 	if e.lane.queued[r.Class] >= c.queue {
 		return a.overloaded("customer %q has %d %s requests waiting for service %q, its bound", r.Customer, c.queue, r.Class, r.Service)
 	}
--- a/internal/caller/claims_test.go
+++ b/internal/caller/claims_test.go
@@ -263,6 +263,27 @@
 	}
 }
 
+// Guards against a repeat that is never sent because its service was forgotten
+// with the contract while it waited for the first call.
+func TestRepeatOutlivesItsContract(t *testing.T) {
+	for daemon := range 2 {
+		b := &booking{t: t, w: newWorld(2, 1, contractOf("c", core.Limits{}))}
+		first, repeat := b.at(0), b.at(daemon)
+		for _, d := range b.w.daemons {
+			d.admission.SetContracts(&core.ContractSet{})
+		}
+		b.w.run()
+		b.finish(0, notRunEnd)
+		wantEnd(t, first, core.NotRun, core.CodeBroken)
+		b.w.advance(4 * time.Second)
+		b.finish(daemon, ranEnd("booked"))
+		wantEnd(t, repeat, core.Ran, "")
+		if n := b.w.daemons[daemon].runningCalls(); n != 0 {
+			t.Errorf("daemon %d keeps %d slots", daemon, n)
+		}
+	}
+}
+
 // Guards against claims that are dropped for space or too early, and against
 // buckets above the limit of the object API.
 func TestClaimSetBounds(t *testing.T) {
--- a/internal/caller/repeats.go
+++ b/internal/caller/repeats.go
@@ -111,6 +111,7 @@
 	e.claim.started = false
 	e.phase = phaseQueued
 	e.queued = a.now()
+	e.lane = a.laneOf(e.call.Request, e.customer)
 	a.services.push(e, e.queued)
 	e.noteHold(e.queued)
 	a.pump()
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -56,10 +56,13 @@
 // idle reports whether the service has neither waiting nor running calls.
 func (s *service) idle() bool { return len(s.active) == 0 && s.slots.running.total() == 0 }
 
-// dropIdleLanes forgets the lanes of customers without a contract.
+// dropIdleLanes forgets the lanes without calls of customers whose contract does
+// not name the service.
 func (s *service) dropIdleLanes(contracts *core.ContractSet) {
 	for id, l := range s.lanes {
-		if contracts.Lookup(id) == nil && l.running.total() == 0 && l.waiting() == 0 {
+		contract := contracts.Lookup(id)
+		inUse := contract != nil && contract.Service(s.name) != nil
+		if !inUse && l.running.total() == 0 && l.waiting() == 0 {
 			delete(s.lanes, id)
 			l.customer.dropLane(l)
 		}
--- a/internal/caller/slots_test.go
+++ b/internal/caller/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -90,9 +91,19 @@
 	wantSent(t, w, 1)
 	for i := range 5 {
 		renamed := *contract
-		renamed.Services = []core.Service{{Name: fmt.Sprint("new-", i), Kind: core.KindPlain}}
+		renamed.Services = []core.Service{{Name: fmt.Sprint("new-", i), Kind: core.KindPlain, Operations: contract.Services[0].Operations}}
 		a.SetContracts(&core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{"c": {Customer: "c", Contract: &renamed}}})
 		w.run()
+		c := lookCall(w, "c", "")
+		c.Request.Service = renamed.Services[0].Name
+		w.submit(c)
+		d := w.first().dispatch
+		d.calls = slices.DeleteFunc(d.calls, func(sent *core.Call) bool { return sent == c })
+		c.End(ranEnd(""))
+		w.run()
+	}
+	if n := len(a.customers["c"].lanes); n != 2 {
+		t.Errorf("the customer keeps %d lanes, want those of the running and of the newest service", n)
 	}
 	if n := len(a.services.byName); n > maxUnnamedServices+1 {
 		t.Fatalf("%d services are kept after changes of the contract, want at most %d", n, maxUnnamedServices+1)
@@ -211,6 +222,14 @@
 			t.Errorf("trace of %s is %q, want %q", c.call.Request.ID, got, c.want)
 		}
 	}
+	second := newWorld(2, 1, contractOf("c", core.Limits{}))
+	second.submit(newCall(second, "c", "book", "k", ""))
+	elsewhere := newCall(second, "c", "book", "k", "")
+	second.daemons[1].admission.Submit(elsewhere)
+	second.run()
+	if len(elsewhere.Trace) != 1 || elsewhere.Trace[0] != string(reasonClaimFound) {
+		t.Errorf("trace of a repeat at another daemon is %q", elsewhere.Trace)
+	}
 	e := &entry{call: direct}
 	for range 2 * maxTrace {
 		e.trace(reasonRepeat)
