--- a/internal/caller/customer.go
+++ b/internal/caller/customer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,6 +37,7 @@
 	if c.queue == 0 {
 		c.queue = defaultQueue
 	}
+	maps.DeleteFunc(c.estimates, func(key workKey, _ time.Duration) bool { return contract.Service(key.service) == nil })
 	for _, l := range c.lanes {
 		l.trainerShare = trainerShare(contract, l.service.name)
 	}
@@ -68,8 +70,8 @@
 // estimate returns the expected service time; 0 without history.
 func (c *customerState) estimate(r *core.Request) time.Duration { return c.estimates[keyOf(r)] }
 
-// observe adds a finished call to the history. The contract names the services,
-// operations and models, which bounds the number of keys.
+// observe adds a finished call to the history. The contract in force names the
+// services, operations and models, which bounds the number of keys.
 func (c *customerState) observe(r *core.Request, took time.Duration) {
 	key := keyOf(r)
 	mean, known := c.estimates[key]
