--- a/internal/caller/repeats.go
+++ b/internal/caller/repeats.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"slices"
+
 	"github.com/google/uuid"
 
 	"github.com/berylfall/berylfall/internal/core"
@@ -35,6 +37,7 @@
 		err.RetryAfter = a.retryAfter(overloadRetryAfter)
 		a.end(e, err)
 	default:
+		e.trace(reasonRepeat)
 		claim.waiters = append(claim.waiters, e)
 		a.watch(e)
 	}
@@ -84,8 +87,9 @@
 	case r.outcome == claimWaiting:
 		// A call that waits for another daemon needs no slot.
 		claim.started = true
+		e.trace(reasonClaimFound)
 		e.phase = phaseElsewhere
-		a.giveSlot(e)
+		e.countRunning(-1)
 		a.pump()
 	case r.outcome == claimHeld:
 		a.held(e)
@@ -98,6 +102,7 @@
 // held goes on with a call whose claim is proven stored.
 func (a *Admission) held(e *entry) {
 	e.claim.held = true
+	e.trace(reasonClaimWritten)
 	if e.phase != phaseElsewhere {
 		a.send(e)
 		return
@@ -105,12 +110,18 @@
 	// The other daemon has proven that it ran nothing, and the slot was given back.
 	e.claim.started = false
 	e.phase = phaseQueued
-	a.queues.push(e)
+	e.queued = a.now()
+	e.lane = a.laneOf(e.call.Request, e.customer)
+	a.services.push(e, e.queued)
+	e.noteHold(e.queued)
 	a.pump()
 }
 
 // endFromStore ends a call whose key the store answers.
 func (a *Admission) endFromStore(e *entry, end core.End) {
+	if end.Verdict != core.NotRun {
+		e.trace(reasonClaimFound)
+	}
 	e.ending = true
 	e.claim.id = "" // nothing to settle: the stored claim belongs to another call
 	e.call.End(end)
@@ -199,14 +210,12 @@
 		a.end(e, err)
 		return
 	}
+	e.noteHold(e.queued)
 	a.watch(e)
 }
 
 func (c *localClaim) removeWaiter(e *entry) {
-	for i, w := range c.waiters {
-		if w == e {
-			c.waiters = append(c.waiters[:i], c.waiters[i+1:]...)
-			return
-		}
+	if i := slices.Index(c.waiters, e); i >= 0 {
+		c.waiters = slices.Delete(c.waiters, i, i+1)
 	}
 }
