Start duties after every part is built; pass slots to admission

Cause: callbacks between duties were set while some of them ran, and admission did not know the servers' slots. Change: duties start in one step before the listeners; dispatch tells admission the slots of each service, split by twice the even part of a daemon.

--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/backend"
@@ -36,8 +37,11 @@
 	status         *operator.Status
 	metrics        *settings.Metrics
 
+	access      listenerAccess
+	loops       []*duty.Loop
 	incarnation daemon.Incarnation
 	identity    daemon.Identity
+	liveDaemons atomic.Int64 // of this data centre, this one included
 	// onWatching is told whether this daemon is one of those of its data
 	// centre that watch the store.
 	onWatching []func(active bool)
@@ -54,6 +58,8 @@
 		{"caller", b.buildCaller},
 		{"trainer", b.buildTrainer},
 		{"daemon", b.buildDaemon},
+		{"access", b.buildAccess},
+		{"duties", b.startDuties},
 		{"listeners", b.buildListeners},
 	}
 	for _, step := range steps {
@@ -64,9 +70,16 @@
 	return nil
 }
 
-// start runs the duties, in the order given.
+// start has the duties run once every part of the daemon has been built, in the
+// order of the calls. It never fails; the result spares the callers a line.
 func (b *builder) start(loops ...*duty.Loop) error {
-	for _, loop := range loops {
+	b.loops = append(b.loops, loops...)
+	return nil
+}
+
+// startDuties runs the duties after all callbacks between them have been set.
+func (b *builder) startDuties() error {
+	for _, loop := range b.loops {
 		if err := b.server.runner.Start(loop); err != nil {
 			return err
 		}
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -26,10 +26,26 @@
 		return err
 	}
 	b.dispatch = backend.NewDispatch(b.clock, b.random(), client, exchanges)
+	b.dispatch.SetSlots(b.setSlots)
 	poller := backend.NewPoller(b.clock, hostSource{b.platformClient}, client, probes, b.reportServers(b.dispatch.SetServers))
 	return b.start(b.dispatch.Loop(), poller.Loop())
 }
 
+// slotShare lets a daemon have more than its even part of the servers' slots,
+// since load balancers do not spread calls evenly. Engines queue what is too
+// much by priority.
+const slotShare = 2
+
+// setSlots gives admission this daemon's part of the slots of each service.
+func (b *builder) setSlots(services []backend.ServiceSlots) {
+	daemons := int(max(1, b.liveDaemons.Load()))
+	for _, s := range services {
+		if s.Total > 0 {
+			b.admission.SetSlots(s.Service, min(s.Total, (slotShare*s.Total+daemons-1)/daemons))
+		}
+	}
+}
+
 // hostSource reads the backend servers from the platform's host list.
 type hostSource struct {
 	list platform.HostList
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -29,6 +29,7 @@
 	b.config.Connect(peers, watching(b.onWatching))
 	peers.OnMembers(b.config.SetMembers)
 	peers.OnMembers(b.reportDead)
+	peers.OnMembers(func(v *daemon.MembersView) { b.liveDaemons.Store(int64(len(v.Live()))) })
 	peers.OnMessage(b.config.Receive)
 	hosts := daemon.NewHosts(b.clock, daemonHosts{b.platformClient}, b.storePool, peers.SetHosts)
 	peers.OnMembers(hosts.SetMembers)
--- a/internal/server/build_listeners.go
+++ b/internal/server/build_listeners.go
@@ -19,56 +19,56 @@
 	authenticator transport.Authenticator // nil lets every client act as an operator
 }
 
-// buildListeners opens the listeners last, so that no request meets a daemon
-// that is half built.
-func (b *builder) buildListeners() error {
-	access, err := b.buildAccess()
-	if err != nil {
-		return err
-	}
+// buildAccess makes the gate before admission, reads the files of tokens and
+// certificates, and makes the duty that reads them again when they change.
+func (b *builder) buildAccess() error {
 	gate := operator.NewGate(b.clock, b.settings.DrainGrace, b.admission, b.status.AddEnd)
 	b.status.UseDrain(gate.State)
 	b.server.gate, b.server.admission = gate, b.admission
 	if err := b.start(b.status.Loop()); err != nil {
 		return err
 	}
-	if err := b.listenForCallers(access, gate); err != nil {
+	sources := b.accessFiles()
+	if len(sources) == 0 {
+		return nil
+	}
+	for _, source := range sources {
+		if err := source.Reload(); err != nil {
+			return err
+		}
+	}
+	pool, err := b.pool("files", len(sources))
+	if err != nil {
 		return err
 	}
-	return b.listenForOperators(access, gate)
+	files := settings.NewFiles(b.clock, b.server.log.WithField("duty", "files"), pool, sources)
+	return b.start(files.Loop())
 }
 
-// buildAccess reads the files of tokens and certificates and starts the duty
-// that reads them again when they change.
-func (b *builder) buildAccess() (listenerAccess, error) {
-	var access listenerAccess
+func (b *builder) accessFiles() map[string]settings.Reloader {
 	sources := map[string]settings.Reloader{}
 	if b.settings.TokenFile != "" {
 		tokens := settings.NewTokens(b.settings.TokenFile, b.clock.Now)
 		sources[b.settings.TokenFile] = tokens
-		access.authenticator = tokens
+		b.access.authenticator = tokens
 	} else {
 		b.warnWithoutTokens()
 	}
 	if b.settings.TLSCertificate != "" {
 		certificate := settings.NewCertificate(b.settings.TLSCertificate, b.settings.TLSKey)
 		sources[b.settings.TLSCertificate] = certificate
-		access.tls = certificate.ServerConfig()
+		b.access.tls = certificate.ServerConfig()
 	}
-	if len(sources) == 0 {
-		return access, nil
-	}
-	for _, source := range sources {
-		if err := source.Reload(); err != nil {
-			return access, err
-		}
-	}
-	pool, err := b.pool("files", len(sources))
-	if err != nil {
-		return access, err
+	return sources
+}
+
+// buildListeners opens the listeners last, so that no request meets a daemon
+// that is half built.
+func (b *builder) buildListeners() error {
+	if err := b.listenForCallers(); err != nil {
+		return err
 	}
-	files := settings.NewFiles(b.clock, b.server.log.WithField("duty", "files"), pool, sources)
-	return access, b.start(files.Loop())
+	return b.listenForOperators()
 }
 
 func (b *builder) warnWithoutTokens() {
@@ -80,9 +80,9 @@
 	}
 }
 
-func (b *builder) listenForCallers(access listenerAccess, gate *operator.Gate) error {
+func (b *builder) listenForCallers() error {
 	listener, err := transport.Listen(b.settings.CallerAddress, transport.ServerOptions{
-		TLS: access.tls, MaxBody: b.settings.CallerMaxBody, StreamBody: true,
+		TLS: b.access.tls, MaxBody: b.settings.CallerMaxBody, StreamBody: true,
 	})
 	if err != nil {
 		return err
@@ -90,21 +90,21 @@
 	b.server.callers = listener
 	router := listener.Router()
 	router.Use(
-		transport.Authenticate(access.authenticator),
+		transport.Authenticate(b.access.authenticator),
 		transport.LimitBody(b.settings.CallerMaxBody),
 	)
-	if access.authenticator != nil {
+	if b.access.authenticator != nil {
 		router.Use(transport.OwnCustomer())
 	}
-	callerhttp.NewHandler(front{Gate: gate, admission: b.admission}).Register(router)
+	callerhttp.NewHandler(front{Gate: b.server.gate, admission: b.admission}).Register(router)
 	trainerhttp.NewHandler(b.trainers).Register(router)
 	router.NoRoute(transport.NoRoute)
 	return b.server.runner.Serve("callers", listener.Serve, listener.Shutdown)
 }
 
-func (b *builder) listenForOperators(access listenerAccess, gate *operator.Gate) error {
+func (b *builder) listenForOperators() error {
 	listener, err := transport.Listen(b.settings.OperatorAddress, transport.ServerOptions{
-		TLS: access.tls, MaxBody: b.settings.OperatorMaxBody, StreamBody: true,
+		TLS: b.access.tls, MaxBody: b.settings.OperatorMaxBody, StreamBody: true,
 	})
 	if err != nil {
 		return err
@@ -112,10 +112,10 @@
 	b.server.operator = listener
 	router := listener.Router()
 	router.Use(
-		transport.Authenticate(access.authenticator, operatorhttp.PathReady),
+		transport.Authenticate(b.access.authenticator, operatorhttp.PathReady),
 		transport.LimitBody(b.settings.OperatorMaxBody),
 	)
 	contracts := operator.NewContracts(b.store, time.Now, b.server.log.WithField("peer", "operator"))
-	operatorhttp.NewHandler(contracts, b.status, gate, b.metrics).Register(router)
+	operatorhttp.NewHandler(contracts, b.status, b.server.gate, b.metrics).Register(router)
 	return b.server.runner.Serve("operators", listener.Serve, listener.Shutdown)
 }
