--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -1,13 +1,138 @@
 package server
 
 import (
+	"context"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/daemon"
+	"github.com/berylfall/berylfall/internal/daemon/daemonrpc"
 	"github.com/berylfall/berylfall/internal/platform"
 )
 
+// linkWorkers bounds the links: a data centre's mesh, the gateways of all
+// others, and as many again while connections are replaced.
+const linkWorkers = 256 * daemonrpc.WorkersPerLink
+
 func (b *builder) buildDaemon() error {
+	peers, err := b.buildPeers()
+	if err != nil {
+		return err
+	}
+	shares := b.buildShares(peers)
 	log := b.server.log.WithField("duty", "config")
-	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts)
-	watcher := platform.NewWatcher(b.clock, b.platformClient, b.storePool, daemon.ContractPrefix, b.config.Deliver)
-	return b.start(b.config.Loop(), watcher.Loop())
+	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts, shares.SetContracts)
+	watcher := platform.NewWatcher(b.clock, b.platformClient, b.storePool, daemon.ContractPrefix, b.config.Deliver,
+		platform.WatcherOptions{Budget: b.budget, Inactive: true, Random: b.random()})
+	b.onWatching = append(b.onWatching, watcher.SetActive)
+	b.config.Connect(peers, watching(b.onWatching))
+	peers.OnMembers(b.config.SetMembers)
+	peers.OnMembers(b.reportDead)
+	peers.OnMembers(func(v *daemon.MembersView) { b.liveDaemons.Store(int64(len(v.Live()))) })
+	peers.OnMessage(b.config.Receive)
+	hosts := daemon.NewHosts(b.clock, daemonHosts{b.platformClient}, b.storePool, peers.SetHosts)
+	peers.OnMembers(hosts.SetMembers)
+	b.server.leave = peers.Leave
+	return b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), peers.Loop(), hosts.Loop())
+}
+
+func (b *builder) buildPeers() (*daemon.Peers, error) {
+	pool, err := b.pool("links", linkWorkers)
+	if err != nil {
+		return nil, err
+	}
+	links, err := daemonrpc.Listen(daemonrpc.Options{Address: b.settings.PeerAddress, Pool: pool})
+	if err != nil {
+		return nil, err
+	}
+	b.server.peerAddress = links.Address()
+	b.identity = daemon.Identity{
+		Name:        b.settings.Name,
+		DataCentre:  b.settings.DataCentre,
+		Address:     links.Address(),
+		Incarnation: b.incarnation,
+	}
+	peers := daemon.NewPeers(daemon.PeersOptions{
+		Self:       b.identity,
+		Peers:      b.settings.Peers,
+		AwaitHosts: true,
+		Clock:      b.clock,
+		Random:     b.random(),
+		Links:      links,
+		Log:        b.server.log.WithField("duty", "peers"),
+	})
+	links.Start(peers.Deliver)
+	return peers, b.server.runner.Serve("daemons", links.Serve, links.Shutdown)
+}
+
+// buildShares joins the shares duty to admission, the store and the lease of
+// the shares owner.
+func (b *builder) buildShares(peers *daemon.Peers) *daemon.Shares {
+	log := b.server.log.WithField("duty", "shares")
+	shares := daemon.NewShares(b.identity, b.clock, log, peers, b.store, b.setShare)
+	owner := &candidacy{
+		lessor: b.lessor,
+		name:   "shares/" + b.settings.DataCentre,
+		listener: func(e platform.LeaseEvent) {
+			if e.Kind == platform.LeaseGained || e.Kind == platform.LeaseRenewed {
+				shares.SetLease(daemon.OwnerLease{Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline})
+			}
+		},
+	}
+	b.onWatching = append(b.onWatching, owner.setActive)
+	peers.OnMembers(shares.SetMembers)
+	peers.OnMessage(shares.Receive)
+	return shares
+}
+
+// limitOf names admission's limits as the daemons name them to each other.
+var limitOf = map[daemon.Limit]caller.Limit{
+	daemon.LimitRequests:    caller.LimitRequests,
+	daemon.LimitTokens:      caller.LimitTokens,
+	daemon.LimitConcurrency: caller.LimitConcurrency,
+}
+
+func (b *builder) setShare(customer core.CustomerID, limit daemon.Limit, amount float64, validUntil time.Time) {
+	b.admission.SetLimitShare(customer, limitOf[limit], amount, validUntil)
+}
+
+// reportDead tells the claims duty which daemons are gone, so that callers do
+// not wait for the outcome of their calls.
+func (b *builder) reportDead(v *daemon.MembersView) {
+	for _, m := range v.Members {
+		if m.State == daemon.MemberDead || m.State == daemon.MemberLeft {
+			b.claims.SetDead(daemonIDOf(m.Identity))
+		}
+	}
+}
+
+// watching starts or stops what only the daemons that watch the store do.
+type watching []func(active bool)
+
+// SetActive passes the change on.
+func (w watching) SetActive(active bool) {
+	for _, set := range w {
+		set(active)
+	}
+}
+
+// daemonHosts reads the daemons from the platform's host list.
+type daemonHosts struct {
+	list platform.HostList
+}
+
+// Contacts returns the addresses of the listed daemons.
+func (h daemonHosts) Contacts(ctx context.Context) ([]daemon.Contact, error) {
+	hosts, err := h.list.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var contacts []daemon.Contact
+	for _, host := range hosts {
+		if host.Role == platform.RoleDaemon {
+			contacts = append(contacts, daemon.Contact{Address: host.Address, DataCentre: host.DataCentre})
+		}
+	}
+	return contacts, nil
 }
