--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -67,7 +67,7 @@
 	// HedgeShare is the share of extra attempts that the contract permits for
 	// hedging, 0 to 0.05; 0 permits none.
 	HedgeShare float64
-	Sampling       Sampling
+	Sampling   Sampling
 	// Fingerprint identifies the content of the request, whatever its ID, so
 	// that a request sent again is recognised.
 	Fingerprint uint64
