Join routing to the other daemons' work, contracts and engines

Cause: dispatch did not know other daemons' outstanding work, the contract's backend kinds and hedge share, cache events or sampling parameters. Change: heartbeats carry the work at each server to dispatch; admission sets kinds and hedge share; the poller reads cache events; engines get the sampling parameters. Every daemon still polls every server: reports of other daemons carry no descriptions yet.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -117,6 +117,7 @@
 				MaxTokens:    r.MaxTokens,
 				Priority:     r.Class.Rank(),
 				ResumeTokens: a.ResumeTokens,
+				Sampling:     r.Sampling,
 			},
 		})
 	}
--- a/internal/backend/backendhttp/messages.go
+++ b/internal/backend/backendhttp/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/core"
 )
 
 // Paths of backend servers.
@@ -57,6 +58,7 @@
 	MaxTokens    int     `json:"max_tokens"`
 	Priority     int     `json:"priority"`                // lower runs first
 	ResumeTokens []int32 `json:"resume_tokens,omitempty"` // tokens already produced elsewhere
+	core.Sampling
 }
 
 // TokenMessage is the data of one server-sent event of an engine.
--- a/internal/caller/contract.go
+++ b/internal/caller/contract.go
@@ -27,6 +27,8 @@
 	}
 	r.Service = service.Name
 	r.Repeatable = true
+	r.BackendKinds = service.BackendKinds
+	r.HedgeShare = contract.Hedge.MaxExtraWork
 	applyDefaults(r, service.Class, now, time.Duration(service.Deadline))
 	return nil
 }
@@ -54,6 +56,8 @@
 		return core.InvalidError("operation", r.Operation, strings.Join(operationNames(service), ", "), "the contract names no such operation")
 	}
 	r.Repeatable = operation.Idempotent
+	r.BackendKinds = service.BackendKinds
+	r.HedgeShare = contract.Hedge.MaxExtraWork
 	if !r.Repeatable && r.IdempotencyKey == "" {
 		return core.InvalidError("Idempotency-Key", "", "a key that is unique for each booking or card", "the operation is not idempotent and needs a key")
 	}
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -8,6 +8,7 @@
 
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/operator"
@@ -30,6 +31,7 @@
 	store          *platform.Store
 	lessor         *platform.Lessor
 	dispatch       *backend.Dispatch
+	poller         *backend.Poller
 	claims         *caller.Claims
 	admission      *caller.Admission
 	trainers       *trainer.Trainer
@@ -41,6 +43,7 @@
 	loops       []*duty.Loop
 	incarnation daemon.Incarnation
 	identity    daemon.Identity
+	serverIDs   atomic.Pointer[map[daemon.ServerKey]core.ServerID]
 	liveDaemons atomic.Int64 // of this data centre, this one included
 	// onWatching is told whether this daemon is one of those of its data
 	// centre that watch the store.
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -6,6 +6,7 @@
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/platform"
 )
 
@@ -26,9 +27,22 @@
 		return err
 	}
 	b.dispatch = backend.NewDispatch(b.clock, b.random(), client, exchanges)
+	b.dispatch.SetDataCentre(b.settings.DataCentre)
 	b.dispatch.SetSlots(b.setSlots)
-	poller := backend.NewPoller(b.clock, hostSource{b.platformClient}, client, probes, b.reportServers(b.dispatch.SetServers))
-	return b.start(b.dispatch.Loop(), poller.Loop())
+	b.poller = backend.NewPoller(b.clock, hostSource{b.platformClient}, client, probes, b.setServers)
+	b.poller.SetCacheSource(client, b.dispatch.AddCacheEvents)
+	return b.start(b.dispatch.Loop(), b.poller.Loop())
+}
+
+// setServers takes the backend servers from the poller.
+func (b *builder) setServers(servers []backend.Server) {
+	ids := make(map[daemon.ServerKey]core.ServerID, len(servers))
+	for _, s := range servers {
+		ids[daemon.KeyOf(s.ID)] = s.ID
+	}
+	b.serverIDs.Store(&ids)
+	b.dispatch.SetServers(servers)
+	b.reportServers(servers)
 }
 
 // slotShare lets a daemon have more than its even part of the servers' slots,
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/caller"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/daemon"
@@ -21,6 +22,7 @@
 		return err
 	}
 	shares := b.buildShares(peers)
+	load := b.buildLoad(peers)
 	log := b.server.log.WithField("duty", "config")
 	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts, shares.SetContracts)
 	watcher := platform.NewWatcher(b.clock, b.platformClient, b.storePool, daemon.ContractPrefix, b.config.Deliver,
@@ -34,7 +36,7 @@
 	hosts := daemon.NewHosts(b.clock, daemonHosts{b.platformClient}, b.storePool, peers.SetHosts)
 	peers.OnMembers(hosts.SetMembers)
 	b.server.leave = peers.Leave
-	return b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), peers.Loop(), hosts.Loop())
+	return b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), load.Loop(), peers.Loop(), hosts.Loop())
 }
 
 func (b *builder) buildPeers() (*daemon.Peers, error) {
@@ -86,6 +88,39 @@
 	return shares
 }
 
+// buildLoad exchanges the outstanding work at backend servers with the other
+// daemons of the data centre.
+func (b *builder) buildLoad(peers *daemon.Peers) *daemon.Load {
+	load := daemon.NewLoad(b.clock, peers, func([]daemon.PeerReport) {}, b.setOtherWork)
+	peers.OnMessage(load.Receive)
+	b.dispatch.SetOwnWork(func(own []backend.OwnWork) {
+		work := make([]daemon.ServerWork, 0, len(own))
+		for _, w := range own {
+			work = append(work, daemon.ServerWork{Server: daemon.KeyOf(w.Server), Outstanding: w.Outstanding})
+		}
+		peers.SetWork(work)
+	})
+	return load
+}
+
+// otherWorkAge is the mean age of a digest of another daemon: half of the
+// period of heartbeats.
+const otherWorkAge = daemon.HeartbeatPeriod / 2
+
+func (b *builder) setOtherWork(work map[daemon.ServerKey]int) {
+	ids := b.serverIDs.Load()
+	if ids == nil {
+		return
+	}
+	others := make([]backend.OtherWork, 0, len(work))
+	for key, outstanding := range work {
+		if id, known := (*ids)[key]; known {
+			others = append(others, backend.OtherWork{Server: id, Outstanding: outstanding, Age: otherWorkAge})
+		}
+	}
+	b.dispatch.SetOtherWork(others)
+}
+
 // limitOf names admission's limits as the daemons name them to each other.
 var limitOf = map[daemon.Limit]caller.Limit{
 	daemon.LimitRequests:    caller.LimitRequests,
--- a/internal/server/build_status.go
+++ b/internal/server/build_status.go
@@ -36,16 +36,13 @@
 	return list
 }
 
-// reportServers passes the backend servers on to next and to the status duty.
-func (b *builder) reportServers(next func([]backend.Server)) func([]backend.Server) {
-	return func(servers []backend.Server) {
-		next(servers)
-		list := make([]operator.ServerStatus, 0, len(servers))
-		for _, s := range servers {
-			list = append(list, serverStatus(s))
-		}
-		b.status.SetServers(list)
+// reportServers tells the status duty which backend servers are known.
+func (b *builder) reportServers(servers []backend.Server) {
+	list := make([]operator.ServerStatus, 0, len(servers))
+	for _, s := range servers {
+		list = append(list, serverStatus(s))
 	}
+	b.status.SetServers(list)
 }
 
 func serverStatus(s backend.Server) operator.ServerStatus {
