Deliver each group to its trainer exactly once across owners

The ledger object holds what a trainer has acknowledged and is written only on the version read at takeover. Samples are checked for labels and freshness at each hand-over. Finished groups that wait can be kept in a bbolt file.

--- a/internal/server/build_trainer.go
+++ b/internal/server/build_trainer.go
@@ -1,12 +1,80 @@
 package server
 
-import "github.com/berylfall/berylfall/internal/trainer"
+import (
+	"github.com/google/uuid"
+
+	"github.com/berylfall/berylfall/internal/bulk"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/scorer"
+	"github.com/berylfall/berylfall/internal/scorer/scorerhttp"
+	"github.com/berylfall/berylfall/internal/trainer"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+const (
+	// scorerCalls is the number of batches at scoring services at once.
+	scorerCalls = 16
+	// diskWorkers share the commits of the bulk file.
+	diskWorkers = 16
+)
 
 func (b *builder) buildTrainer() error {
 	samples, err := b.pool("samples", b.settings.Samples)
 	if err != nil {
 		return err
 	}
-	b.trainers = trainer.New(b.clock, b.admission, samples, b.settings.Samples)
-	return b.start(b.trainers.Loop())
+	scores, err := b.buildScorer()
+	if err != nil {
+		return err
+	}
+	// A daemon that starts again uses another name at the lessor.
+	lessor := platform.NewLessor(b.clock, b.store, b.settings.Name+"/"+uuid.NewString(), b.random())
+	options := trainer.Options{
+		Address: b.settings.CallerAddress,
+		Runner:  trainer.PoolRunner{Submit: b.admission, Pool: samples},
+		Store:   b.store,
+		Leases:  lessor,
+		Scores:  scores,
+		Limit:   b.settings.Samples,
+	}
+	if err := b.buildBulk(&options); err != nil {
+		return err
+	}
+	b.trainers = trainer.New(b.clock, options)
+	return b.start(lessor.Loop(), scores.Loop(), b.trainers.Loop())
+}
+
+func (b *builder) buildScorer() (*scorer.Scorer, error) {
+	pool, err := b.pool("scorer", scorerCalls)
+	if err != nil {
+		return nil, err
+	}
+	client, err := scorerhttp.NewClient(transport.ClientOptions{})
+	if err != nil {
+		return nil, err
+	}
+	return scorer.New(b.clock, client, pool), nil
+}
+
+// buildBulk opens the bulk file, on hosts with a data folder. A host whose file
+// cannot be opened serves from memory.
+func (b *builder) buildBulk(o *trainer.Options) error {
+	if b.settings.DataFolder == "" {
+		return nil
+	}
+	store, err := bulk.Open(b.settings.DataFolder, bulk.Options{})
+	if err != nil {
+		b.server.log.WithError(err).WithField("folder", b.settings.DataFolder).Error("bulk data is kept in memory only")
+		return nil
+	}
+	pool, err := b.pool("bulk", diskWorkers)
+	if err != nil {
+		return err
+	}
+	// The file is closed after the last duty, so that no worker needs it.
+	closer := duty.New("bulk.close", b.clock)
+	closer.OnStop(func() { _ = store.Close() })
+	o.Bulk, o.Disk = store, pool
+	return b.start(closer)
 }
--- a/internal/server/path_test.go
+++ b/internal/server/path_test.go
@@ -67,6 +67,7 @@
 			{Name: "wear-model", Kind: core.KindEngine, Models: []core.Model{{Name: "wear"}}},
 			{Name: "card-desk", Kind: core.KindPlain, Operations: []core.Operation{{Name: "book"}}},
 		},
+		Trainers: []core.Trainer{{Name: "t1", Service: "wear-model", Share: 0.5}},
 	}
 	check(t, transport.DoJSON(ctx, c, transport.Exchange{
 		Method: "PUT", URL: "http://" + d.OperatorAddress() + "/v1/contracts/prairie", Body: contract,
@@ -106,18 +107,22 @@
 		Method: "POST", URL: base + "/v1/trainers/t1/steps", Headers: headers, Body: spec,
 	}, nil))
 	seen := map[int]int{}
-	var cursor int64
+	var cursor, epoch int64
 	for len(seen) < groups {
 		var m trainerhttp.DeliveriesMessage
 		check(t, transport.DoJSON(ctx, c, transport.Exchange{
-			Method: "GET", URL: fmt.Sprintf("%s/v1/trainers/t1/deliveries?after=%d", base, cursor), Headers: headers,
+			Method: "GET", URL: fmt.Sprintf("%s/v1/trainers/t1/deliveries?after=%d&epoch=%d", base, cursor, epoch), Headers: headers,
 		}, &m))
+		var held []trainer.Held
 		for _, delivery := range m.Deliveries {
 			seen[delivery.Group.ID]++
-			cursor = delivery.Sequence
+			cursor, epoch = delivery.Sequence, delivery.Epoch
+			held = append(held, trainer.Held{
+				Epoch: epoch, Sequence: cursor, GroupRef: trainer.GroupRef{Step: delivery.Step, Group: delivery.Group.ID},
+			})
 		}
 		check(t, transport.DoJSON(ctx, c, transport.Exchange{
-			Method: "POST", URL: base + "/v1/trainers/t1/ack", Headers: headers, Body: trainer.Acknowledgement{Cursor: cursor},
+			Method: "POST", URL: base + "/v1/trainers/t1/ack", Headers: headers, Body: trainer.Acknowledgement{Groups: held},
 		}, nil))
 	}
 	for group, times := range seen {
--- /dev/null
+++ b/internal/trainer/freshness.go
@@ -0,0 +1,69 @@
+package trainer
+
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// oldestAllowed returns the lowest version that the contract allows, or 0.
+func oldestAllowed(f core.Freshness, latest core.Version) core.Version {
+	if f.MaxVersionsBehind <= 0 || !latest.Known() {
+		return 0
+	}
+	return max(0, latest-core.Version(f.MaxVersionsBehind))
+}
+
+// isExpired reports whether a sample started then is over its age. The bound
+// itself counts as over, so that the time of the hand-over does not matter.
+func isExpired(f core.Freshness, started, now time.Time) bool {
+	return f.MaxAge > 0 && now.Sub(started) >= time.Duration(f.MaxAge)
+}
+
+// isFresh reports whether the sample may be handed over now.
+func isFresh(f core.Freshness, latest core.Version, s *core.Sample, now time.Time) bool {
+	return core.OldestVersion(s.Spans) >= oldestAllowed(f, latest) && !isExpired(f, s.Started, now)
+}
+
+// isLabelled reports whether the sample names the weights of each of its tokens.
+func isLabelled(s *core.Sample) bool {
+	return len(s.Tokens) > 0 && core.CheckSpans(s.Spans, len(s.Tokens)) == nil
+}
+
+// groupFacts is what is kept in memory of a group whose samples are on disk.
+type groupFacts struct {
+	oldest  core.Version
+	newest  core.Version
+	started time.Time // of the oldest sample
+}
+
+func factsOf(samples []core.Sample) groupFacts {
+	var f groupFacts
+	for i := range samples {
+		for _, span := range samples[i].Spans {
+			if f.oldest == 0 || span.Version < f.oldest {
+				f.oldest = span.Version
+			}
+			f.newest = max(f.newest, span.Version)
+		}
+		if i == 0 || samples[i].Started.Before(f.started) {
+			f.started = samples[i].Started
+		}
+	}
+	return f
+}
+
+func (f groupFacts) isFresh(bound core.Freshness, latest core.Version, now time.Time) bool {
+	return f.oldest >= oldestAllowed(bound, latest) && !isExpired(bound, f.started, now)
+}
+
+func (f groupFacts) at(latest core.Version, now time.Time) Facts {
+	behind := int64(0)
+	if latest.Known() {
+		behind = max(0, int64(latest-f.oldest))
+	}
+	return Facts{
+		Oldest: f.oldest, Newest: f.newest, Latest: latest,
+		VersionsBehind: behind, AgeMs: now.Sub(f.started).Milliseconds(),
+	}
+}
--- a/internal/trainer/trainerhttp/trainerhttp.go
+++ b/internal/trainer/trainerhttp/trainerhttp.go
@@ -14,8 +14,12 @@
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
-// DeliveriesMessage is the answer to GET /v1/trainers/{trainer}/deliveries.
+// HeaderLocation names the same resource at the owner of the trainer.
+const HeaderLocation = "Location"
+
+// DeliveriesMessage is the answer to every request of a trainer.
 type DeliveriesMessage struct {
+	Epoch      int64              `json:"epoch"`
 	Deliveries []trainer.Delivery `json:"deliveries"`
 }
 
@@ -32,10 +36,12 @@
 // NewHandler returns a handler that puts queries to t.
 func NewHandler(t Asker) *Handler { return &Handler{trainer: t} }
 
-// Register adds the routes for trainers.
+// Register adds the routes for trainers. A fetch with a list of held groups is
+// a POST, because a GET has no body.
 func (h *Handler) Register(r *route.Engine) {
 	r.POST("/v1/trainers/:trainer/steps", h.open)
 	r.GET("/v1/trainers/:trainer/deliveries", h.fetch)
+	r.POST("/v1/trainers/:trainer/deliveries", h.fetchHeld)
 	r.POST("/v1/trainers/:trainer/ack", h.acknowledge)
 }
 
@@ -50,12 +56,26 @@
 }
 
 func (h *Handler) fetch(ctx context.Context, c *app.RequestContext) {
-	after, err := strconv.ParseInt(c.DefaultQuery("after", "0"), 10, 64)
-	if err != nil {
-		transport.WriteError(c, core.InvalidError("after", c.Query("after"), "a sequence number", "is not a number"))
+	fetch := &trainer.Fetch{Trainer: c.Param("trainer"), Customer: customerOf(c)}
+	for name, target := range map[string]*int64{"after": &fetch.After, "epoch": &fetch.Epoch} {
+		number, err := strconv.ParseInt(c.DefaultQuery(name, "0"), 10, 64)
+		if err != nil {
+			transport.WriteError(c, core.InvalidError(name, c.Query(name), "a whole number", "is not a number"))
+			return
+		}
+		*target = number
+	}
+	h.reply(ctx, c, trainer.Query{Fetch: fetch})
+}
+
+func (h *Handler) fetchHeld(ctx context.Context, c *app.RequestContext) {
+	fetch := &trainer.Fetch{}
+	if err := transport.ReadJSON(c, fetch); err != nil {
+		transport.WriteError(c, err)
 		return
 	}
-	h.reply(ctx, c, trainer.Query{Fetch: &trainer.Fetch{Trainer: c.Param("trainer"), Customer: customerOf(c), After: after}})
+	fetch.Trainer, fetch.Customer = c.Param("trainer"), customerOf(c)
+	h.reply(ctx, c, trainer.Query{Fetch: fetch})
 }
 
 func (h *Handler) acknowledge(ctx context.Context, c *app.RequestContext) {
@@ -70,11 +90,22 @@
 
 func (h *Handler) reply(ctx context.Context, c *app.RequestContext, q trainer.Query) {
 	r := h.trainer.Ask(ctx, q)
-	if r.Err != nil {
+	switch {
+	case r.Err != nil:
 		transport.WriteError(c, r.Err)
-		return
+	case r.Redirect != "":
+		redirect(c, r.Redirect)
+	default:
+		c.JSON(consts.StatusOK, DeliveriesMessage{Epoch: r.Epoch, Deliveries: r.Deliveries})
 	}
-	c.JSON(consts.StatusOK, DeliveriesMessage{Deliveries: r.Deliveries})
+}
+
+// redirect keeps method and body (status 307).
+func redirect(c *app.RequestContext, address string) {
+	uri := c.Request.URI()
+	target := string(uri.Scheme()) + "://" + address + string(uri.RequestURI())
+	c.Response.Header.Set(HeaderLocation, target)
+	c.SetStatusCode(consts.StatusTemporaryRedirect)
 }
 
 func customerOf(c *app.RequestContext) core.CustomerID {
