--- /dev/null
+++ b/internal/trainer/chaos_test.go
@@ -0,0 +1,99 @@
+package trainer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/trainer"
+)
+
+const seeds = 240
+
+func testContract(names ...string) core.Contract {
+	c := core.Contract{
+		Customer:  "prairie",
+		Freshness: core.Freshness{MaxVersionsBehind: 1, MaxAge: core.Duration(40 * time.Second)},
+		Services:  []core.Service{{Name: "wear-model", Kind: core.KindEngine, Models: []core.Model{{Name: model}}}},
+	}
+	for _, name := range names {
+		c.Trainers = append(c.Trainers, core.Trainer{Name: name, Service: "wear-model", Share: 0.5, SpareSamples: 1})
+	}
+	return c
+}
+
+// Guards against a group that is lost, delivered stale or without a label,
+// acknowledged before the ledger holds it, or never delivered. Owners die,
+// pause and wake, the store fails and loses answers, writes take effect late,
+// requests and answers are lost, and trainers restart, some from checkpoints
+// older than their acknowledgements.
+func TestEveryGroupIsDeliveredOnce(t *testing.T) {
+	var total trainer.Stats
+	restarts := 0
+	for seed := uint64(1); seed <= seeds; seed++ {
+		stats, learned := runSeed(t, seed)
+		total.Takeovers += stats.Takeovers
+		total.Unlabelled += stats.Unlabelled
+		total.StaleGroups += stats.StaleGroups
+		total.Repeated += stats.Repeated
+		total.CancelledEarly += stats.CancelledEarly
+		total.Spares += stats.Spares
+		total.Recovered += stats.Recovered
+		restarts += learned
+		if t.Failed() {
+			t.Fatalf("seed %d failed", seed)
+		}
+	}
+	t.Logf("seeds 1 to %d: %+v", seeds, total)
+	exercised := map[string]int64{
+		"takeovers": total.Takeovers, "unlabelled": total.Unlabelled, "stale groups": total.StaleGroups,
+		"repeated deliveries": total.Repeated, "early cancels": total.CancelledEarly, "spares": total.Spares,
+		"recovered from disk": total.Recovered,
+	}
+	for what, n := range exercised {
+		if n == 0 {
+			t.Errorf("no %s in any seed: the test does not reach them", what)
+		}
+	}
+}
+
+func runSeed(t *testing.T, seed uint64) (trainer.Stats, int) {
+	w := newWorld(t, seed, 2+int(seed%2), testContract("t1", "t2"))
+	if seed%3 == 0 {
+		w.bulk = map[string][]byte{}
+		w.nodes = nil
+		for range 2 {
+			w.nodes = append(w.nodes, w.newNode())
+		}
+	}
+	newSim(w, "t1", 3, 8, 3)
+	newSim(w, "t2", 2, 6, 2)
+	w.chaos, w.api.faults, w.engineFaults = true, 0.05, 0.1
+	for range int(60 * time.Second / tickLen) {
+		w.tick()
+	}
+	w.chaos, w.api.faults, w.api.down, w.engineFaults = false, 0, false, 0
+	const quiet = 10 * time.Minute
+	for i := 0; !w.done() && i < int(quiet/tickLen); i++ {
+		w.tick()
+	}
+	for _, s := range w.trainers {
+		if !s.done() {
+			t.Errorf("seed %d: %s holds %d of %d groups, %d unconfirmed, next step %d, ledger %+v",
+				seed, s.name, len(s.state.Held), int(s.steps)*s.groups, len(s.state.Unconfirmed), s.next, s.ledger())
+		}
+	}
+	for _, n := range w.nodes {
+		w.count(n)
+	}
+	return w.total, 0
+}
+
+func (w *world) done() bool {
+	for _, s := range w.trainers {
+		if !s.done() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/trainer/stream.go
+++ b/internal/trainer/stream.go
@@ -2,10 +2,10 @@
 
 import (
 	"container/heap"
+	"context"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
-	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
 )
 
@@ -24,7 +24,15 @@
 	phaseOwner                   // the ledger names this daemon under the fencing number held
 )
 
-type ask = duty.Ask[Query, Reply]
+// ask is a query with the place for its answer.
+type ask struct {
+	Context context.Context
+	Query   Query
+	reply   func(Reply)
+}
+
+// Reply answers the query. Only the first answer counts.
+func (a ask) Reply(r Reply) { a.reply(r) }
 
 // heldAsk is a query that waits for the ownership to be known.
 type heldAsk struct {
--- a/internal/trainer/trainer.go
+++ b/internal/trainer/trainer.go
@@ -100,7 +100,7 @@
 type Trainer struct {
 	loop     *duty.Loop
 	options  Options
-	asks     *duty.AskRing[Query, Reply]
+	asks     *ring.Ring[ask]
 	ends     *ring.Ring[sampleEnd]
 	progress *ring.Ring[sampleProgress]
 	leases   *ring.Ring[leaseChange]
@@ -135,7 +135,7 @@
 	t := &Trainer{
 		loop:     duty.New("trainer", clock),
 		options:  o,
-		asks:     duty.NewAskRing[Query, Reply]("trainer.asks", askRingCapacity),
+		asks:     ring.New[ask]("trainer.asks", askRingCapacity),
 		ends:     ring.New[sampleEnd]("trainer.ends", maxSamplesInFlight),
 		progress: ring.New[sampleProgress]("trainer.progress", maxSamplesInFlight),
 		leases:   ring.New[leaseChange]("trainer.leases", leaseRingCapacity),
@@ -157,16 +157,23 @@
 	duty.On(t.loop, t.ends, t.handleEnd)
 	duty.On(t.loop, t.scores, t.handleScore)
 	duty.On(t.loop, t.disk, t.handleDisk)
-	duty.OnAsk(t.loop, t.asks, t.handleAsk)
+	duty.On(t.loop, t.asks, t.handleAsk)
 	t.loop.Every(tickPeriod, t.tick)
 	t.loop.OnStop(t.release)
 	return t
 }
 
-// release hands the trainers over at a planned stop.
+// release hands the trainers over at a planned stop. Bulk data stays on disk
+// for the next run of this daemon.
 func (t *Trainer) release() {
-	for _, s := range append([]*stream(nil), t.order...) {
-		t.leave(s)
+	for _, s := range t.order {
+		t.loseOwnership(s)
+		for _, st := range s.steps {
+			for _, g := range st.groups {
+				t.cancelRest(g)
+			}
+		}
+		t.options.Leases.Release(s.key.leaseName())
 	}
 }
 
@@ -184,13 +191,24 @@
 
 // Ask puts a query to the duty and waits for the reply. Only handlers may call it.
 func (t *Trainer) Ask(ctx context.Context, q Query) Reply {
-	r, err := t.asks.Ask(ctx, q)
-	if err != nil {
-		return Reply{Err: core.AsError(err)}
+	reply := ring.New[Reply]("reply", 1)
+	if !t.Post(ctx, q, func(r Reply) { reply.TryPut(r) }) {
+		return Reply{Err: core.NotRunError(core.CodeOverloaded, "ring %s is full", t.asks.Name())}
+	}
+	r, ok := reply.Take(ctx)
+	if !ok {
+		return Reply{Err: core.MayHaveRunError(core.CodeDeadline, "no answer in time")}
 	}
 	return r
 }
 
+// Post puts a query to the duty. reply takes the answer on the duty's goroutine
+// and must not wait; only its first call counts. When Post reports false the
+// query was not taken.
+func (t *Trainer) Post(ctx context.Context, q Query, reply func(Reply)) bool {
+	return t.asks.TryPut(ask{Context: ctx, Query: q, reply: reply})
+}
+
 func (t *Trainer) now() time.Time { return t.loop.Clock().Now() }
 
 // terms returns the contract's entry for the trainer and its bound on freshness.
