--- a/internal/trainer/ledger.go
+++ b/internal/trainer/ledger.go
@@ -71,6 +71,7 @@
 	Owner    string       `json:"owner"` // address for redirects
 	Cursor   int64        `json:"cursor"`
 	LastStep int64        `json:"lastStep"`
+	Restart  int64        `json:"restart,omitempty"` // number of the last restart
 	Steps    []ledgerStep `json:"steps"`
 }
 
--- a/internal/trainer/messages.go
+++ b/internal/trainer/messages.go
@@ -28,7 +28,7 @@
 }
 
 // StepSpec opens a step. Steps are opened in rising order; opening a step again
-// has no effect, unless Restart is set.
+// has no effect, unless the trainer has restarted.
 type StepSpec struct {
 	Customer  core.CustomerID `json:"customer"`
 	Step      int64           `json:"step"`
@@ -36,10 +36,12 @@
 	Adapter   string          `json:"adapter,omitempty"`
 	MaxTokens int             `json:"maxTokens"`
 	Groups    []GroupSpec     `json:"groups"`
-	// Restart discards every open step and opens this one, whatever its number.
-	// A trainer that went back to an older checkpoint sets it, with the groups
-	// of this step that the checkpoint holds.
-	Restart bool  `json:"restart,omitempty"`
+	// Restart is the number of the trainer's last restart from an older
+	// checkpoint, 0 before the first. The first request with a higher number
+	// than before discards every open step and opens this one, whatever its
+	// step number, with the groups that the checkpoint holds of it. A request
+	// with a lower number is a late copy and is refused.
+	Restart int64 `json:"restart,omitempty"`
 	Held    []int `json:"held,omitempty"`
 }
 
--- a/internal/trainer/owner.go
+++ b/internal/trainer/owner.go
@@ -340,6 +340,7 @@
 	s.cursor = max(s.cursor, l.record.Cursor)
 	s.sequence = max(s.sequence, s.cursor)
 	s.lastStep = l.record.LastStep
+	s.restart = l.record.Restart
 	steps := make([]*step, 0, len(l.record.Steps))
 	for _, record := range l.record.Steps {
 		if st := s.known(record); st != nil {
--- a/internal/trainer/steps.go
+++ b/internal/trainer/steps.go
@@ -22,10 +22,12 @@
 		t.expire(a)
 	case s.opening != nil:
 		a.Reply(unavailable("step %d is being opened", s.opening.step.record.Step))
-	case !spec.Restart && spec.Step <= s.lastStep:
+	case spec.Restart < s.restart:
+		a.Reply(Reply{Err: core.InvalidError("restart", itoa(spec.Restart), itoa(s.restart)+" or more", "is from before the trainer's last restart")})
+	case spec.Restart == s.restart && spec.Step <= s.lastStep:
 		// The step is open or complete: this is a repeated request.
 		a.Reply(Reply{Epoch: s.epoch})
-	case !spec.Restart && len(s.steps) >= maxOpenSteps:
+	case spec.Restart == s.restart && len(s.steps) >= maxOpenSteps:
 		err := core.NotRunError(core.CodeConflict, "%d steps are open, the oldest is %d", len(s.steps), s.steps[0].record.Step)
 		err.RetryAfter = retryPeriod
 		a.Reply(Reply{Err: err})
@@ -102,9 +104,11 @@
 	s.opening = nil
 	number := o.step.record.Step
 	s.lastStep = number
+	restarted := o.restart > s.restart
+	s.restart = o.restart
 	switch {
 	case s.step(number) == o.step:
-	case o.restart:
+	case restarted:
 		t.replaceSteps(s, []*step{o.step})
 	default:
 		t.replaceSteps(s, append(append([]*step(nil), s.steps...), o.step))
--- a/internal/trainer/stream.go
+++ b/internal/trainer/stream.go
@@ -56,6 +56,7 @@
 	version  int64 // of the ledger object
 	cursor   int64
 	lastStep int64
+	restart  int64
 	steps    []*step
 
 	sequence int64 // highest number handed out in this epoch
@@ -85,7 +86,7 @@
 // opening is a step whose prompts are being stored.
 type opening struct {
 	step    *step
-	restart bool
+	restart int64
 	parts   [][]byte
 	stored  int
 	failed  bool
@@ -185,10 +186,11 @@
 
 // record returns the value of the ledger object for the present state.
 func (s *stream) record(owner string) ledgerRecord {
-	r := ledgerRecord{Epoch: s.holding.Fence, Owner: owner, Cursor: s.cursor, LastStep: s.lastStep}
+	r := ledgerRecord{Epoch: s.holding.Fence, Owner: owner, Cursor: s.cursor, LastStep: s.lastStep, Restart: s.restart}
 	restart := false
 	if o := s.opening; o.isStored() {
-		restart = o.restart
+		restart = o.restart > s.restart
+		r.Restart = max(r.Restart, o.restart)
 		r.LastStep = o.step.record.Step
 	}
 	for _, st := range s.steps {
--- a/internal/trainer/world_test.go
+++ b/internal/trainer/world_test.go
@@ -280,8 +280,19 @@
 	return nil
 }
 
-func (n *node) step() {
-	for n.trainer.Loop().Step()+n.lessor.Loop().Step()+n.store.Loop().Step()+n.pool.run()+n.disk.run() > 0 {
+// step lets the daemon do what it can. In chaos it stops between any two steps,
+// so that a pause or a death finds it there.
+func (w *world) step(n *node) {
+	steps := []func() int{n.trainer.Loop().Step, n.lessor.Loop().Step, n.store.Loop().Step, n.pool.run, n.disk.run}
+	for idle := 0; idle < len(steps); {
+		if w.chaos && w.random.IntN(30) == 0 {
+			return
+		}
+		idle++
+		if steps[0]() > 0 {
+			idle = 0
+		}
+		steps = append(steps[1:], steps[0])
 	}
 }
 
@@ -303,7 +314,7 @@
 	}
 	for _, n := range w.nodes {
 		if !w.clock.Now().Before(n.paused) {
-			n.step()
+			w.step(n)
 		}
 	}
 	for _, s := range w.trainers {
@@ -322,6 +333,8 @@
 	if chance(25) {
 		i := r.IntN(len(w.nodes))
 		w.count(w.nodes[i])
+		// What the daemon has sent may still take effect.
+		w.api.late = append(w.api.late, w.nodes[i].pool.list...)
 		w.nodes[i] = w.newNode()
 	}
 	if chance(20) {
@@ -363,7 +376,12 @@
 	groups     int
 	samples    int
 	restart    bool // the next open goes back to the checkpoint
+	restarts   int64
 	requests   [3]*request
+
+	epoch     int64                     // highest in the ledger
+	confirmed map[trainer.GroupRef]bool // acknowledgements answered since the last restart
+	places    map[[2]int64]trainer.GroupRef
 }
 
 type request struct {
@@ -379,6 +397,7 @@
 func newSim(w *world, name string, steps int64, groups, samples int) *sim {
 	s := &sim{w: w, name: name, state: standin.NewState(), next: 1, steps: steps, groups: groups, samples: samples}
 	s.saved, s.checkpoint = s.state.Clone(), s.state.Clone()
+	s.confirmed, s.places = map[trainer.GroupRef]bool{}, map[[2]int64]trainer.GroupRef{}
 	w.trainers = append(w.trainers, s)
 	return s
 }
@@ -388,7 +407,7 @@
 }
 
 func (s *sim) spec(number int64) trainer.StepSpec {
-	spec := trainer.StepSpec{Customer: s.w.contract.Customer, Step: number, Model: model, MaxTokens: 64, Restart: s.restart}
+	spec := trainer.StepSpec{Customer: s.w.contract.Customer, Step: number, Model: model, MaxTokens: 64, Restart: s.restarts}
 	for i := range s.groups {
 		spec.Groups = append(spec.Groups, trainer.GroupSpec{Prompt: fmt.Sprintf("%s %d %d", s.name, number, i), Samples: s.samples})
 	}
@@ -436,6 +455,7 @@
 	}
 	s.state = s.checkpoint.Clone()
 	s.restart = true
+	s.restarts++
 	s.next = 1
 	for s.next < s.steps && len(s.state.HeldIn(s.next)) == s.groups {
 		s.next++
@@ -447,6 +467,7 @@
 		}
 	}
 	s.state.Unconfirmed = nil
+	s.confirmed = map[trainer.GroupRef]bool{}
 	s.saved = s.state.Clone()
 	s.checkpoint = s.state.Clone()
 }
@@ -467,8 +488,17 @@
 	if lost {
 		return
 	}
+	delay := time.Duration(0)
+	if s.w.chaos && s.w.random.IntN(10) == 0 {
+		delay = time.Duration(s.w.random.IntN(20)) * time.Second
+	}
+	s.w.clock.AfterFunc(delay, func() { s.post(n, kind, mine, answerLost) })
+}
+
+func (s *sim) post(n *node, kind int, mine *request, answerLost bool) {
+	q := mine.query
 	n.trainer.Post(context.Background(), q, func(r trainer.Reply) {
-		s.inspect(n, r)
+		s.inspect(n, q, r)
 		if answerLost || s.requests[kind] != mine {
 			return
 		}
@@ -489,10 +519,11 @@
 }
 
 // inspect checks what leaves a daemon, whether or not it reaches the trainer.
-func (s *sim) inspect(n *node, r trainer.Reply) {
+func (s *sim) inspect(n *node, q trainer.Query, r trainer.Reply) {
 	now := s.w.clock.Now()
 	bound := s.w.contract.Freshness
 	for _, d := range r.Deliveries {
+		s.inspectPlace(n, q.Fetch, d)
 		for _, sample := range d.Group.Samples {
 			age := now.Sub(sample.Started)
 			behind := int(n.latest - core.OldestVersion(sample.Spans))
@@ -509,6 +540,24 @@
 	}
 }
 
+// inspectPlace guards against deliveries without a valid lease, numbers at or
+// below the trainer's cursor, and numbers that name two groups.
+func (s *sim) inspectPlace(n *node, f *trainer.Fetch, d trainer.Delivery) {
+	fence, held := n.lessor.Check("trainers/" + string(s.w.contract.Customer) + "/" + s.name)
+	if !held || fence != d.Epoch {
+		s.w.t.Errorf("%s got epoch %d, the daemon's lease has number %d, valid %v", s.name, d.Epoch, fence, held)
+	}
+	if d.Sequence <= f.After {
+		s.w.t.Errorf("%s got sequence %d of epoch %d after %d", s.name, d.Sequence, d.Epoch, f.After)
+	}
+	at := [2]int64{d.Epoch, d.Sequence}
+	ref := trainer.GroupRef{Step: d.Step, Group: d.Group.ID}
+	if old, ok := s.places[at]; ok && old != ref {
+		s.w.t.Errorf("%s got %+v and %+v under one sequence %v", s.name, old, ref, at)
+	}
+	s.places[at] = ref
+}
+
 func labelOf(spans []core.Span) string {
 	text := ""
 	for _, span := range spans {
@@ -574,6 +623,7 @@
 func (s *sim) checkAnswered(a *trainer.Ack) {
 	l := s.ledger()
 	for _, h := range a.Ack.Groups {
+		s.confirmed[h.GroupRef] = true
 		if !l.holds(h.GroupRef) {
 			s.w.t.Errorf("%s: acknowledgement of %+v was answered, the ledger does not hold it", s.name, h)
 		}
@@ -587,6 +637,15 @@
 		return // the ledger is ahead of the checkpoint until the step is opened again
 	}
 	l := s.ledger()
+	if l.Epoch < s.epoch {
+		s.w.t.Errorf("the ledger of %s went back from epoch %d to %d", s.name, s.epoch, l.Epoch)
+	}
+	s.epoch = l.Epoch
+	for ref := range s.confirmed {
+		if !l.holds(ref) {
+			s.w.t.Errorf("the ledger of %s lost the acknowledgement of %+v", s.name, ref)
+		}
+	}
 	for step := int64(1); step <= min(l.LastStep, s.next-1); step++ {
 		for id := range s.groups {
 			ref := trainer.GroupRef{Step: step, Group: id}
