--- a/internal/trainer/samples.go
+++ b/internal/trainer/samples.go
@@ -10,9 +10,6 @@
 
 // Constants of the schedule.
 const (
-	// quantum is what a trainer with the whole share may start in one round, in
-	// predicted tokens. A few samples of usual length keep the rounds short.
-	quantum = 4096
 	// leastShare is used for trainers whose contract gives none, and keeps the
 	// number of rounds until a start small.
 	leastShare      = 0.01
@@ -93,9 +90,23 @@
 	})
 }
 
+// quantum is what a trainer with the whole share may start in one round, in
+// predicted tokens: the longest sample that is next, so that the number of
+// rounds until a start is at most 1/leastShare.
+func (t *Trainer) quantum() float64 {
+	longest := 1.0
+	for _, s := range t.order {
+		if next, ok := s.head(); ok {
+			longest = max(longest, next.predicted)
+		}
+	}
+	return longest
+}
+
 // nextStream returns the trainer whose next sample may start, or nil.
 func (t *Trainer) nextStream() *stream {
 	idle := 0
+	quantum := t.quantum()
 	for len(t.order) > 0 && idle < len(t.order) {
 		t.turn %= len(t.order)
 		s := t.order[t.turn]
