--- a/internal/bulk/bulk.go
+++ b/internal/bulk/bulk.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // Errors of the store.
@@ -85,7 +86,7 @@
 	}
 	path := filepath.Join(folder, fileName)
 	err := s.open(path, o)
-	if err == nil || errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, os.ErrPermission) || errors.Is(err, os.ErrNotExist) {
+	if err == nil || errors.Is(err, bolterrors.ErrTimeout) || errors.Is(err, os.ErrPermission) || errors.Is(err, os.ErrNotExist) {
 		return s, err
 	}
 	s.corrupt.Inc(1)
--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	s = open(t, folder, Options{})
-	defer s.Close()
+	defer func() { _ = s.Close() }()
 	seen := ""
 	if err := s.Scan("a/", func(key string, value []byte) { seen += key + "=" + string(value) + ";" }); err != nil {
 		t.Fatal(err)
@@ -86,7 +86,7 @@
 				t.Fatal(err)
 			}
 			s = open(t, folder, Options{})
-			defer s.Close()
+			defer func() { _ = s.Close() }()
 			if s.Stats().Corrupt == 0 {
 				t.Error("damage was not counted")
 			}
@@ -100,7 +100,7 @@
 // Guards against growth past the bound, and against room that is not given back.
 func TestFull(t *testing.T) {
 	s := open(t, t.TempDir(), Options{MaxBytes: 3000})
-	defer s.Close()
+	defer func() { _ = s.Close() }()
 	var full error
 	for i := 0; full == nil && i < 10; i++ {
 		full = s.Put(fmt.Sprint(i), make([]byte, 1000))
@@ -128,7 +128,7 @@
 	}{{"baseline-nosync", Options{NoSync: true}}, {"sync", Options{}}} {
 		b.Run(o.name, func(b *testing.B) {
 			s := open(b, b.TempDir(), o.Options)
-			defer s.Close()
+			defer func() { _ = s.Close() }()
 			value := make([]byte, 16<<10)
 			b.SetParallelism(2)
 			b.RunParallel(func(pb *testing.PB) {
--- a/internal/server/build_trainer.go
+++ b/internal/server/build_trainer.go
@@ -31,7 +31,7 @@
 	// A daemon that starts again uses another name at the lessor.
 	lessor := platform.NewLessor(b.clock, b.store, b.settings.Name+"/"+uuid.NewString(), b.random())
 	options := trainer.Options{
-		Address: b.settings.CallerAddress,
+		Address: b.server.CallerAddress,
 		Runner:  trainer.PoolRunner{Submit: b.admission, Pool: samples},
 		Store:   b.store,
 		Leases:  lessor,
--- a/internal/trainer/ledger.go
+++ b/internal/trainer/ledger.go
@@ -60,9 +60,9 @@
 	Opening string `json:"opening"`
 	// Since is the place in the stream at which the step was opened. What the
 	// trainer held before that is not of this opening.
-	Since place `json:"since"`
-	Parts   int    `json:"parts"`
-	Acked   Bitmap `json:"acked"`
+	Since place  `json:"since"`
+	Parts int    `json:"parts"`
+	Acked Bitmap `json:"acked"`
 }
 
 // ledgerRecord is the value of the ledger object.
--- a/internal/trainer/owner.go
+++ b/internal/trainer/owner.go
@@ -208,7 +208,7 @@
 		return
 	}
 	record, err := decodeLedger(d.result)
-	if err != nil || record.Epoch != s.observed.Holding.Fence || record.Owner == t.options.Address {
+	if err != nil || record.Epoch != s.observed.Holding.Fence || record.Owner == t.options.Address() {
 		return
 	}
 	if record.Epoch > s.epoch {
@@ -408,7 +408,7 @@
 // claim writes the ledger under the new fencing number. From then on a former
 // owner's conditional writes fail.
 func (t *Trainer) claim(s *stream) {
-	record := s.record(t.options.Address)
+	record := s.record(t.options.Address())
 	op := platform.Op{Kind: platform.OpPut, Key: s.key.ledgerKey(), Value: record.encode(), IfVersion: s.version}
 	l := &load{record: record}
 	s.load = l
--- a/internal/trainer/owner_test.go
+++ b/internal/trainer/owner_test.go
@@ -35,7 +35,7 @@
 		listeners: map[string]func(platform.LeaseEvent){},
 	}
 	r.duty = trainer.New(r.clock, trainer.Options{
-		Address: "10.0.0.1:7300", Runner: r, Store: r, Leases: r, Scores: scoreRig{r}, Limit: limit, MemoryLimit: 4000,
+		Address: func() string { return "10.0.0.1:7300" }, Runner: r, Store: r, Leases: r, Scores: scoreRig{r}, Limit: limit, MemoryLimit: 4000,
 	})
 	r.duty.SetContracts(&core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{
 		contract.Customer: {Customer: contract.Customer, Version: 1, Contract: &contract},
--- a/internal/trainer/steps.go
+++ b/internal/trainer/steps.go
@@ -136,7 +136,7 @@
 		t.flushAfter(s, wait)
 		return
 	}
-	record := s.record(t.options.Address)
+	record := s.record(t.options.Address())
 	op := platform.Op{Kind: platform.OpPut, Key: s.key.ledgerKey(), Value: record.encode(), IfVersion: s.version}
 	done := storeDone{kind: storeWrite, stream: s, record: record}
 	if s.opening.isStored() {
--- a/internal/trainer/stream.go
+++ b/internal/trainer/stream.go
@@ -152,8 +152,6 @@
 
 func (g *group) open() bool { return !g.step.dropped && !g.acked() }
 
-func (g *group) ref() GroupRef { return GroupRef{Step: g.step.record.Step, Group: g.id} }
-
 // missing returns how many runs have yet to be queued.
 func (g *group) missing() int {
 	if g.ready || !g.open() {
--- a/internal/trainer/trainer.go
+++ b/internal/trainer/trainer.go
@@ -60,7 +60,9 @@
 
 // Options are the parts that the duty works with. Scores and Bulk may be nil.
 type Options struct {
-	Address string // of this daemon, for redirects
+	// Address returns the address of this daemon for redirects. It is called
+	// only after the first request of a trainer.
+	Address func() string
 	Runner  Runner
 	Store   Store
 	Leases  Leases
--- a/internal/trainer/world_test.go
+++ b/internal/trainer/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -86,7 +87,7 @@
 	if err == nil {
 		return a.apply(w, deleted)
 	}
-	if err == platform.ErrUnknownOutcome {
+	if errors.Is(err, platform.ErrUnknownOutcome) {
 		switch a.random.IntN(3) {
 		case 0:
 			_, _ = a.apply(w, deleted)
@@ -240,11 +241,11 @@
 		Random: rand.New(rand.NewPCG(w.random.Uint64(), 2)),
 		// Operations outlive a pause, so that a former owner's write comes late.
 		OpTimeout: time.Minute,
-		Budget: platform.NewBudget(platform.BudgetOptions{ReadsPerSecond: 1e6, WritesPerSecond: 1e6}),
+		Budget:    platform.NewBudget(platform.BudgetOptions{ReadsPerSecond: 1e6, WritesPerSecond: 1e6}),
 	})
 	n.lessor = platform.NewLessor(w.clock, n.store, n.address, rand.New(rand.NewPCG(w.random.Uint64(), 3)))
 	o := trainer.Options{
-		Address: n.address, Runner: &engine{w: w, slots: w.limit}, Store: n.store, Leases: n.lessor, Limit: w.limit,
+		Address: func() string { return n.address }, Runner: &engine{w: w, slots: w.limit}, Store: n.store, Leases: n.lessor, Limit: w.limit,
 	}
 	if w.bulk != nil {
 		o.Bulk, o.Disk, o.MemoryLimit = memoryBulk(w.bulk), &n.disk, 4000
