--- a/internal/standin/trainer/client.go
+++ b/internal/standin/trainer/client.go
@@ -20,7 +20,8 @@
 
 // Limits of the client.
 const (
-	requestTimeout = 20 * time.Second // longer than a long poll
+	fetchTimeout   = 15 * time.Second // longer than a long poll
+	requestTimeout = 8 * time.Second  // longer than an acknowledgement waits for the ledger
 	retryDelay     = 100 * time.Millisecond
 	maxRedirects   = 3
 )
@@ -135,7 +136,11 @@
 	if err != nil {
 		return "", err
 	}
-	if err := c.http.DoTimeout(ctx, request, response, requestTimeout); err != nil {
+	timeout := requestTimeout
+	if path == "deliveries" {
+		timeout = fetchTimeout
+	}
+	if err := c.http.DoTimeout(ctx, request, response, timeout); err != nil {
 		return "", err
 	}
 	switch status := response.StatusCode(); {
--- /dev/null
+++ b/internal/trainer/bench_test.go
@@ -0,0 +1,319 @@
+package trainer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/trainer"
+)
+
+// Sizes of the benchmark: one step of the target size on 512 slots.
+const (
+	benchGroups    = 1024
+	benchSamples   = 8
+	benchSlots     = 512
+	benchTokenTime = 10 * time.Millisecond
+	stragglerShare = 0.02
+	stragglerTimes = 10
+	benchSeeds     = 5
+)
+
+// length is the number of tokens that each run of a sample takes. Each prompt
+// has a typical length; the runs of it spread around it.
+type lengths struct {
+	typical []float64
+	spread  distuv.LogNormal
+	random  *rand.Rand
+}
+
+func newLengths(seed uint64) *lengths {
+	random := rand.New(rand.NewPCG(seed, 1))
+	l := &lengths{spread: distuv.LogNormal{Mu: 0, Sigma: 0.25, Src: random}, random: random}
+	prompts := distuv.LogNormal{Mu: 5.5, Sigma: 0.5, Src: random} // median 245 tokens
+	for range benchGroups {
+		l.typical = append(l.typical, prompts.Rand())
+	}
+	return l
+}
+
+func (l *lengths) draw(group int) int {
+	n := l.typical[group] * l.spread.Rand()
+	if l.random.Float64() < stragglerShare {
+		n *= stragglerTimes
+	}
+	return int(n) + 1
+}
+
+func tokensTime(n int) time.Duration { return time.Duration(n) * benchTokenTime }
+
+// outcome is what one step measured.
+type outcome struct {
+	step      time.Duration // until the last group was delivered
+	idle      time.Duration // in which the trainer waited for a group
+	staleness time.Duration // mean age of a sample when the trainer learns from it
+	work      int           // tokens run
+	calls     int           // calls of the store
+}
+
+// learner is a trainer that learns from one group at a time.
+type learner struct {
+	perGroup time.Duration
+	free     time.Duration
+	idle     time.Duration
+	ages     time.Duration
+	samples  int
+}
+
+func (l *learner) learn(at time.Duration, started ...time.Duration) {
+	if at > l.free {
+		l.idle += at - l.free
+		l.free = at
+	}
+	for _, s := range started {
+		l.ages += l.free - s
+		l.samples++
+	}
+	l.free += l.perGroup
+}
+
+func (l *learner) staleness() time.Duration { return l.ages / time.Duration(max(1, l.samples)) }
+
+// baseline runs a step in the order of the prompts, without spares. Delivery is
+// by group as groups complete, by sample, or by the whole step.
+func baseline(seed uint64, perGroup time.Duration, delivery string) outcome {
+	l := newLengths(seed)
+	var o outcome
+	slots := make([]time.Duration, benchSlots)
+	type finished struct {
+		at      time.Duration
+		started []time.Duration
+	}
+	groups := make([]finished, benchGroups)
+	for g := range groups {
+		for range benchSamples {
+			n := l.draw(g)
+			o.work += n
+			first := 0
+			for i := range slots {
+				if slots[i] < slots[first] {
+					first = i
+				}
+			}
+			groups[g].started = append(groups[g].started, slots[first])
+			slots[first] += tokensTime(n)
+			groups[g].at = max(groups[g].at, slots[first])
+		}
+		o.step = max(o.step, groups[g].at)
+	}
+	learn := learner{perGroup: perGroup}
+	for range groups {
+		next := -1
+		for g := range groups {
+			if groups[g].started != nil && (next < 0 || groups[g].at < groups[next].at) {
+				next = g
+			}
+		}
+		at := groups[next].at
+		if delivery == "barrier" {
+			at = o.step
+		}
+		learn.learn(at, groups[next].started...)
+		groups[next].started = nil
+	}
+	o.idle, o.staleness = learn.idle, learn.staleness()
+	o.calls = map[string]int{"barrier": 1, "first-come": benchGroups, "per-sample": benchGroups * benchSamples}[delivery]
+	return o
+}
+
+// virtual runs the duty in virtual time on events of its own, because the
+// manual clock looks at every timer for each event.
+type virtual struct {
+	rig     *rig
+	lengths *lengths
+	work    int
+}
+
+func (v *virtual) Start(j trainer.Job) (func(), bool) {
+	var group int
+	if _, err := fmt.Sscanf(j.Request.Prompt, "bench %d", &group); err != nil {
+		panic(err)
+	}
+	n := v.lengths.draw(group)
+	began := v.rig.clock.Now()
+	over := false
+	end := func(o trainer.Outcome) {
+		if !over {
+			over = true
+			v.work += int(v.rig.clock.Now().Sub(began) / benchTokenTime)
+			j.Done(o)
+		}
+	}
+	v.rig.clock.AfterFunc(tokensTime(n), func() {
+		end(trainer.Outcome{Text: "x", Tokens: make([]int32, n), Spans: []core.Span{{Version: 1, To: n}}})
+	})
+	return func() {
+		end(trainer.Outcome{Err: core.MayHaveRunError(core.CodeCancelled, "cancelled")})
+	}, true
+}
+
+// runDuty runs one step after warm-up steps have taught the lengths of the
+// prompts, as a trainer's earlier epochs over its data would.
+func runDuty(t testing.TB, seed uint64, perGroup time.Duration, spares, warm int) outcome {
+	c := testContract("t1")
+	c.Freshness = core.Freshness{MaxVersionsBehind: 2, MaxAge: core.Duration(15 * time.Minute)}
+	c.Trainers[0].SpareSamples = spares
+	r := newRig(t, c, benchSlots)
+	v := &virtual{rig: r, lengths: newLengths(seed)}
+	r.duty = trainer.New(r.clock, trainer.Options{
+		Address: func() string { return "10.0.0.1:7300" }, Runner: v, Store: r, Leases: r, Limit: benchSlots,
+	})
+	r.duty.SetContracts(&core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{
+		c.Customer: {Customer: c.Customer, Version: 1, Contract: &c},
+	}})
+	r.fetch(context.Background(), "t1")
+	r.own("t1", 1)
+	var o outcome
+	for step := 1; step <= warm+1; step++ {
+		o = runStep(t, r, v, int64(step), perGroup)
+	}
+	return o
+}
+
+func runStep(t testing.TB, r *rig, v *virtual, step int64, perGroup time.Duration) outcome {
+	spec := trainer.StepSpec{Customer: "prairie", Step: step, Model: model, MaxTokens: 65536}
+	for i := range benchGroups {
+		spec.Groups = append(spec.Groups, trainer.GroupSpec{Prompt: fmt.Sprint("bench ", i), Samples: benchSamples})
+	}
+	r.ask(context.Background(), trainer.Query{Open: &trainer.Open{Trainer: "t1", Spec: spec}})
+	workBefore, before := v.work, r.duty.Stats().StoreCalls
+	began := r.clock.Now()
+	learn := learner{perGroup: perGroup}
+	var o outcome
+	for got := 0; got < benchGroups; {
+		fetched := r.fetch(context.Background(), "t1")
+		for len(*fetched) == 0 {
+			r.clock.Advance(50 * time.Millisecond)
+			r.duty.Loop().Step()
+		}
+		deliveries := (*fetched)[0].Deliveries
+		o.step = r.clock.Now().Sub(began)
+		for _, d := range deliveries {
+			var started []time.Duration
+			for _, s := range d.Group.Samples {
+				started = append(started, s.Started.Sub(began))
+			}
+			learn.learn(o.step, started...)
+		}
+		got += len(deliveries)
+		r.ack("t1", deliveries...)
+		if o.step > time.Hour {
+			t.Fatalf("%d groups of %d after an hour", got, benchGroups)
+		}
+	}
+	r.advance(3 * time.Second)
+	o.idle, o.staleness = learn.idle, learn.staleness()
+	o.work = v.work - workBefore
+	o.calls = int(r.duty.Stats().StoreCalls - before)
+	return o
+}
+
+// ideal is the total work of one run of every sample over the slots.
+func ideal(seed uint64) time.Duration {
+	l := newLengths(seed)
+	work := 0
+	for g := range benchGroups {
+		for range benchSamples {
+			work += l.draw(g)
+		}
+	}
+	return tokensTime(work) / benchSlots
+}
+
+// BenchmarkStep reports a step of 8,192 samples on 512 slots in virtual time,
+// with 2% stragglers of 10 times the length, beside the baselines. Figures are
+// means over seeds 1 to benchSeeds, worst-step/ideal is the highest of them.
+func BenchmarkStep(b *testing.B) {
+	var firstIdle float64
+	report := func(name string, run func(seed uint64, perGroup time.Duration) outcome) {
+		b.Run(name, func(b *testing.B) {
+			var step, worst, idle, staleness, work, calls float64
+			for b.Loop() {
+				step, worst, idle, staleness, work, calls = 0, 0, 0, 0, 0, 0
+				for seed := uint64(1); seed <= benchSeeds; seed++ {
+					best := ideal(seed)
+					// The trainer learns as fast as the slots can deliver.
+					o := run(seed, best/benchGroups)
+					ratio := o.step.Seconds() / best.Seconds()
+					step += ratio / benchSeeds
+					worst = max(worst, ratio)
+					idle += o.idle.Seconds() / benchSeeds
+					staleness += o.staleness.Seconds() / benchSeeds
+					work += float64(tokensTime(o.work)) / benchSlots / float64(best) / benchSeeds
+					calls += float64(o.calls) / benchSeeds
+				}
+			}
+			if name == "baseline-first-come" {
+				firstIdle = idle
+			}
+			b.ReportMetric(step, "step/ideal")
+			b.ReportMetric(worst, "worst-step/ideal")
+			b.ReportMetric(idle, "idle-s")
+			b.ReportMetric(idle/max(firstIdle, 1), "idle/first-come")
+			b.ReportMetric(staleness, "staleness-s")
+			b.ReportMetric(work, "work/ideal")
+			b.ReportMetric(calls, "store-calls")
+		})
+	}
+	for _, name := range []string{"first-come", "barrier", "per-sample"} {
+		report("baseline-"+name, func(seed uint64, perGroup time.Duration) outcome { return baseline(seed, perGroup, name) })
+	}
+	for _, spares := range []int{0, 1, 2} {
+		for _, warm := range []int{0, 2} {
+			report(fmt.Sprintf("spares-%d-warm-%d", spares, warm), func(seed uint64, perGroup time.Duration) outcome {
+				return runDuty(b, seed, perGroup, spares, warm)
+			})
+		}
+	}
+}
+
+// BenchmarkMemory reports the memory of the duty per 1,000 samples in flight,
+// without the workers' stacks, and per 1,000 finished samples of 500 tokens.
+func BenchmarkMemory(b *testing.B) {
+	const samples = 4096
+	var flight, done float64
+	for b.Loop() {
+		r := newRig(b, testContract("t1"), samples)
+		var none, before, running, finished runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&none)
+		r.duty = trainer.New(r.clock, trainer.Options{
+			Address: func() string { return "" }, Runner: r, Store: r, Leases: r, Limit: samples,
+		})
+		c := testContract("t1")
+		r.duty.SetContracts(&core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{
+			"prairie": {Customer: "prairie", Version: 1, Contract: &c},
+		}})
+		r.fetch(context.Background(), "t1")
+		r.own("t1", 1)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r.open("t1", 1, samples/8, 8)
+		runtime.GC()
+		runtime.ReadMemStats(&running)
+		r.finish(500)
+		runtime.GC()
+		runtime.ReadMemStats(&finished)
+		flight = float64(running.HeapAlloc-before.HeapAlloc) / samples * 1000
+		done = float64(finished.HeapAlloc-before.HeapAlloc) / samples * 1000
+		runtime.KeepAlive(r)
+	}
+	b.ReportMetric(flight/1024, "KiB/1000-in-flight")
+	b.ReportMetric(done/1024, "KiB/1000-finished")
+}
--- a/internal/trainer/owner_test.go
+++ b/internal/trainer/owner_test.go
@@ -16,7 +16,7 @@
 
 // rig is one trainer duty on fakes at its interfaces.
 type rig struct {
-	t         *testing.T
+	t         testing.TB
 	clock     *duty.ManualClock
 	duty      *trainer.Trainer
 	objects   map[string]platform.Object
@@ -29,7 +29,7 @@
 	scores    []scorer.Request
 }
 
-func newRig(t *testing.T, contract core.Contract, limit int) *rig {
+func newRig(t testing.TB, contract core.Contract, limit int) *rig {
 	r := &rig{
 		t: t, clock: duty.NewManualClock(worldStart), objects: map[string]platform.Object{},
 		listeners: map[string]func(platform.LeaseEvent){},
--- a/internal/trainer/samples.go
+++ b/internal/trainer/samples.go
@@ -338,19 +338,22 @@
 	}
 }
 
-// startSpares runs spare samples beside stragglers, as far as the contract
-// allows. The first complete samples of the group win.
+// startSpares runs spare samples beside stragglers, if the contract allows any.
+// The first complete samples of the group win. While other work of the trainer
+// waits, a group gets at most the contract's number. At the end of a step, when
+// slots would stay empty, each straggler is started again once.
 func (t *Trainer) startSpares(s *stream, entry *core.Trainer, now time.Time) {
 	if entry.SpareSamples <= 0 {
 		return
 	}
-	factor := overdueFactor
-	if _, waiting := s.head(); !waiting {
-		factor = overdueAtEnd
-	}
+	_, waiting := s.head()
 	for _, st := range s.steps {
 		for _, g := range st.groups {
-			t.startSpare(s, g, entry.SpareSamples, factor, now)
+			if waiting {
+				t.startSpare(s, g, entry.SpareSamples, overdueFactor, now)
+			} else {
+				t.startSpare(s, g, max(entry.SpareSamples, g.spec.Samples), overdueAtEnd, now)
+			}
 		}
 	}
 }
