--- a/internal/trainer/chaos_test.go
+++ b/internal/trainer/chaos_test.go
@@ -29,9 +29,8 @@
 // older than their acknowledgements.
 func TestEveryGroupIsDeliveredOnce(t *testing.T) {
 	var total trainer.Stats
-	restarts := 0
 	for seed := uint64(1); seed <= seeds; seed++ {
-		stats, learned := runSeed(t, seed)
+		stats := runSeed(t, seed)
 		total.Takeovers += stats.Takeovers
 		total.Unlabelled += stats.Unlabelled
 		total.StaleGroups += stats.StaleGroups
@@ -39,25 +38,27 @@
 		total.CancelledEarly += stats.CancelledEarly
 		total.Spares += stats.Spares
 		total.Recovered += stats.Recovered
-		restarts += learned
+		total.DiskLost += stats.DiskLost
+		total.DiskRefused += stats.DiskRefused
 		if t.Failed() {
 			t.Fatalf("seed %d failed", seed)
 		}
 	}
-	t.Logf("seeds 1 to %d: %+v", seeds, total)
+	t.Logf("seeds 1 to %d", seeds)
 	exercised := map[string]int64{
 		"takeovers": total.Takeovers, "unlabelled": total.Unlabelled, "stale groups": total.StaleGroups,
 		"repeated deliveries": total.Repeated, "early cancels": total.CancelledEarly, "spares": total.Spares,
-		"recovered from disk": total.Recovered,
+		"recovered from disk": total.Recovered, "lost on disk": total.DiskLost, "refused by the disk": total.DiskRefused,
 	}
 	for what, n := range exercised {
+		t.Logf("%s: %d", what, n)
 		if n == 0 {
 			t.Errorf("no %s in any seed: the test does not reach them", what)
 		}
 	}
 }
 
-func runSeed(t *testing.T, seed uint64) (trainer.Stats, int) {
+func runSeed(t *testing.T, seed uint64) trainer.Stats {
 	w := newWorld(t, seed, 2+int(seed%2), testContract("t1", "t2"))
 	if seed%3 == 0 {
 		w.bulk = map[string][]byte{}
@@ -86,7 +87,7 @@
 	for _, n := range w.nodes {
 		w.count(n)
 	}
-	return w.total, 0
+	return w.total
 }
 
 func (w *world) done() bool {
--- a/internal/trainer/world_test.go
+++ b/internal/trainer/world_test.go
@@ -248,7 +248,7 @@
 		Address: func() string { return n.address }, Runner: &engine{w: w, slots: w.limit}, Store: n.store, Leases: n.lessor, Limit: w.limit,
 	}
 	if w.bulk != nil {
-		o.Bulk, o.Disk, o.MemoryLimit = memoryBulk(w.bulk), &n.disk, 4000
+		o.Bulk, o.Disk, o.MemoryLimit = bulk{w}, &n.disk, 4000
 	}
 	n.trainer = trainer.New(w.clock, o)
 	n.trainer.SetContracts(&core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{
@@ -258,26 +258,40 @@
 	return n
 }
 
-type memoryBulk map[string][]byte
+// bulk is bulk data in memory whose disk is full now and then, and which loses
+// records.
+type bulk struct{ w *world }
 
-func (m memoryBulk) Put(key string, v []byte) error { m[key] = v; return nil }
-func (m memoryBulk) Delete(key string) error        { delete(m, key); return nil }
-func (m memoryBulk) Get(key string) ([]byte, error) {
-	if v, ok := m[key]; ok {
-		return v, nil
+func (b bulk) Put(key string, v []byte) error {
+	if b.w.chaos && b.w.random.IntN(10) == 0 {
+		return errors.New("disk full")
 	}
-	return nil, fmt.Errorf("no record %q", key)
+	b.w.bulk[key] = v
+	return nil
+}
+
+func (b bulk) Delete(key string) error {
+	delete(b.w.bulk, key)
+	return nil
+}
+
+func (b bulk) Get(key string) ([]byte, error) {
+	v, ok := b.w.bulk[key]
+	if !ok || (b.w.chaos && b.w.random.IntN(10) == 0) {
+		return nil, fmt.Errorf("record %q is missing or corrupt", key)
+	}
+	return v, nil
 }
 
-func (m memoryBulk) Scan(prefix string, f func(string, []byte)) error {
-	keys := make([]string, 0, len(m))
-	for key := range m {
+func (b bulk) Scan(prefix string, f func(string, []byte)) error {
+	keys := make([]string, 0, len(b.w.bulk))
+	for key := range b.w.bulk {
 		keys = append(keys, key)
 	}
 	sort.Strings(keys)
 	for _, key := range keys {
 		if strings.HasPrefix(key, prefix) {
-			f(key, m[key])
+			f(key, b.w.bulk[key])
 		}
 	}
 	return nil
@@ -363,6 +377,8 @@
 	w.total.CancelledEarly += s.CancelledEarly
 	w.total.Spares += s.Spares
 	w.total.Recovered += s.Recovered
+	w.total.DiskLost += s.DiskLost
+	w.total.DiskRefused += s.DiskRefused
 }
 
 // sim is a trainer that keeps the stand-in's rules. It loses requests and
