--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -56,12 +56,13 @@
 		build func() error
 	}{
 		{"status", b.buildStatus},
+		{"sockets", b.buildSockets},
 		{"platform", b.buildPlatform},
 		{"backend", b.buildBackend},
 		{"caller", b.buildCaller},
 		{"trainer", b.buildTrainer},
 		{"daemon", b.buildDaemon},
-		{"access", b.buildAccess},
+		{"gate", b.buildGate},
 		{"duties", b.startDuties},
 		{"listeners", b.buildListeners},
 	}
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -24,7 +24,7 @@
 	shares := b.buildShares(peers)
 	load := b.buildLoad(peers)
 	log := b.server.log.WithField("duty", "config")
-	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts, shares.SetContracts)
+	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts, shares.SetContracts, b.trainers.SetContracts)
 	watcher := platform.NewWatcher(b.clock, b.platformClient, b.storePool, daemon.ContractPrefix, b.config.Deliver,
 		platform.WatcherOptions{Budget: b.budget, Inactive: true, Random: b.random()})
 	b.onWatching = append(b.onWatching, watcher.SetActive)
--- a/internal/server/build_listeners.go
+++ b/internal/server/build_listeners.go
@@ -19,15 +19,36 @@
 	authenticator transport.Authenticator // nil lets every client act as an operator
 }
 
-// buildAccess makes the gate before admission, reads the files of tokens and
-// certificates, and makes the duty that reads them again when they change.
-func (b *builder) buildAccess() error {
+// buildGate makes the gate before admission.
+func (b *builder) buildGate() error {
 	gate := operator.NewGate(b.clock, b.settings.DrainGrace, b.admission, b.status.AddEnd)
 	b.status.UseDrain(gate.State)
 	b.server.gate, b.server.admission = gate, b.admission
-	if err := b.start(b.status.Loop()); err != nil {
+	return b.start(b.status.Loop())
+}
+
+// buildSockets opens the listeners for callers and operators, so that the other
+// parts know the addresses. They are served last.
+func (b *builder) buildSockets() error {
+	if err := b.buildAccess(); err != nil {
+		return err
+	}
+	var err error
+	b.server.callers, err = transport.Listen(b.settings.CallerAddress, transport.ServerOptions{
+		TLS: b.access.tls, MaxBody: b.settings.CallerMaxBody, StreamBody: true,
+	})
+	if err != nil {
 		return err
 	}
+	b.server.operator, err = transport.Listen(b.settings.OperatorAddress, transport.ServerOptions{
+		TLS: b.access.tls, MaxBody: b.settings.OperatorMaxBody, StreamBody: true,
+	})
+	return err
+}
+
+// buildAccess reads the files of tokens and certificates, and makes the duty
+// that reads them again when they change.
+func (b *builder) buildAccess() error {
 	sources := b.accessFiles()
 	if len(sources) == 0 {
 		return nil
@@ -62,13 +83,13 @@
 	return sources
 }
 
-// buildListeners opens the listeners last, so that no request meets a daemon
+// buildListeners serves the listeners last, so that no request meets a daemon
 // that is half built.
 func (b *builder) buildListeners() error {
-	if err := b.listenForCallers(); err != nil {
+	if err := b.serveCallers(); err != nil {
 		return err
 	}
-	return b.listenForOperators()
+	return b.serveOperators()
 }
 
 func (b *builder) warnWithoutTokens() {
@@ -80,14 +101,8 @@
 	}
 }
 
-func (b *builder) listenForCallers() error {
-	listener, err := transport.Listen(b.settings.CallerAddress, transport.ServerOptions{
-		TLS: b.access.tls, MaxBody: b.settings.CallerMaxBody, StreamBody: true,
-	})
-	if err != nil {
-		return err
-	}
-	b.server.callers = listener
+func (b *builder) serveCallers() error {
+	listener := b.server.callers
 	router := listener.Router()
 	router.Use(
 		transport.Authenticate(b.access.authenticator),
@@ -102,14 +117,8 @@
 	return b.server.runner.Serve("callers", listener.Serve, listener.Shutdown)
 }
 
-func (b *builder) listenForOperators() error {
-	listener, err := transport.Listen(b.settings.OperatorAddress, transport.ServerOptions{
-		TLS: b.access.tls, MaxBody: b.settings.OperatorMaxBody, StreamBody: true,
-	})
-	if err != nil {
-		return err
-	}
-	b.server.operator = listener
+func (b *builder) serveOperators() error {
+	listener := b.server.operator
 	router := listener.Router()
 	router.Use(
 		transport.Authenticate(b.access.authenticator, operatorhttp.PathReady),
--- a/internal/standin/demo/requests.go
+++ b/internal/standin/demo/requests.go
@@ -11,8 +11,8 @@
 
 	"github.com/berylfall/berylfall/internal/caller/callerhttp"
 	"github.com/berylfall/berylfall/internal/core"
+	standin "github.com/berylfall/berylfall/internal/standin/trainer"
 	"github.com/berylfall/berylfall/internal/trainer"
-	"github.com/berylfall/berylfall/internal/trainer/trainerhttp"
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
@@ -122,30 +122,19 @@
 	for i := range groups {
 		spec.Groups = append(spec.Groups, trainer.GroupSpec{Prompt: fmt.Sprintf("fault report %d", i), Samples: samples})
 	}
-	base := "http://" + d.daemon.CallerAddress() + "/v1/trainers/diag-trainer"
-	headers := map[string]string{transport.HeaderCustomer: "kartvel"}
-	started := time.Now()
-	if _, err := d.send(ctx, transport.Exchange{Method: "POST", URL: base + "/steps", Headers: headers, Body: spec}, nil); err != nil {
-		return fmt.Errorf("open step: %w", err)
-	}
 	seen := map[int]int{}
 	var spans []core.Span
-	var cursor int64
-	for len(seen) < groups {
-		var m trainerhttp.DeliveriesMessage
-		_, err := d.send(ctx, transport.Exchange{Method: "GET", URL: fmt.Sprintf("%s/deliveries?after=%d", base, cursor), Headers: headers}, &m)
-		if err != nil {
-			return fmt.Errorf("fetch deliveries: %w", err)
-		}
-		for _, delivery := range m.Deliveries {
-			seen[delivery.Group.ID]++
-			cursor = delivery.Sequence
-			spans = delivery.Group.Samples[0].Spans
-		}
-		_, err = d.send(ctx, transport.Exchange{Method: "POST", URL: base + "/ack", Headers: headers, Body: trainer.Acknowledgement{Cursor: cursor}}, nil)
-		if err != nil {
-			return fmt.Errorf("acknowledge: %w", err)
-		}
+	client, err := standin.NewClient("diag-trainer", "kartvel", d.daemon.CallerAddress())
+	if err != nil {
+		return err
+	}
+	client.Learn = func(delivery trainer.Delivery) {
+		seen[delivery.Group.ID]++
+		spans = delivery.Group.Samples[0].Spans
+	}
+	started := time.Now()
+	if err := client.RunStep(ctx, spec); err != nil {
+		return fmt.Errorf("trainer step: %w", err)
 	}
 	d.rows = append(d.rows, row{
 		what: "trainer step", latency: time.Since(started), verdict: core.Ran.String(),
