--- a/internal/daemon/configrelay.go
+++ b/internal/daemon/configrelay.go
@@ -183,8 +183,7 @@
 	if c.view == nil || !c.view.Settled {
 		return
 	}
-	key := "config/" + c.view.Self.DataCentre
-	watching := first(key, c.view.Live(), ConfigWatchers, c.view.Self.Name)
+	watching := containsName(storeWatchers(c.view), c.view.Self.Name)
 	if watching == c.watching {
 		return
 	}
--- a/internal/daemon/daemonrpc/codec.go
+++ b/internal/daemon/daemonrpc/codec.go
@@ -4,11 +4,9 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -153,19 +151,21 @@
 	case daemon.LoadReports:
 		wire.Message = &Envelope_LoadReports{LoadReports: reportsToWire(m)}
 	case daemon.ShareDemand:
-		wire.Message = &Envelope_ShareDemand{ShareDemand: &ShareDemand{
-			Sequence: m.Sequence, RosterVersion: m.RosterVersion, BaseUnits: m.BaseUnits,
-			BasesDigest: m.BasesDigest, Wants: amountsToWire(m.Wants),
-		}}
+		wire.Message = &Envelope_ShareDemand{ShareDemand: demandToWire(m)}
 	case daemon.ShareGrants:
-		wire.Message = &Envelope_ShareGrants{ShareGrants: &ShareGrants{
-			Sequence: m.Sequence, Fence: m.Fence, RosterVersion: m.RosterVersion, BaseUnits: m.BaseUnits,
-			Bases: amountsToWire(m.Bases), Grants: amountsToWire(m.Grants),
-		}}
+		wire.Message = &Envelope_ShareGrants{ShareGrants: grantsToWire(m)}
 	case daemon.ShareAsk:
 		wire.Message = &Envelope_ShareAsk{ShareAsk: &ShareAsk{DataCentre: m.DataCentre, Wants: amountsToWire(m.Wants)}}
 	case daemon.ShareGiven:
 		wire.Message = &Envelope_ShareGiven{ShareGiven: &ShareGiven{Customer: string(m.Customer)}}
+	case daemon.HostChanges:
+		wire.Message = &Envelope_HostChanges{HostChanges: hostsToWire(m)}
+	case daemon.HostDigest:
+		wire.Message = &Envelope_HostDigest{HostDigest: &HostDigest{Sequence: m.Sequence, Digest: m.Digest}}
+	case daemon.HostAsk:
+		wire.Message = &Envelope_HostAsk{HostAsk: &HostAsk{}}
+	case daemon.SuspectReport:
+		wire.Message = &Envelope_SuspectReport{SuspectReport: suspectsToWire(m)}
 	default:
 		return nil, fmt.Errorf("%w: type %T", ErrMalformed, e.Message)
 	}
@@ -189,207 +189,27 @@
 	case *Envelope_LoadReports:
 		e.Message = reportsFromWire(m.LoadReports)
 	case *Envelope_ShareDemand:
-		d := m.ShareDemand
-		e.Message = daemon.ShareDemand{
-			Sequence: d.Sequence, RosterVersion: d.RosterVersion, BaseUnits: d.BaseUnits,
-			BasesDigest: d.BasesDigest, Wants: amountsFromWire(d.Wants),
-		}
+		e.Message, err = demandFromWire(m.ShareDemand)
 	case *Envelope_ShareGrants:
-		g := m.ShareGrants
-		e.Message = daemon.ShareGrants{
-			Sequence: g.Sequence, Fence: g.Fence, RosterVersion: g.RosterVersion, BaseUnits: g.BaseUnits,
-			Bases: amountsFromWire(g.Bases), Grants: amountsFromWire(g.Grants),
-		}
+		e.Message, err = grantsFromWire(m.ShareGrants)
 	case *Envelope_ShareAsk:
 		e.Message = daemon.ShareAsk{DataCentre: m.ShareAsk.DataCentre, Wants: amountsFromWire(m.ShareAsk.Wants)}
 	case *Envelope_ShareGiven:
 		e.Message = daemon.ShareGiven{Customer: core.CustomerID(m.ShareGiven.Customer)}
+	case *Envelope_HostChanges:
+		e.Message = hostsFromWire(m.HostChanges)
+	case *Envelope_HostDigest:
+		e.Message = daemon.HostDigest{Sequence: m.HostDigest.Sequence, Digest: m.HostDigest.Digest}
+	case *Envelope_HostAsk:
+		e.Message = daemon.HostAsk{}
+	case *Envelope_SuspectReport:
+		e.Message = suspectsFromWire(m.SuspectReport)
 	default:
 		err = fmt.Errorf("%w: no message", ErrMalformed)
 	}
 	return e, err
 }
 
-func identityToWire(id daemon.Identity) *Identity {
-	return &Identity{
-		Name: id.Name, DataCentre: id.DataCentre, Address: id.Address,
-		Incarnation: incarnationToWire(id.Incarnation),
-	}
-}
-
-func identityFromWire(w *Identity) daemon.Identity {
-	return daemon.Identity{
-		Name: w.GetName(), DataCentre: w.GetDataCentre(), Address: w.GetAddress(),
-		Incarnation: incarnationFromWire(w.GetIncarnation()),
-	}
-}
-
-func incarnationToWire(i daemon.Incarnation) *Incarnation {
-	return &Incarnation{Start: i.Start, Random: i.Random}
-}
-
-func incarnationFromWire(w *Incarnation) daemon.Incarnation {
-	return daemon.Incarnation{Start: w.GetStart(), Random: w.GetRandom()}
-}
-
-func heartbeatToWire(h daemon.Heartbeat) *Heartbeat {
-	w := &Heartbeat{
-		Sequence: h.Sequence, Echo: h.Echo, EchoAgeNs: int64(h.EchoAge), MembersDigest: h.MembersDigest,
-		ConfigDigest: h.Config.Digest, ConfigRevision: h.Config.Revision, ConfigReady: h.Config.Ready,
-		WorkFull: h.WorkFull,
-	}
-	if h.Seen != (daemon.Incarnation{}) {
-		w.Seen = incarnationToWire(h.Seen)
-	}
-	for _, work := range h.Work {
-		w.WorkServers = append(w.WorkServers, uint32(work.Server))
-		w.WorkOutstanding = append(w.WorkOutstanding, uint32(work.Outstanding))
-	}
-	return w
-}
-
-func heartbeatFromWire(w *Heartbeat) (daemon.Heartbeat, error) {
-	if len(w.WorkServers) != len(w.WorkOutstanding) {
-		return daemon.Heartbeat{}, fmt.Errorf("%w: work of %d servers has %d amounts", ErrMalformed, len(w.WorkServers), len(w.WorkOutstanding))
-	}
-	h := daemon.Heartbeat{
-		Sequence: w.Sequence, Echo: w.Echo, EchoAge: time.Duration(w.EchoAgeNs), Seen: incarnationFromWire(w.Seen),
-		MembersDigest: w.MembersDigest, WorkFull: w.WorkFull,
-		Config: daemon.ConfigState{Digest: w.ConfigDigest, Revision: w.ConfigRevision, Ready: w.ConfigReady},
-	}
-	for i, server := range w.WorkServers {
-		h.Work = append(h.Work, daemon.ServerWork{Server: daemon.ServerKey(server), Outstanding: int(w.WorkOutstanding[i])})
-	}
-	return h, nil
-}
-
-func listToWire(l daemon.MemberList) *MemberList {
-	w := &MemberList{DataCentre: l.DataCentre, Stamp: l.Stamp}
-	for _, m := range l.Members {
-		w.Members = append(w.Members, &MemberInfo{Identity: identityToWire(m.Identity), State: uint32(m.State)})
-	}
-	return w
-}
-
-func listFromWire(w *MemberList) daemon.MemberList {
-	l := daemon.MemberList{DataCentre: w.DataCentre, Stamp: w.Stamp}
-	for _, m := range w.Members {
-		state := daemon.MemberState(min(m.State, uint32(daemon.MemberLeft)))
-		l.Members = append(l.Members, daemon.MemberInfo{Identity: identityFromWire(m.Identity), State: state})
-	}
-	return l
-}
-
-func contractsToWire(m daemon.Contracts) (*Contracts, error) {
-	w := &Contracts{Revision: m.Revision, Full: m.Full, Ready: m.Ready}
-	for _, c := range m.Contracts {
-		stored := &StoredContract{Customer: string(c.Customer), Version: c.Version, Revision: c.Revision, Deleted: c.Deleted}
-		if c.Contract != nil {
-			value, err := json.Marshal(c.Contract)
-			if err != nil {
-				return nil, fmt.Errorf("encode contract of %s: %w", c.Customer, err)
-			}
-			stored.ContractJson = value
-		}
-		w.Contracts = append(w.Contracts, stored)
-	}
-	return w, nil
-}
-
-func contractsFromWire(w *Contracts) (daemon.Contracts, error) {
-	m := daemon.Contracts{Revision: w.Revision, Full: w.Full, Ready: w.Ready}
-	for _, c := range w.Contracts {
-		stored := core.StoredContract{Customer: core.CustomerID(c.Customer), Version: c.Version, Revision: c.Revision, Deleted: c.Deleted}
-		if !c.Deleted {
-			stored.Contract = &core.Contract{}
-			if err := json.Unmarshal(c.ContractJson, stored.Contract); err != nil {
-				return m, fmt.Errorf("%w: contract of %s: %w", ErrMalformed, c.Customer, err)
-			}
-		}
-		m.Contracts = append(m.Contracts, stored)
-	}
-	return m, nil
-}
-
-func versionsToWire(m daemon.ContractVersions) *ContractVersions {
-	w := &ContractVersions{Revision: m.Revision}
-	for _, v := range m.Versions {
-		w.Versions = append(w.Versions, &ContractVersion{Customer: string(v.Customer), Version: v.Version})
-	}
-	return w
-}
-
-func versionsFromWire(w *ContractVersions) daemon.ContractVersions {
-	m := daemon.ContractVersions{Revision: w.Revision}
-	for _, v := range w.Versions {
-		m.Versions = append(m.Versions, daemon.ContractVersion{Customer: core.CustomerID(v.Customer), Version: v.Version})
-	}
-	return m
-}
-
-func reportsToWire(m daemon.LoadReports) *LoadReports {
-	w := &LoadReports{}
-	for _, r := range m.Reports {
-		w.Reports = append(w.Reports, &ServerReport{
-			Server: string(r.Server), AgeNs: int64(r.Age),
-			Running: uint32(r.Running), Waiting: uint32(r.Waiting), KvUsed: float32(r.KVUsed),
-		})
-	}
-	return w
-}
-
-func reportsFromWire(w *LoadReports) daemon.LoadReports {
-	m := daemon.LoadReports{}
-	for _, r := range w.Reports {
-		m.Reports = append(m.Reports, daemon.ServerReport{
-			Server: core.ServerID(r.Server), Age: time.Duration(r.AgeNs),
-			Running: int(r.Running), Waiting: int(r.Waiting), KVUsed: float64(r.KvUsed),
-		})
-	}
-	return m
-}
-
-func amountsToWire(amounts []daemon.ShareAmount) []*ShareAmount {
-	w := make([]*ShareAmount, 0, len(amounts))
-	for _, a := range amounts {
-		w = append(w, &ShareAmount{Customer: string(a.Key.Customer), Limit: limitToWire(a.Key.Limit), Units: a.Units})
-	}
-	return w
-}
-
-func amountsFromWire(w []*ShareAmount) []daemon.ShareAmount {
-	var amounts []daemon.ShareAmount
-	for _, a := range w {
-		key := daemon.ShareKey{Customer: core.CustomerID(a.Customer), Limit: limitFromWire(a.Limit)}
-		amounts = append(amounts, daemon.ShareAmount{Key: key, Units: a.Units})
-	}
-	return amounts
-}
-
-func limitToWire(l daemon.Limit) Limit {
-	switch l {
-	case daemon.LimitRequests:
-		return Limit_LIMIT_REQUESTS
-	case daemon.LimitTokens:
-		return Limit_LIMIT_TOKENS
-	case daemon.LimitConcurrency:
-		return Limit_LIMIT_CONCURRENCY
-	}
-	return Limit_LIMIT_UNSPECIFIED
-}
-
-func limitFromWire(l Limit) daemon.Limit {
-	switch l {
-	case Limit_LIMIT_REQUESTS:
-		return daemon.LimitRequests
-	case Limit_LIMIT_TOKENS:
-		return daemon.LimitTokens
-	case Limit_LIMIT_CONCURRENCY:
-		return daemon.LimitConcurrency
-	}
-	return ""
-}
-
 // isEncodingError reports whether the message, and not the link, is at fault.
 func isEncodingError(err error) bool {
 	return errors.Is(err, ErrTooLarge) || errors.Is(err, ErrMalformed)
--- a/internal/daemon/daemonrpc/links_test.go
+++ b/internal/daemon/daemonrpc/links_test.go
@@ -15,6 +15,7 @@
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/ring"
 )
 
@@ -47,6 +48,11 @@
 func samples() []daemon.Message {
 	key := daemon.ShareKey{Customer: "prairie", Limit: daemon.LimitRequests}
 	amounts := []daemon.ShareAmount{{Key: key, Units: 7}}
+	indexed := []daemon.IndexedAmount{{Index: 0, Units: 8}, {Index: 300, Units: 9}}
+	host := platform.Host{
+		Name: "h", Role: platform.RoleBackend, Address: "10.0.0.2:1", DataCentre: "regina", Region: "west",
+		State: platform.HostLeaving, Service: "wear-model", ServerKind: "a", ChecksFence: true,
+	}
 	return []daemon.Message{
 		daemon.Heartbeat{Sequence: 1, Echo: 2, EchoAge: 3, Seen: sample.Incarnation, MembersDigest: 4,
 			Config: daemon.ConfigState{Digest: 5, Revision: 6, Ready: true}, Work: []daemon.ServerWork{{Server: 7, Outstanding: 8}}, WorkFull: true},
@@ -58,10 +64,17 @@
 		}},
 		daemon.ContractVersions{Revision: 3, Versions: []daemon.ContractVersion{{Customer: "prairie", Version: 2}}},
 		daemon.LoadReports{Reports: []daemon.ServerReport{{Server: "s1", Age: time.Second, Running: 2, Waiting: 3, KVUsed: 0.5}}},
-		daemon.ShareDemand{Sequence: 1, RosterVersion: 2, BaseUnits: 3, BasesDigest: 4, Wants: amounts},
-		daemon.ShareGrants{Sequence: 1, Fence: 2, RosterVersion: 3, BaseUnits: 4, Bases: amounts, Grants: amounts},
+		daemon.ShareDemand{Sequence: 1, RosterVersion: 2, BaseUnits: 3, BasesDigest: 4, Wants: indexed},
+		daemon.ShareGrants{Sequence: 1, Fence: 2, RosterVersion: 3, BaseUnits: 4, BaseConfirmed: true, BasesDigest: 5, Bases: amounts, Grants: indexed},
 		daemon.ShareAsk{DataCentre: "regina", Wants: amounts},
 		daemon.ShareGiven{Customer: "prairie"},
+		daemon.HostChanges{Sequence: 1, Full: true, Hosts: []daemon.HostEntry{{Host: host, Age: 2}}, Removed: []string{"gone"}},
+		daemon.HostDigest{Sequence: 1, Digest: 2},
+		daemon.HostAsk{},
+		daemon.SuspectReport{
+			Suspicions:  []daemon.Suspicion{{Fingerprint: 1 << 63, CrashesAlone: 2, Remaining: 3}},
+			Convictions: []daemon.Conviction{{Fingerprint: 4, Remaining: 5}},
+		},
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/daemonrpc/wirehosts.go
@@ -0,0 +1,58 @@
+package daemonrpc
+
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/daemon"
+	"github.com/berylfall/berylfall/internal/platform"
+)
+
+func hostsToWire(m daemon.HostChanges) *HostChanges {
+	w := &HostChanges{Sequence: m.Sequence, Full: m.Full, Removed: m.Removed}
+	for _, h := range m.Hosts {
+		w.Hosts = append(w.Hosts, &HostEntry{
+			Name: h.Name, Role: string(h.Role), Address: h.Address, DataCentre: h.DataCentre, Region: h.Region,
+			State: string(h.State), Service: h.Service, ServerKind: h.ServerKind, ChecksFence: h.ChecksFence,
+			AgeNs: int64(h.Age),
+		})
+	}
+	return w
+}
+
+func hostsFromWire(w *HostChanges) daemon.HostChanges {
+	m := daemon.HostChanges{Sequence: w.Sequence, Full: w.Full, Removed: w.Removed}
+	for _, h := range w.Hosts {
+		host := platform.Host{
+			Name: h.Name, Role: platform.HostRole(h.Role), Address: h.Address, DataCentre: h.DataCentre, Region: h.Region,
+			State: platform.HostState(h.State), Service: h.Service, ServerKind: h.ServerKind, ChecksFence: h.ChecksFence,
+		}
+		m.Hosts = append(m.Hosts, daemon.HostEntry{Host: host, Age: time.Duration(h.AgeNs)})
+	}
+	return m
+}
+
+func suspectsToWire(m daemon.SuspectReport) *SuspectReport {
+	w := &SuspectReport{}
+	for _, s := range m.Suspicions {
+		w.Suspicions = append(w.Suspicions, &Suspicion{
+			Fingerprint: s.Fingerprint, CrashesAlone: uint32(s.CrashesAlone), RemainingNs: int64(s.Remaining),
+		})
+	}
+	for _, c := range m.Convictions {
+		w.Convictions = append(w.Convictions, &Conviction{Fingerprint: c.Fingerprint, RemainingNs: int64(c.Remaining)})
+	}
+	return w
+}
+
+func suspectsFromWire(w *SuspectReport) daemon.SuspectReport {
+	m := daemon.SuspectReport{}
+	for _, s := range w.Suspicions {
+		m.Suspicions = append(m.Suspicions, daemon.Suspicion{
+			Fingerprint: s.Fingerprint, CrashesAlone: int(s.CrashesAlone), Remaining: time.Duration(s.RemainingNs),
+		})
+	}
+	for _, c := range w.Convictions {
+		m.Convictions = append(m.Convictions, daemon.Conviction{Fingerprint: c.Fingerprint, Remaining: time.Duration(c.RemainingNs)})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/daemon/hostrelay_test.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/platform"
+)
+
+// hostState returns the state of the host at the node, empty when not listed.
+func (n *node) hostState(name string) platform.HostState {
+	for _, h := range n.hosts {
+		if h.Name == name {
+			return h.State
+		}
+	}
+	return ""
+}
+
+func (w *world) wantHost(t *testing.T, dataCentre, name string, want platform.HostState) {
+	t.Helper()
+	for _, n := range w.liveNodes() {
+		if got := n.hostState(name); n.id.DataCentre == dataCentre && got != want {
+			t.Errorf("%s/%s has %s as %q, want %q", n.id.DataCentre, n.id.Name, name, got, want)
+		}
+	}
+}
+
+func (w *world) pollers(dataCentre string) (polling, others []*node) {
+	for _, n := range w.liveNodes() {
+		switch {
+		case n.id.DataCentre != dataCentre:
+		case n.polling:
+			polling = append(polling, n)
+		default:
+			others = append(others, n)
+		}
+	}
+	return polling, others
+}
+
+func hostsWorld(seed uint64, dataCentres, perDC int) *world {
+	w := newWorld(seed)
+	w.cluster(dataCentres, perDC)
+	for i := range 4 {
+		w.setHost(fmt.Sprintf("s%d", i), fmt.Sprintf("dc%d", i%dataCentres), platform.HostLive)
+	}
+	w.run(5*time.Second, nil)
+	return w
+}
+
+// Guards against calls to the platform that grow with daemons, against a list
+// that misses a daemon, and against hosts of other data centres in it that do
+// not leave.
+func TestHostsReachEveryDaemon(t *testing.T) {
+	w := hostsWorld(1, 2, 4)
+	for _, dataCentre := range []string{"dc0", "dc1"} {
+		if polling, _ := w.pollers(dataCentre); len(polling) != ConfigWatchers {
+			t.Errorf("%d daemons of %s poll, want %d", len(polling), dataCentre, ConfigWatchers)
+		}
+	}
+	w.wantHost(t, "dc0", "s0", platform.HostLive)
+	w.wantHost(t, "dc1", "s0", "")
+	w.setHost("s0", "dc0", platform.HostLeaving)
+	w.run(time.Second, nil)
+	w.wantHost(t, "dc0", "s0", platform.HostLeaving)
+	w.wantHost(t, "dc1", "s0", platform.HostLeaving)
+}
+
+// Guards against a leaving host that reaches a daemon later than 1 s after its
+// poller saw it: one poller is without the platform, and the change itself is lost.
+func TestLostHostChangeIsRepairedWithinASecond(t *testing.T) {
+	w := hostsWorld(2, 1, 4)
+	polling, _ := w.pollers("dc0")
+	w.noHosts[polling[0].id.Address] = true
+	w.drop = func(e Envelope) bool { _, isChange := e.Message.(HostChanges); return isChange }
+	w.setHost("s0", "dc0", platform.HostLeaving)
+	for polling[1].hostState("s0") != platform.HostLeaving {
+		w.run(10*time.Millisecond, nil)
+	}
+	w.drop = nil
+	w.run(990*time.Millisecond, nil)
+	w.wantHost(t, "dc0", "s0", platform.HostLeaving)
+}
+
+// Guards against a poller without the platform whose old list displaces a newer
+// one: by its digests, its answers, a membership change or a new daemon.
+func TestStalePollerNeverDisplacesNewerList(t *testing.T) {
+	w := hostsWorld(3, 1, 4)
+	polling, others := w.pollers("dc0")
+	w.noHosts[polling[0].id.Address] = true
+	w.setHost("s0", "dc0", platform.HostLeaving)
+	w.setHost("new", "dc0", platform.HostLive)
+	w.run(time.Second, nil)
+	check := func() {
+		for _, n := range w.liveNodes() {
+			if n.id.Name != "late" && (n.hostState("s0") != platform.HostLeaving || n.hostState("new") != platform.HostLive) {
+				t.Fatalf("%s has s0 as %q and new as %q", n.id.Name, n.hostState("s0"), n.hostState("new"))
+			}
+		}
+	}
+	w.run(5*time.Second, check)
+	w.start("late", "dc0", "10.0.0.9:1", polling[0].id.Address)
+	w.run(5*time.Second, check)
+	w.wantHost(t, "dc0", "s0", platform.HostLeaving)
+	w.end(others[0])
+	w.run(10*time.Second, check)
+	// The poller with the newer list dies; all others are without the platform.
+	for _, n := range w.nodes {
+		w.noHosts[n.id.Address] = true
+	}
+	w.end(polling[1])
+	w.run(10*time.Second, check)
+	w.run(hostFormerTime, nil)
+	w.wantHost(t, "dc0", "s0", platform.HostLeaving)
+	clear(w.noHosts)
+	w.noHosts[polling[0].id.Address] = true
+	w.run(time.Second, nil)
+	w.wantHost(t, "dc0", "new", platform.HostLive)
+	// The host comes back; the poller that is back knows nothing newer.
+	w.setHost("s0", "dc0", platform.HostLive)
+	w.run(3*time.Second, nil)
+	w.wantHost(t, "dc0", "s0", platform.HostLive)
+	delete(w.noHosts, polling[0].id.Address)
+	w.run(time.Second, nil)
+	w.wantHost(t, "dc0", "s0", platform.HostLive)
+}
+
+// Guards against a list that is lost with its pollers, and against new pollers
+// that do not take over.
+func TestNewPollersTakeOver(t *testing.T) {
+	w := hostsWorld(4, 1, 5)
+	polling, others := w.pollers("dc0")
+	for _, n := range polling {
+		w.end(n)
+	}
+	w.run(10*time.Second, func() {
+		for _, n := range others {
+			if n.hostState("s0") != platform.HostLive {
+				t.Fatalf("%s has s0 as %q", n.id.Name, n.hostState("s0"))
+			}
+		}
+	})
+	w.setHost("s0", "dc0", platform.HostLeaving)
+	w.run(time.Second, nil)
+	w.wantHost(t, "dc0", "s0", platform.HostLeaving)
+}
+
+// Guards against a host that leaves the list while one poller still lists it
+// and it may answer, and against one that stays for good.
+func TestAbsentHostStaysWhileAPollerListsIt(t *testing.T) {
+	w := hostsWorld(5, 1, 4)
+	polling, _ := w.pollers("dc0")
+	w.noHosts[polling[0].id.Address] = true
+	w.removeHost("s0")
+	w.run(3*time.Second, nil)
+	w.wantHost(t, "dc0", "s0", platform.HostLive)
+	delete(w.noHosts, polling[0].id.Address)
+	w.run(hostFormerTime, nil)
+	w.wantHost(t, "dc0", "s0", "")
+}
+
+// Guards against daemons that keep different lists after partitions and losses.
+func TestHostListsAgreeAfterFaults(t *testing.T) {
+	for seed := uint64(1); seed <= randomSeeds/4; seed++ {
+		w := hostsWorld(seed, 2, 3)
+		w.jitter = 200 * time.Millisecond
+		for range 8 {
+			w.randomFault(w.random)
+			states := []platform.HostState{platform.HostLive, platform.HostLeaving}
+			w.setHost(fmt.Sprintf("s%d", w.random.IntN(4)), "dc0", states[w.random.IntN(2)])
+			w.run(time.Duration(w.random.IntN(3000))*time.Millisecond, nil)
+		}
+		w.heal()
+		w.run(20*time.Second, nil)
+		for _, h := range w.hosts {
+			w.wantHost(t, h.DataCentre, h.Name, h.State)
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Logf("seeds 1 to %d", randomSeeds/4)
+}
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -119,7 +119,21 @@
 func (l *Load) Loop() *duty.Loop { return l.loop }
 
 // Report takes a report from this daemon's own poll.
-func (l *Load) Report(r LocalReport) { l.local.PutLatest(r) }
+// When the ring is full, only the newest report of each server is kept.
+func (l *Load) Report(r LocalReport) {
+	if l.local.TryPut(r) {
+		return
+	}
+	newest := map[core.ServerID]LocalReport{r.Server: r}
+	for held, ok := l.local.TryTake(); ok; held, ok = l.local.TryTake() {
+		if known, present := newest[held.Server]; !present || held.At.After(known.At) {
+			newest[held.Server] = held
+		}
+	}
+	for _, kept := range newest {
+		l.local.PutLatest(kept)
+	}
+}
 
 // Receive takes a message of another daemon; other kinds are ignored.
 func (l *Load) Receive(from Identity, m Message) {
@@ -130,6 +144,9 @@
 }
 
 func (l *Load) handleLocal(r LocalReport) {
+	if r.At.Before(l.pending[r.Server].At) {
+		return
+	}
 	l.pending[r.Server] = r
 	if l.flushing {
 		return
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
 )
 
 // Incarnation tells the runs of a daemon apart. The later one has the higher
@@ -133,7 +134,14 @@
 	RosterVersion int64  // of the roster that the sender holds
 	BaseUnits     int64  // that the sender uses of it; confirms a decrease
 	BasesDigest   uint64 // of the bases that the sender holds
-	Wants         []ShareAmount
+	Wants         []IndexedAmount
+}
+
+// IndexedAmount is an amount of the limit at the index in the list of bases
+// whose digest the message carries. Names would be most of the bytes.
+type IndexedAmount struct {
+	Index uint32
+	Units int64
 }
 
 // ShareAmount is an amount of one limit in share units.
@@ -148,8 +156,14 @@
 	Fence         int64         // of the shares owner's lease
 	RosterVersion int64         // object version of the roster
 	BaseUnits     int64         // the receiver's part of the bases
-	Bases         []ShareAmount // of the data centre; empty when the receiver has them
-	Grants        []ShareAmount // valid for GrantValidity from when the demand was sent
+	Bases         []ShareAmount // of the data centre, sorted; empty when the receiver has them
+	// BaseConfirmed says that the receiver may use its base for BaseValidity
+	// from when the demand was sent.
+	BaseConfirmed bool
+	// BasesDigest is that of the demand. Unless the owner's is the same, the
+	// demand was not understood and Grants says nothing.
+	BasesDigest uint64
+	Grants      []IndexedAmount // valid for GrantValidity from when the demand was sent
 }
 
 // ShareAsk asks another data centre to give part of its pool.
@@ -161,6 +175,48 @@
 // ShareGiven tells a data centre that its part has grown in the store.
 type ShareGiven struct{ Customer core.CustomerID }
 
+// HostEntry is a listed host, as its poller saw it.
+type HostEntry struct {
+	platform.Host
+	Age time.Duration // since the poller saw the entry change, when the message was sent
+}
+
+// HostChanges carries what has changed in the sender's host list.
+type HostChanges struct {
+	Sequence uint64 // of the sender's list after the change
+	Full     bool   // Hosts is the whole list
+	Hosts    []HostEntry
+	Removed  []string // names of hosts no longer listed
+}
+
+// HostDigest sums up the sender's host list.
+type HostDigest struct {
+	Sequence uint64
+	Digest   uint64
+}
+
+// HostAsk asks for the whole host list of the receiver.
+type HostAsk struct{}
+
+// Suspicion is a request that was in flight when a backend server crashed.
+type Suspicion struct {
+	Fingerprint  uint64
+	CrashesAlone int // crashes while it was the only suspect on the server
+	Remaining    time.Duration
+}
+
+// Conviction is a request that is the confirmed cause of crashes.
+type Conviction struct {
+	Fingerprint uint64
+	Remaining   time.Duration
+}
+
+// SuspectReport spreads crash suspects.
+type SuspectReport struct {
+	Suspicions  []Suspicion
+	Convictions []Conviction
+}
+
 func (Heartbeat) message()        {}
 func (MemberList) message()       {}
 func (Leave) message()            {}
@@ -171,3 +227,7 @@
 func (ShareGrants) message()      {}
 func (ShareAsk) message()         {}
 func (ShareGiven) message()       {}
+func (HostChanges) message()      {}
+func (HostDigest) message()       {}
+func (HostAsk) message()          {}
+func (SuspectReport) message()    {}
--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -39,7 +39,10 @@
 	slowWrite  float64 // share of writes that take effect seconds later, answer lost
 	storeCalls int
 	leases     map[string]*fakeLease
-	sent       map[string]int // messages by type
+	sent       map[string]int  // messages by type
+	hosts      []platform.Host // the list of the platform
+	hostsAt    int             // version of hosts
+	noHosts    map[string]bool // by address
 	bytes      int
 }
 
@@ -94,6 +97,12 @@
 	setAt    time.Time
 	views    int
 	traffic  int // bytes in and out
+	relay    *HostRelay
+	suspects *Suspects
+	polling  bool // of the host list
+	polled   int  // version of the host list
+	hosts    []platform.Host
+	told     []SuspectReport
 	amounts  map[ShareKey]shareAmounts
 	work     map[ServerKey]int
 	reports  []PeerReport
@@ -116,7 +125,7 @@
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		byAddr: map[string]*node{}, wires: map[LinkID]*wire{}, cut: map[[2]string]bool{},
 		latency: time.Millisecond, objects: map[string]platform.Object{}, noStore: map[string]bool{},
-		leases: map[string]*fakeLease{}, sent: map[string]int{},
+		leases: map[string]*fakeLease{}, sent: map[string]int{}, noHosts: map[string]bool{},
 	}
 }
 
@@ -159,7 +168,8 @@
 }
 
 func (n *node) step() int {
-	return n.peers.loop.Step() + n.config.loop.Step() + n.shares.loop.Step() + n.load.loop.Step()
+	return n.peers.loop.Step() + n.config.loop.Step() + n.shares.loop.Step() + n.load.loop.Step() +
+		n.relay.loop.Step() + n.suspects.loop.Step()
 }
 
 func (n *node) touch() {
@@ -273,117 +283,6 @@
 	}
 }
 
-// storeCut reports whether the node is without the store.
-func (n *node) storeCut() bool {
-	return n.w.noStore[""] || n.w.noStore[n.id.Address] || n.w.noStore[n.id.DataCentre]
-}
-
-func (n *node) Submit(op platform.Op) bool {
-	w := n.w
-	w.storeCalls++
-	reply := func(r platform.Result) { w.at(w.delay(), func() { op.Reply(r); n.touch() }) }
-	if n.storeCut() {
-		reply(platform.Result{Err: platform.ErrUnavailable})
-		return true
-	}
-	if op.Kind != platform.OpGet && w.random.Float64() < w.slowWrite {
-		w.at(time.Duration(w.random.Int64N(int64(8*time.Second))), func() { w.apply(op) })
-		w.at(time.Second, func() { op.Reply(platform.Result{Err: platform.ErrUnknownOutcome}); n.touch() })
-		return true
-	}
-	w.at(w.delay(), func() {
-		r := w.apply(op)
-		if w.random.Float64() < w.lostAnswer {
-			r = platform.Result{Err: platform.ErrUnknownOutcome}
-		}
-		reply(r)
-	})
-	return true
-}
-
-func (w *world) apply(op platform.Op) platform.Result {
-	current, found := w.objects[op.Key]
-	if op.Kind == platform.OpGet {
-		if !found {
-			return platform.Result{Err: platform.ErrNotFound}
-		}
-		return platform.Result{Object: current}
-	}
-	if current.Version != op.IfVersion {
-		return platform.Result{Err: platform.ErrConflict}
-	}
-	return platform.Result{Object: w.put(op.Key, op.Value, false)}
-}
-
-func (w *world) put(key string, value []byte, deleted bool) platform.Object {
-	w.revision++
-	o := platform.Object{Key: key, Version: w.objects[key].Version + 1, Revision: w.revision, Value: value, Deleted: deleted}
-	w.objects[key] = o
-	if _, isContract := cutPrefix(key); isContract {
-		for _, n := range w.nodes {
-			n.notify()
-		}
-	}
-	return o
-}
-
-func cutPrefix(key string) (string, bool) {
-	if len(key) < len(ContractPrefix) || key[:len(ContractPrefix)] != ContractPrefix {
-		return "", false
-	}
-	return key[len(ContractPrefix):], true
-}
-
-// notify ends the node's waiting watch call with the changes since the last one.
-// While the store is out of reach the call is made again.
-func (n *node) notify() {
-	if !n.watching || n.ended || n.seen == n.w.revision {
-		return
-	}
-	n.w.storeCalls++
-	if n.storeCut() {
-		n.w.at(250*time.Millisecond, n.notify)
-		return
-	}
-	n.deliverStore(n.seen == 0, n.seen)
-}
-
-// deliverStore sends the contracts that changed after the revision.
-func (n *node) deliverStore(full bool, after int64) {
-	s := platform.Snapshot{Revision: n.w.revision, Full: full}
-	for key, o := range n.w.objects {
-		if _, isContract := cutPrefix(key); isContract && o.Revision > after {
-			s.Objects = append(s.Objects, o)
-		}
-	}
-	n.seen = n.w.revision
-	n.w.at(n.w.delay(), func() { n.config.Deliver(s); n.touch() })
-}
-
-func (n *node) SetActive(active bool) {
-	n.watching = active
-	if active {
-		n.list()
-	}
-}
-
-func (n *node) list() {
-	if !n.watching || n.ended {
-		return
-	}
-	n.w.storeCalls++
-	if n.storeCut() {
-		n.w.at(250*time.Millisecond, n.list)
-		return
-	}
-	n.deliverStore(true, 0)
-}
-
-func (w *world) setContract(customer string, requests float64) platform.Object {
-	value := fmt.Sprintf(`{"customer":%q,"limits":{"requestsPerSecond":%g}}`, customer, requests)
-	return w.put(ContractPrefix+customer, []byte(value), false)
-}
-
 func quietLog() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -413,11 +312,15 @@
 		n.shares.SetContracts(set)
 	})
 	n.load = NewLoad(n, n.peers, func(r []PeerReport) { n.reports = append(n.reports, r...) }, func(m map[ServerKey]int) { n.work = m })
+	n.relay = NewHostRelay(n.id, n, n.peers, hostPoll{n}, func(hosts []platform.Host) { n.hosts = hosts })
+	n.suspects = NewSuspects(n.id, n, n.peers, func(r SuspectReport) { n.told = append(n.told, r) })
+	n.peers.OnMembers(n.relay.SetMembers)
+	n.peers.OnMembers(n.suspects.SetMembers)
 	n.config.Connect(n.peers, n)
 	n.peers.OnMembers(n.config.SetMembers)
 	n.peers.OnMembers(n.shares.SetMembers)
 	n.peers.OnMembers(func(*MembersView) { n.views++ })
-	for _, receive := range []MessageListener{n.config.Receive, n.shares.Receive, n.load.Receive} {
+	for _, receive := range []MessageListener{n.config.Receive, n.shares.Receive, n.load.Receive, n.relay.Receive, n.suspects.Receive} {
 		n.peers.OnMessage(receive)
 	}
 	w.nodes = append(w.nodes, n)
@@ -462,33 +365,6 @@
 	}
 }
 
-// keepLeases renews the shares owners' leases and lets others take them over,
-// with the timings of the design page.
-func (w *world) keepLeases() {
-	const duration = 4 * time.Second
-	for _, n := range w.nodes {
-		if n.ended || n.paused || n.storeCut() {
-			continue
-		}
-		l := w.leases[n.id.DataCentre]
-		if l == nil {
-			l = &fakeLease{}
-			w.leases[n.id.DataCentre] = l
-		}
-		free := w.now.Sub(l.renewed) >= duration+duration/8
-		if l.holder == n || free {
-			if l.holder != n {
-				l.holder = n
-				l.fence++
-			}
-			l.renewed = w.now
-			n.shares.SetLease(OwnerLease{Fence: l.fence, ValidUntil: w.now.Add(duration * 3 / 4)})
-			n.touch()
-		}
-	}
-	w.at(500*time.Millisecond, w.keepLeases)
-}
-
 func (n *node) state(of *node) MemberState {
 	if m := n.peers.members[of.id.ID()]; m != nil && m.Incarnation == of.id.Incarnation {
 		return m.state
--- a/internal/daemon/rendezvous.go
+++ b/internal/daemon/rendezvous.go
@@ -53,3 +53,9 @@
 func Polls(v *MembersView, server core.ServerID) bool {
 	return first("poll/"+string(server), v.Live(), 1, v.Self.Name)
 }
+
+// storeWatchers returns the names of the daemons of the data centre that watch
+// the store and poll the host list.
+func storeWatchers(v *MembersView) []string {
+	return Rank("config/"+v.Self.DataCentre, v.Live(), ConfigWatchers)
+}
--- a/internal/daemon/shareobjects.go
+++ b/internal/daemon/shareobjects.go
@@ -36,6 +36,9 @@
 	Address     string      `json:"address"`
 	Incarnation Incarnation `json:"incarnation"`
 	Units       int64       `json:"units"` // of ShareUnits
+	// Silent counts the whole silentPeriods in which owners did not hear the
+	// daemon. The base is confirmed only while this is 0.
+	Silent int `json:"silent,omitempty"`
 }
 
 // ShareRoster is the stored division of the bases of a data centre, in object
--- a/internal/daemon/shareowner.go
+++ b/internal/daemon/shareowner.go
@@ -1,13 +1,10 @@
 package daemon
 
 import (
-	"encoding/json"
-	"errors"
 	"sort"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
-	"github.com/berylfall/berylfall/internal/platform"
 )
 
 // Limits of the shares owner.
@@ -77,6 +74,13 @@
 	rosterVersion int64
 	rosterBusy    bool
 	confirmed     map[runID]int64 // units that a daemon said it uses of this version
+
+	since   time.Time           // of this ownership
+	heard   map[runID]time.Time // last demand
+	counted map[runID]time.Time // last silent period that was counted
+
+	table       []ShareAmount // bases of the data centre, sorted; nil to be made again
+	tableDigest uint64
 }
 
 func newShareOwner(s *Shares, store SharesStore) *shareOwner {
@@ -94,6 +98,10 @@
 	o.rosterVersion = 0
 	o.rosterBusy = false
 	o.confirmed = map[runID]int64{}
+	o.since = o.now()
+	o.heard = map[runID]time.Time{}
+	o.counted = map[runID]time.Time{}
+	o.table = nil
 }
 
 func (o *shareOwner) now() time.Time { return o.shares.clock.Now() }
@@ -166,13 +174,15 @@
 	}
 }
 
-// announce tells daemons that have no owner, or an earlier one, who it is.
+// announce tells daemons that send no demands who the owner is.
 func (o *shareOwner) announce() {
 	if o.roster == nil {
 		return
 	}
 	for _, m := range o.view.Members {
-		if m.ID() != o.shares.self.ID() && m.State.live() {
+		heard, known := o.heard[runOf(m.Identity)]
+		silent := !known || o.now().Sub(heard) >= 2*sharesPeriod
+		if m.ID() != o.shares.self.ID() && m.State.live() && silent {
 			o.shares.link.Send(m.ID(), o.answer(m.Identity, 0))
 		}
 	}
@@ -191,14 +201,22 @@
 		return
 	}
 	run := runOf(from)
+	o.heard[run] = o.now()
 	if m.RosterVersion == o.rosterVersion {
 		o.confirmed[run] = m.BaseUnits
 	}
 	answer := o.answer(from, m.Sequence)
-	answer.Bases = o.basesUnless(m.BasesDigest)
-	o.recordWishes(run, m.Wants)
-	if !o.now().Before(o.graceUntil) {
-		answer.Grants = o.grant(run, m.Wants)
+	answer.BaseConfirmed = o.confirmsBase(from)
+	answer.BasesDigest = m.BasesDigest
+	o.keepTable()
+	if m.BasesDigest != o.tableDigest {
+		answer.Bases = o.table
+	} else {
+		wants := o.named(m.Wants)
+		o.recordWishes(run, wants)
+		if !o.now().Before(o.graceUntil) {
+			answer.Grants = o.grant(run, wants)
+		}
 	}
 	if from.ID() == o.shares.self.ID() {
 		o.shares.applyGrants(from, answer)
@@ -207,7 +225,18 @@
 	o.shares.link.Send(from.ID(), answer)
 }
 
-func (o *shareOwner) recordWishes(run runID, wants []ShareAmount) {
+// named returns the wants with the names of their limits.
+func (o *shareOwner) named(wants []IndexedAmount) map[uint32]ShareAmount {
+	named := make(map[uint32]ShareAmount, len(wants))
+	for _, w := range wants {
+		if int(w.Index) < len(o.table) {
+			named[w.Index] = ShareAmount{Key: o.table[w.Index].Key, Units: w.Units}
+		}
+	}
+	return named
+}
+
+func (o *shareOwner) recordWishes(run runID, wants map[uint32]ShareAmount) {
 	for _, runs := range o.wishes {
 		delete(runs, run)
 	}
@@ -219,10 +248,10 @@
 	}
 }
 
-func (o *shareOwner) grant(run runID, wants []ShareAmount) []ShareAmount {
-	var grants []ShareAmount
+func (o *shareOwner) grant(run runID, wants map[uint32]ShareAmount) []IndexedAmount {
+	var grants []IndexedAmount
 	expires := o.now().Add(GrantValidity + grantMargin)
-	for _, w := range wants {
+	for index, w := range wants {
 		pool := o.pool(w.Key)
 		units := min(w.Units, o.fairLevel(w.Key, pool), pool-o.reservedBy(w.Key, &run))
 		if units <= 0 {
@@ -232,8 +261,9 @@
 			o.reserved[w.Key] = map[runID][]reservation{}
 		}
 		o.reserved[w.Key][run] = append(o.reserved[w.Key][run], reservation{units: units, expires: expires})
-		grants = append(grants, ShareAmount{Key: w.Key, Units: units})
+		grants = append(grants, IndexedAmount{Index: index, Units: units})
 	}
+	sort.Slice(grants, func(i, j int) bool { return grants[i].Index < grants[j].Index })
 	return grants
 }
 
@@ -293,226 +323,22 @@
 	return total
 }
 
-func (o *shareOwner) basesUnless(digest uint64) []ShareAmount {
-	var bases []ShareAmount
-	var own uint64
+// keepTable makes the list of bases if a split was claimed since the last one.
+func (o *shareOwner) keepTable() {
+	if o.table != nil {
+		return
+	}
+	o.table = []ShareAmount{}
+	o.tableDigest = 0
 	for customer, c := range o.splits {
 		if c.split == nil {
 			continue
 		}
 		for limit, parts := range c.split.Parts {
 			b := ShareAmount{Key: ShareKey{Customer: customer, Limit: limit}, Units: parts[o.shares.self.DataCentre].Base}
-			own ^= amountDigest(b)
-			bases = append(bases, b)
-		}
-	}
-	if own == digest {
-		return nil
-	}
-	sortAmounts(bases)
-	return bases
-}
-
-// handleResult takes the result of a store call.
-func (o *shareOwner) handleResult(r shareResult) {
-	o.calls--
-	if r.fence != o.lease.Fence {
-		return
-	}
-	if r.customer == "" {
-		o.handleRosterResult(r)
-		return
-	}
-	c := o.splits[r.customer]
-	if c == nil {
-		return
-	}
-	c.busy = false
-	if r.write {
-		o.splitWritten(r, c)
-		return
-	}
-	o.splitRead(r, c)
-}
-
-func (o *shareOwner) splitWritten(r shareResult, c *customerSplit) {
-	gave := c.giftNow
-	c.giftNow = false
-	if r.result.Err != nil {
-		// Whatever the error, the write may yet take effect. The pool stays as
-		// it is until a later write of this owner has succeeded.
-		c.doubtful = true
-		c.keepGift = (gave || c.keepGift) && errors.Is(r.result.Err, platform.ErrConflict)
-		if errors.Is(r.result.Err, platform.ErrConflict) && o.holds() {
-			c.busy = o.readSplit(r.customer)
-		}
-		return
-	}
-	c.split = r.split
-	c.version = r.result.Object.Version
-	c.doubtful = false
-	receivers := c.gift
-	if !gave && c.keepGift {
-		o.dropUncovered(c)
-		return
-	}
-	c.gift = map[Limit]gift{}
-	if !gave {
-		return
-	}
-	for _, g := range receivers {
-		o.shares.link.SendToDataCentre(g.to, ShareGiven{Customer: r.customer})
-	}
-}
-
-// dropUncovered keeps the gifts whose write was refused, to be written again,
-// unless the pool has become too small.
-func (o *shareOwner) dropUncovered(c *customerSplit) {
-	c.keepGift = false
-	for limit, g := range c.gift {
-		if c.split.Parts[limit][o.shares.self.DataCentre].Pool < g.units {
-			delete(c.gift, limit)
-		}
-	}
-}
-
-func (o *shareOwner) splitRead(r shareResult, c *customerSplit) {
-	c.readAt = o.now()
-	if absent(r.result) {
-		o.createSplit(r, c)
-		return
-	}
-	if r.result.Err != nil || r.result.Object.Version < c.version {
-		return
-	}
-	split := &ShareSplit{}
-	if err := json.Unmarshal(r.result.Object.Value, split); err != nil {
-		o.shares.log.WithError(err).WithField("customer", r.customer).Error("stored split of limits cannot be read")
-		return
-	}
-	claimed := split.Fences[o.shares.self.DataCentre] == o.lease.Fence
-	if claimed && !c.doubtful && len(c.gift) == 0 {
-		c.split = split
-		c.version = r.result.Object.Version
-		return
-	}
-	if split.Fences[o.shares.self.DataCentre] > o.lease.Fence {
-		return
-	}
-	next := split.clone()
-	next.Fences[o.shares.self.DataCentre] = o.lease.Fence
-	c.busy = o.holds() && o.writeSplit(r.customer, next, r.result.Object.Version)
-}
-
-func (o *shareOwner) createSplit(r shareResult, c *customerSplit) {
-	split := NewSplit(o.view.DataCentres)
-	split.Fences[o.shares.self.DataCentre] = o.lease.Fence
-	c.busy = o.holds() && o.writeSplit(r.customer, split, platform.Absent)
-}
-
-// keepSplit claims the customer's split, writes a gift that is free, and reads
-// the split again while more is wanted.
-func (o *shareOwner) keepSplit(customer core.CustomerID) {
-	c := o.splits[customer]
-	if c == nil {
-		c = &customerSplit{gift: map[Limit]gift{}}
-		o.splits[customer] = c
-	}
-	if c.busy {
-		return
-	}
-	stale := o.short(customer) && o.now().Sub(c.readAt) >= splitRefresh
-	if c.split == nil || c.doubtful {
-		c.busy = o.readSplit(customer)
-		return
-	}
-	if len(c.gift) > 0 {
-		o.writeGifts(customer, c)
-		return
-	}
-	if stale {
-		c.busy = o.readSplit(customer)
-	}
-}
-
-func (o *shareOwner) short(customer core.CustomerID) bool {
-	for key := range o.wishes {
-		if key.Customer == customer && o.wished(key) > o.pool(key) {
-			return true
-		}
-	}
-	return false
-}
-
-// refresh reads the split of a customer after a gift.
-func (o *shareOwner) refresh(customer core.CustomerID) {
-	c := o.splits[customer]
-	if o.holds() && c != nil && !c.busy && len(c.gift) == 0 {
-		c.busy = o.readSplit(customer)
-	}
-}
-
-// handleAsk withholds what this data centre does not need. The gift is written
-// once no grant covers it any more.
-func (o *shareOwner) handleAsk(m ShareAsk) {
-	if !o.holds() || m.DataCentre == o.shares.self.DataCentre {
-		return
-	}
-	for _, w := range m.Wants {
-		c := o.splits[w.Key.Customer]
-		if c == nil || c.split == nil || c.busy || c.doubtful {
-			continue
-		}
-		if _, started := c.gift[w.Key.Limit]; started {
-			continue
-		}
-		units := min(w.Units, o.pool(w.Key)-o.wished(w.Key))
-		if units < giveMin {
-			continue
+			o.tableDigest ^= amountDigest(b)
+			o.table = append(o.table, b)
 		}
-		c.gift[w.Key.Limit] = gift{to: m.DataCentre, units: units}
-		o.writeGifts(w.Key.Customer, c)
-	}
-}
-
-func (o *shareOwner) writeGifts(customer core.CustomerID, c *customerSplit) {
-	next := c.split.clone()
-	for limit, g := range c.gift {
-		key := ShareKey{Customer: customer, Limit: limit}
-		if o.reservedBy(key, nil) > o.pool(key) {
-			return
-		}
-		next.give(limit, o.shares.self.DataCentre, g.to, g.units)
-	}
-	c.busy = o.writeSplit(customer, next, c.version)
-	c.giftNow = c.busy
-}
-
-// askOthers asks one other data centre at a time for what is short here, so
-// that several do not give for the same need.
-func (o *shareOwner) askOthers() {
-	others := make([]string, 0, len(o.view.DataCentres))
-	for _, dataCentre := range o.view.DataCentres {
-		if dataCentre != o.shares.self.DataCentre {
-			others = append(others, dataCentre)
-		}
-	}
-	var wants []ShareAmount
-	for key := range o.wishes {
-		missing := o.wished(key) - o.pool(key)
-		if missing >= giveMin {
-			wants = append(wants, ShareAmount{Key: key, Units: missing})
-		}
-	}
-	if len(others) == 0 || len(wants) == 0 {
-		o.askTicks = 0
-		return
-	}
-	o.askTicks++
-	if o.askTicks > len(others) && o.askTicks%askSlowdown != 0 {
-		return
 	}
-	sortAmounts(wants)
-	o.askNext++
-	o.shares.link.SendToDataCentre(others[o.askNext%len(others)], ShareAsk{DataCentre: o.shares.self.DataCentre, Wants: wants})
+	sortAmounts(o.table)
 }
--- a/internal/daemon/shareroster.go
+++ b/internal/daemon/shareroster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sort"
+	"time"
 
 	"github.com/berylfall/berylfall/internal/platform"
 )
@@ -10,13 +11,11 @@
 // baseUnitsFor returns the part of the bases that a daemon is told. It is less
 // than its slot while room is made for daemons without one.
 func (o *shareOwner) baseUnitsFor(id Identity) int64 {
-	for _, slot := range o.roster.Slots {
-		if slot.Name != id.Name || slot.Incarnation != id.Incarnation {
-			continue
-		}
-		return min(slot.Units, o.rosterTarget())
+	i := o.slot(id)
+	if i < 0 {
+		return 0
 	}
-	return 0
+	return min(o.roster.Slots[i].Units, o.rosterTarget())
 }
 
 // rosterTarget returns the equal base of each daemon, those without a slot included.
@@ -31,14 +30,7 @@
 }
 
 // slot returns the index of the run's slot, or -1.
-func (o *shareOwner) slot(id Identity) int {
-	for i, slot := range o.roster.Slots {
-		if slot.Name == id.Name && slot.Incarnation == id.Incarnation {
-			return i
-		}
-	}
-	return -1
-}
+func (o *shareOwner) slot(id Identity) int { return indexOf(o.roster.Slots, id) }
 
 // inherited returns the index of the slot of an earlier process at the daemon's
 // address, or -1. One address has one process, so the earlier one has ended.
@@ -68,19 +60,20 @@
 
 // nextRoster returns the roster with slots of ended processes passed on or
 // removed, and the units that are free divided among those below the target. A
-// silent daemon keeps its slot, since it may be serving on the far side of a
-// partition.
+// silent daemon keeps its slot until its base has ended by its own clock, since
+// it may be serving on the far side of a partition.
 func (o *shareOwner) nextRoster() *ShareRoster {
 	target := o.rosterTarget()
 	next := &ShareRoster{Fence: o.lease.Fence}
 	free := ShareUnits
 	for _, slot := range o.roster.Slots {
-		if o.hasLeft(slot) {
+		slot.Silent = o.silence(slot)
+		if o.hasLeft(slot) || slot.Silent >= baseReleasePeriods {
 			continue
 		}
 		held := o.heldUnits(slot)
 		if successor, ok := o.successor(slot); ok {
-			slot.Name, slot.Incarnation = successor.Name, successor.Incarnation
+			slot.Name, slot.Incarnation, slot.Silent = successor.Name, successor.Incarnation, 0
 			held = slot.Units
 		}
 		slot.Units = held
@@ -113,13 +106,46 @@
 // heldUnits returns what the slot's daemon may be using: its slot, or less if
 // it has confirmed less under this roster version.
 func (o *shareOwner) heldUnits(slot RosterSlot) int64 {
-	run := runID{peer: PeerID{DataCentre: o.shares.self.DataCentre, Name: slot.Name}, incarnation: slot.Incarnation}
-	if confirmed, ok := o.confirmed[run]; ok {
+	if confirmed, ok := o.confirmed[o.runOfSlot(slot)]; ok {
 		return min(confirmed, slot.Units)
 	}
 	return slot.Units
 }
 
+func (o *shareOwner) runOfSlot(slot RosterSlot) runID {
+	return runID{peer: PeerID{DataCentre: o.shares.self.DataCentre, Name: slot.Name}, incarnation: slot.Incarnation}
+}
+
+// silence returns the slot's count of silent periods, and counts one more when
+// a whole period has passed. It is counted when the write starts, so that a
+// write of unknown outcome never counts a period twice.
+func (o *shareOwner) silence(slot RosterSlot) int {
+	run := o.runOfSlot(slot)
+	now := o.now()
+	heard, known := o.heard[run]
+	if known && now.Sub(heard) < o.shares.silentPeriod {
+		return 0
+	}
+	from := o.since
+	for _, at := range []time.Time{heard, o.counted[run]} {
+		if at.After(from) {
+			from = at
+		}
+	}
+	if now.Sub(from) < o.shares.silentPeriod {
+		return slot.Silent
+	}
+	o.counted[run] = now
+	return slot.Silent + 1
+}
+
+// confirmsBase reports whether the daemon may go on using its base. While its
+// stored count is not 0 a later owner might count on from there.
+func (o *shareOwner) confirmsBase(id Identity) bool {
+	i := o.slot(id)
+	return i >= 0 && o.roster.Slots[i].Silent == 0
+}
+
 func (o *shareOwner) hasLeft(slot RosterSlot) bool {
 	for _, m := range o.view.Members {
 		if m.Name == slot.Name && m.Incarnation == slot.Incarnation {
--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"encoding/binary"
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/core"
@@ -44,6 +42,16 @@
 	sharesPeriod = time.Second
 	// demandValidity is how long a wish for more counts without being repeated.
 	demandValidity = 3 * time.Second
+	// BaseValidity is how long a daemon uses its base after the owner has
+	// confirmed it, from when it asked. It covers a long outage of the store,
+	// in which there is no owner.
+	BaseValidity = 12 * time.Hour
+	// silentPeriod is the unit in which owners count the silence of a daemon.
+	silentPeriod = 15 * time.Minute
+	// baseReleasePeriods is the silence after which a base is released: the
+	// validity, and 4 periods more for a period that is counted once too often,
+	// for clocks that run at different rates, and for a paused process.
+	baseReleasePeriods = int(BaseValidity/silentPeriod) + 4
 	// demandHeadroom lets a daemon's use grow between two demands.
 	demandHeadroom = 1.25
 )
@@ -58,7 +66,7 @@
 )
 
 // SharesListener receives how much of a limit this daemon may use. An amount
-// with a zero validUntil is the base and counts without a time limit. An amount
+// with a zero validUntil is the base and counts until the next call. An amount
 // with a validUntil includes the base and replaces it until then; the receiver
 // compares validUntil with its clock at each use, because this duty may be
 // paused. It must not wait.
@@ -126,8 +134,11 @@
 	owner         PeerID
 	rosterVersion int64
 	baseUnits     int64
+	baseUntil     time.Time
 	bases         map[ShareKey]int64
-	basesDigest   uint64
+	table         []ShareKey // that the indexes of demands and grants refer to
+	indexes       map[ShareKey]uint32
+	basesDigest   uint64 // of the table with its bases
 	grants        map[ShareKey]grant
 	sequence      uint64
 	applied       uint64
@@ -135,6 +146,10 @@
 	told          map[ShareKey]told
 
 	ownership *shareOwner
+
+	// The time limits of the base are shorter in tests.
+	baseValidity time.Duration
+	silentPeriod time.Duration
 }
 
 // NewShares returns the shares duty of the daemon with the given identity.
@@ -158,6 +173,9 @@
 		grants:    map[ShareKey]grant{},
 		sent:      map[uint64]time.Time{},
 		told:      map[ShareKey]told{},
+
+		baseValidity: BaseValidity,
+		silentPeriod: silentPeriod,
 	}
 	s.ownership = newShareOwner(s, store)
 	duty.On(s.loop, s.leases, s.ownership.handleLease)
@@ -295,108 +313,27 @@
 	s.link.Send(s.owner, m)
 }
 
-func (s *Shares) wants() []ShareAmount {
-	var wants []ShareAmount
+func (s *Shares) wants() []IndexedAmount {
+	var wants []IndexedAmount
 	for key, d := range s.demands {
 		limit := s.limits[key]
-		if limit <= 0 {
+		index, known := s.indexes[key]
+		if limit <= 0 || !known {
 			continue
 		}
 		units := int64(min(d.amount*demandHeadroom/limit, 1) * float64(ShareUnits))
 		if units -= s.base(key); units > 0 {
-			wants = append(wants, ShareAmount{Key: key, Units: units})
+			wants = append(wants, IndexedAmount{Index: index, Units: units})
 		}
 	}
-	sortAmounts(wants)
+	sort.Slice(wants, func(i, j int) bool { return wants[i].Index < wants[j].Index })
 	return wants
 }
 
 // base returns this daemon's base in units of the whole limit.
 func (s *Shares) base(key ShareKey) int64 {
-	return s.bases[key] * s.baseUnits / ShareUnits
-}
-
-// applyGrants takes an answer of the owner. The grants count from when they
-// were asked for, so that no delay on the way makes them count longer than the
-// owner reserves them.
-func (s *Shares) applyGrants(from Identity, m ShareGrants) {
-	if m.Fence < s.fence || from.DataCentre != s.self.DataCentre {
-		return
-	}
-	s.fence = m.Fence
-	s.owner = from.ID()
-	s.applyRoster(m)
-	for _, b := range m.Bases {
-		if _, known := s.bases[b.Key]; !known {
-			s.bases[b.Key] = b.Units
-			s.basesDigest ^= amountDigest(b)
-		}
-	}
-	sentAt, known := s.sent[m.Sequence]
-	if known && m.Sequence > s.applied {
-		s.applied = m.Sequence
-		clear(s.grants)
-		for _, g := range m.Grants {
-			s.grants[g.Key] = grant{units: g.Units, validUntil: sentAt.Add(GrantValidity)}
-		}
-	}
-	s.tell()
-}
-
-// applyRoster takes this daemon's part of the bases. Within one roster version
-// it only falls: the owner has given away what a daemon confirmed to have left.
-func (s *Shares) applyRoster(m ShareGrants) {
-	switch {
-	case m.RosterVersion > s.rosterVersion:
-		s.rosterVersion = m.RosterVersion
-		s.baseUnits = m.BaseUnits
-	case m.RosterVersion == s.rosterVersion:
-		s.baseUnits = min(s.baseUnits, m.BaseUnits)
-	}
-}
-
-// tell calls the listener for each limit whose amount has changed.
-func (s *Shares) tell() {
-	now := s.clock.Now()
-	for key, limit := range s.limits {
-		next := told{base: amountOf(limit, s.base(key))}
-		g, granted := s.grants[key]
-		if granted && now.Before(g.validUntil) {
-			next.amount = amountOf(limit, s.base(key)+g.units)
-			next.until = g.validUntil
-		}
-		last, known := s.told[key]
-		if known && last == next {
-			continue
-		}
-		s.told[key] = next
-		if !known || last.base != next.base || next.until.IsZero() {
-			s.listener(key.Customer, key.Limit, next.base, time.Time{})
-		}
-		if !next.until.IsZero() {
-			s.listener(key.Customer, key.Limit, next.amount, next.until)
-		}
-	}
-	for key := range s.told {
-		if _, known := s.limits[key]; !known {
-			delete(s.told, key)
-		}
+	if !s.clock.Now().Before(s.baseUntil) {
+		return 0
 	}
-}
-
-func amountOf(limit float64, units int64) float64 {
-	return limit * float64(units) / float64(ShareUnits)
-}
-
-func sortAmounts(amounts []ShareAmount) {
-	sort.Slice(amounts, func(i, j int) bool { return lessKey(amounts[i].Key, amounts[j].Key) })
-}
-
-func lessKey(a, b ShareKey) bool {
-	return a.Customer < b.Customer || (a.Customer == b.Customer && a.Limit < b.Limit)
-}
-
-func amountDigest(a ShareAmount) uint64 {
-	key := []byte(string(a.Key.Customer) + "\x00" + string(a.Key.Limit))
-	return xxhash.Sum64(binary.LittleEndian.AppendUint64(key, uint64(a.Units)))
+	return s.bases[key] * s.baseUnits / ShareUnits
 }
--- a/internal/daemon/shares_test.go
+++ b/internal/daemon/shares_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -186,7 +187,8 @@
 	s.demand(w.now)
 	w.now = w.now.Add(GrantValidity)
 	s.applyGrants(Identity{Name: "owner", DataCentre: "dc0"}, ShareGrants{
-		Sequence: s.sequence, Fence: 1, Grants: []ShareAmount{{Key: requestsOfA, Units: ShareUnits}},
+		Sequence: s.sequence, Fence: 1, Bases: []ShareAmount{{Key: requestsOfA}},
+		BasesDigest: amountDigest(ShareAmount{Key: requestsOfA}), Grants: []IndexedAmount{{Units: ShareUnits}},
 	})
 	if got := n.amounts[requestsOfA].at(w.now); got != 0 {
 		t.Errorf("a grant of %v that arrived after its end counts", got)
@@ -284,7 +286,9 @@
 	o.handleLease(OwnerLease{Fence: 2, ValidUntil: w.now.Add(time.Minute)})
 	o.roster = &ShareRoster{}
 	o.splits["a"] = &customerSplit{split: NewSplit([]string{"dc0"})}
-	demand := ShareDemand{Wants: []ShareAmount{{Key: requestsOfA, Units: 1000}}}
+	o.keepTable()
+	index := slices.IndexFunc(o.table, func(a ShareAmount) bool { return a.Key == requestsOfA })
+	demand := ShareDemand{BasesDigest: o.tableDigest, Wants: []IndexedAmount{{Index: uint32(index), Units: 1000}}}
 	o.handleDemand(n.id, demand)
 	if got := o.reservedBy(requestsOfA, nil); got != 0 {
 		t.Errorf("a new owner granted %d units at once", got)
