--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
 )
 
 // EncodedSize is set by the external test package, which may import the encoding.
@@ -97,6 +98,9 @@
 	for i := range c.contracts {
 		w.setContract(fmt.Sprintf("customer-%d", i), 1000)
 	}
+	for i := range c.servers * c.dataCentres {
+		w.setHost(fmt.Sprintf("engine-%04d", i), fmt.Sprintf("dc%d", i%c.dataCentres), platform.HostLive)
+	}
 	w.keepLeases()
 	w.feed(c)
 	w.run(warmUp, nil)
--- a/internal/daemon/shares_test.go
+++ b/internal/daemon/shares_test.go
@@ -162,7 +162,7 @@
 		return
 	}
 	owner := lease.holder.id
-	switch script.IntN(6) {
+	switch script.IntN(8) {
 	case 0, 1:
 		w.noStore[owner.Address] = true
 		w.at(7*time.Second, func() { delete(w.noStore, owner.Address) })
@@ -173,6 +173,63 @@
 			address := fmt.Sprintf("10.0.0.%d:1", 10+len(w.nodes))
 			w.start(fmt.Sprintf("new%d", len(w.nodes)), "dc0", address, other.id.Address, owner.Address)
 		}
+	case 4, 5, 6:
+		w.takeOverDuringGift(60)
+	case 7:
+		w.takeOverWithGrant()
+	}
+}
+
+// takeOverDuringGift hands a data centre over while its owner has a gift under
+// way, which takes effect seconds later, and tries again for a while if there
+// is none. The daemons of the giver want all they can get.
+func (w *world) takeOverDuringGift(tries int) {
+	for _, dataCentre := range []string{"dc0", "dc1"} {
+		l := w.leases[dataCentre]
+		if l == nil || l.holder.ended {
+			continue
+		}
+		for customer, c := range l.holder.shares.ownership.splits {
+			if customer == requestsOfA.Customer && c.giftNow {
+				w.handOver(dataCentre)
+				w.wantAll(dataCentre)
+				w.slowWrite = 0.1
+				return
+			}
+		}
+	}
+	w.slowWrite = 0.5
+	if tries == 0 {
+		w.slowWrite = 0.1
+		return
+	}
+	w.at(100*time.Millisecond, func() { w.takeOverDuringGift(tries - 1) })
+}
+
+// takeOverWithGrant hands dc0 over while another daemon has a grant of the
+// earlier owner and cannot hear the new one.
+func (w *world) takeOverWithGrant() {
+	holder := w.leases["dc0"].holder
+	for _, n := range w.liveNodes() {
+		if n == holder || !w.now.Before(n.amounts[requestsOfA].until) {
+			continue
+		}
+		for _, other := range w.liveNodes() {
+			w.cutBoth(n.id.Address, other.id.Address, true)
+		}
+		w.at(5*time.Second, w.heal)
+	}
+	w.handOver("dc0")
+	w.wantAll("dc0")
+}
+
+// wantAll makes the daemons of the data centre want the whole limit once.
+func (w *world) wantAll(dataCentre string) {
+	for _, n := range w.liveNodes() {
+		if n.id.DataCentre == dataCentre {
+			n.shares.Use(requestsOfA.Customer, requestsOfA.Limit, 900)
+			n.touch()
+		}
 	}
 }
 
@@ -233,6 +290,24 @@
 	}
 }
 
+// Guards against a server without a report because others reported often while
+// the duty was behind.
+func TestFullLoadRingKeepsNewestOfEachServer(t *testing.T) {
+	w := newWorld(12)
+	l := w.start("d0", "dc0", "10.0.0.0:1").load
+	l.Report(LocalReport{Server: "rare", At: w.now})
+	for i := range 3 * loadRingCapacity {
+		l.Report(LocalReport{Server: "often", At: w.now.Add(time.Duration(i))})
+	}
+	l.loop.Step()
+	if _, kept := l.pending["rare"]; !kept {
+		t.Error("the report of a server that reports rarely was dropped")
+	}
+	if got := l.pending["often"].At.Sub(w.now); got != 3*loadRingCapacity-1 {
+		t.Errorf("the report of the other server is number %d", got)
+	}
+}
+
 // Guards against a base that grows again within a roster version, after the
 // owner was told that it had been lowered.
 func TestBaseOnlyFallsWithinRosterVersion(t *testing.T) {
--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -119,10 +119,11 @@
 	return w.put(ContractPrefix+customer, []byte(value), false)
 }
 
+const leaseDuration = 4 * time.Second
+
 // keepLeases renews the shares owners' leases and lets others take them over,
 // with the timings of the design page.
 func (w *world) keepLeases() {
-	const duration = 4 * time.Second
 	for _, n := range w.nodes {
 		if n.ended || n.paused || n.storeCut() {
 			continue
@@ -132,20 +133,42 @@
 			l = &fakeLease{}
 			w.leases[n.id.DataCentre] = l
 		}
-		free := w.now.Sub(l.renewed) >= duration+duration/8
+		free := w.now.Sub(l.renewed) >= leaseDuration+leaseDuration/8
 		if l.holder == n || free {
 			if l.holder != n {
 				l.holder = n
 				l.fence++
 			}
 			l.renewed = w.now
-			n.shares.SetLease(OwnerLease{Fence: l.fence, ValidUntil: w.now.Add(duration * 3 / 4)})
+			n.shares.SetLease(OwnerLease{Fence: l.fence, ValidUntil: w.now.Add(leaseDuration * 3 / 4)})
 			n.touch()
 		}
 	}
 	w.at(500*time.Millisecond, w.keepLeases)
 }
 
+// handOver makes the shares owner stop and frees its lease at once, as a
+// planned stop does.
+func (w *world) handOver(dataCentre string) {
+	l := w.leases[dataCentre]
+	if l == nil || l.holder.ended {
+		return
+	}
+	l.holder.shares.SetLease(OwnerLease{Fence: l.fence, ValidUntil: w.now})
+	l.holder.touch()
+	for _, n := range w.nodes {
+		if n.id.DataCentre == dataCentre && n != l.holder && !n.ended && !n.paused && !n.storeCut() {
+			w.settle()
+			l.holder = n
+			l.fence++
+			l.renewed = w.now
+			n.shares.SetLease(OwnerLease{Fence: l.fence, ValidUntil: w.now.Add(leaseDuration * 3 / 4)})
+			n.touch()
+			return
+		}
+	}
+}
+
 // hostPoll is the node's poller of the host list.
 type hostPoll struct{ n *node }
 
