--- a/internal/backend/ejection.go
+++ b/internal/backend/ejection.go
@@ -23,9 +23,9 @@
 	// failuresOnReturn is the same for a server that was ejected just before.
 	failuresOnReturn = 2
 
-	// maxLatePart times the overdue attempts in progress may not be more than
-	// all of them. In a healthy server about 1 in 30 is overdue.
-	maxLatePart = 4
+	// overdueDivisor: a server gets no work while more than one in this many of
+	// its attempts in progress is overdue. In a healthy server about 1 in 30 is.
+	overdueDivisor = 4
 	// holdFactor times the p95 is how long a server gets no work after two
 	// overdue attempts in a row; each further one doubles it.
 	holdFactor = 4
@@ -33,8 +33,8 @@
 
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
-	// goodTime in use takes one ejection off a server's record.
-	goodTime = 30 * time.Second
+	// ejectionForgetTime in use takes one ejection off a server's record.
+	ejectionForgetTime = 30 * time.Second
 	// slowStart is the time in which the share of a server that is new or back
 	// from a fault grows from firstWeight to 1.
 	slowStart   = 5 * time.Second
@@ -43,16 +43,17 @@
 	minInUse = 0.5
 )
 
-// use is whether and how far a server is in use.
+// use is the state of ejection, holds and slow start of one server: whether it
+// gets work, and which share.
 type use struct {
-	outUntil  time.Time // zero when it is not ejected
-	rampFrom  time.Time // start of its slow start; zero when it is over
-	changed   time.Time // of the last ejection, or of the last one forgiven
-	ejections int       // recent ones; each doubles the next
-	overdue   int       // overdue attempts in a row
-	late      int       // overdue attempts in progress
-	holdUntil time.Time // until when it gets no work after overdue attempts in a row
-	failures  int       // failed attempts in a row
+	outUntil   time.Time // zero when it is not ejected
+	rampFrom   time.Time // start of its slow start; zero when it is over
+	changed    time.Time // of the last ejection, or of the last one forgiven
+	ejections  int       // recent ones; each doubles the next
+	overdueRow int       // overdue attempts in a row
+	overdueNow int       // overdue attempts in progress
+	holdUntil  time.Time // until when it gets no work after overdue attempts in a row
+	failureRow int       // failed attempts in a row
 }
 
 // weight is the share of its normal work that the server gets.
@@ -64,26 +65,27 @@
 	return firstWeight + (1-firstWeight)*min(1, elapsed.Seconds()/slowStart.Seconds())
 }
 
-// wasOverdue counts an overdue attempt. A server that is slow for a moment is
+// countOverdue counts an overdue attempt. A server that is slow for a moment is
 // left out before there is enough evidence to eject it: one that gets few
 // requests of this daemon would need a whole second to collect it.
-func (u *use) wasOverdue(now time.Time, p95 time.Duration) {
-	u.overdue++
-	if u.overdue >= 2 {
-		u.holdUntil = now.Add(min(maxHold, p95*holdFactor<<min(u.overdue-2, 10)))
+func (u *use) countOverdue(now time.Time, p95 time.Duration) {
+	u.overdueRow++
+	if u.overdueRow >= 2 {
+		u.holdUntil = now.Add(min(maxHold, p95*holdFactor<<min(u.overdueRow-2, 10)))
 	}
 }
 
 // restart begins a slow start.
 func (u *use) restart(now time.Time) {
 	u.rampFrom = now
-	u.overdue, u.failures = 0, 0
+	u.overdueRow, u.failureRow = 0, 0
 }
 
 // isOnTrial reports whether the server came back from an ejection just before.
 func (u *use) isOnTrial() bool { return !u.rampFrom.IsZero() && u.ejections > 0 }
 
-// serviceGroup is the staying servers of one service.
+// serviceGroup holds the servers of one service, in all data centres, that are
+// not leaving. Ejection compares a server with its group.
 type serviceGroup struct {
 	members []*Candidate
 	factors []float64 // scratch space
@@ -123,7 +125,7 @@
 		c.speed = serverSpeed{factor: g.median}
 	case !u.rampFrom.IsZero() && now.Sub(u.rampFrom) >= slowStart:
 		u.rampFrom = time.Time{}
-	case u.ejections > 0 && u.outUntil.IsZero() && now.Sub(u.changed) >= goodTime:
+	case u.ejections > 0 && u.outUntil.IsZero() && now.Sub(u.changed) >= ejectionForgetTime:
 		u.ejections--
 		u.changed = now
 	}
@@ -136,7 +138,7 @@
 		samples, overdue, failures = 1, overdueOnReturn, failuresOnReturn
 	}
 	slow := c.speed.samples >= samples && c.speed.factor > slowFactor*g.median
-	return slow || c.use.overdue >= overdue || c.use.failures >= failures
+	return slow || c.use.overdueRow >= overdue || c.use.failureRow >= failures
 }
 
 // judge ejects the server if it is an outlier and enough others stay in use.
--- a/internal/backend/hedging.go
+++ b/internal/backend/hedging.go
@@ -69,7 +69,7 @@
 	}
 	if started {
 		if r.IsModelCall() {
-			c.use.overdue = 0
+			c.use.overdueRow = 0
 		}
 		return
 	}
--- a/internal/backend/loadview.go
+++ b/internal/backend/loadview.go
@@ -8,7 +8,6 @@
 	"github.com/berylfall/berylfall/internal/core"
 )
 
-// Constants of the load view.
 const (
 	// historyStep and historySteps set how far back this daemon knows its own
 	// work on a server: 6.4 s, which covers the longest lag that is counted.
@@ -19,7 +18,7 @@
 	maxReportLag = 5 * time.Second
 	// reportHalfLife is the age at which a report counts half.
 	reportHalfLife = 3 * time.Second
-	// otherWorkLife is how long the work told by other daemons is used.
+	// otherWorkLife is how long the counts of other daemons are used.
 	otherWorkLife = 6 * time.Second
 	// offsetForget raises the smallest delay seen of a server's reports at each
 	// report, so that a clock that was set is followed.
@@ -69,8 +68,8 @@
 	arrived   time.Time     // of the last report, by this daemon's clock
 	offset    time.Duration // smallest arrival minus stamp seen, forgotten slowly
 	reported  float64       // work of other daemons in the report
-	told      float64       // work told by the other daemons
-	toldAt    time.Time
+	digest    float64       // work of other daemons by their own counts
+	digestAt  time.Time
 	others    float64 // work of other daemons as it is estimated now
 	hasReport bool
 }
@@ -149,20 +148,20 @@
 	}
 }
 
-// evidence combines the report with what the other daemons told. The fresher
-// of the two counts more.
+// evidence combines the report with the digest of the other daemons' counts.
+// The fresher of the two counts more; weight is that of the fresher one.
 func (l *serverLoad) evidence(now time.Time) (value, weight float64) {
-	var report, told float64
+	var report, digest float64
 	if l.hasReport {
 		report = ageWeight(now.Sub(l.arrived))
 	}
-	if age := now.Sub(l.toldAt); !l.toldAt.IsZero() && age < otherWorkLife {
-		told = ageWeight(age)
+	if age := now.Sub(l.digestAt); !l.digestAt.IsZero() && age < otherWorkLife {
+		digest = ageWeight(age)
 	}
-	if report+told == 0 {
+	if report+digest == 0 {
 		return 0, 0
 	}
-	return (report*l.reported + told*l.told) / (report + told), max(report, told)
+	return (report*l.reported + digest*l.digest) / (report + digest), max(report, digest)
 }
 
 func ageWeight(age time.Duration) float64 {
--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -39,15 +39,6 @@
 	BackendHosts(ctx context.Context) ([]Server, error)
 }
 
-// Report is what a daemon learned of a server by polling it.
-type Report struct {
-	Server      core.ServerID
-	Unreachable bool
-	Description Description
-	Load        Load
-	Age         time.Duration // since the poll
-}
-
 // Assignments reports whether this daemon polls a server. It must not wait.
 type Assignments func(core.ServerID) bool
 
@@ -137,13 +128,6 @@
 // SetAssignments sets which servers this daemon polls; by default all.
 func (p *Poller) SetAssignments(a Assignments) { p.assignments.PutLatest(a) }
 
-// AddReports takes what other daemons of the data centre have polled.
-func (p *Poller) AddReports(r []Report) { p.reports.PutLatest(r) }
-
-// SetReports sets the function that takes what this daemon has polled, for the
-// other daemons. It must not wait, and it is set before the duty starts.
-func (p *Poller) SetReports(deliver func([]Report)) { p.deliverReports = deliver }
-
 // SetCacheSource makes the poller read cache events of engines. deliver must
 // not wait, and it is set before the duty starts.
 func (p *Poller) SetCacheSource(source CacheSource, deliver func(CacheEvents)) {
@@ -338,65 +322,3 @@
 	t.cacheAfter = events.Events[len(events.Events)-1].Sequence
 	p.deliverCache(events)
 }
-
-// handleReports takes reports of other daemons. Only a newer one counts.
-func (p *Poller) handleReports(reports []Report) {
-	now := p.loop.Clock().Now()
-	for i := range reports {
-		r := &reports[i]
-		t, at := p.known[r.Server], now.Add(-r.Age)
-		if t == nil || !at.After(t.heardAt) {
-			continue
-		}
-		if r.Unreachable {
-			t.heardAt = at
-			t.server.Unreachable = true
-			p.publishSoon()
-			continue
-		}
-		load := r.Load
-		load.Arrived = at
-		p.heard(t, r.Description, load, at)
-	}
-}
-
-// report notes what was polled here for the other daemons. Its age is at most
-// publishPeriod, which is left out.
-func (p *Poller) report(t *tracked) {
-	if p.deliverReports == nil {
-		return
-	}
-	p.fresh = append(p.fresh, Report{
-		Server: t.server.ID, Unreachable: t.server.Unreachable, Description: t.server.Description,
-		Load: t.server.Load,
-	})
-	p.publishSoon()
-}
-
-// publishSoon publishes within publishPeriod, together with what comes until then.
-func (p *Poller) publishSoon() {
-	if p.publishDue {
-		return
-	}
-	p.publishDue = true
-	p.loop.After(publishPeriod, func() {
-		if p.publishDue {
-			p.publish()
-		}
-	})
-}
-
-func (p *Poller) publish() {
-	p.publishDue = false
-	servers := make([]Server, 0, len(p.order))
-	for _, t := range p.order {
-		if t.server.Description.Incarnation != "" {
-			servers = append(servers, t.server)
-		}
-	}
-	p.deliver(servers)
-	if len(p.fresh) > 0 {
-		p.deliverReports(p.fresh)
-		p.fresh = nil
-	}
-}
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -66,7 +66,8 @@
 	permission permission
 	at         time.Time
 	usable     func(*Candidate) bool
-	late       map[attemptKey]bool // attempts in progress that are overdue
+
+	overdueAttempts map[attemptKey]bool // in progress
 }
 
 func newRouter(now func() time.Time, random *rand.Rand) *router {
@@ -78,7 +79,8 @@
 		times:    newServiceTimes(),
 		locality: newLocality(),
 		groups:   map[string]*serviceGroup{},
-		late:     map[attemptKey]bool{},
+
+		overdueAttempts: map[attemptKey]bool{},
 	}
 	rt.scorer.locality = rt.locality
 	rt.usable = rt.isUsable
@@ -175,8 +177,11 @@
 		return local
 	}
 	remote := rt.pickFrom(class.remote)
-	if local == nil || remote == nil {
-		return either(local, remote)
+	if local == nil {
+		return remote
+	}
+	if remote == nil {
+		return local
 	}
 	if rt.scorer.Score(rt.request, remote)*remoteGain < rt.scorer.Score(rt.request, local) {
 		return remote
@@ -184,13 +189,6 @@
 	return local
 }
 
-func either(a, b *Candidate) *Candidate {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
 // pickFrom compares the picker's choice with the engine that holds the prompt.
 func (rt *router) pickFrom(from []*Candidate) *Candidate {
 	chosen := rt.picker.Pick(rt.request, from, rt.usable, &rt.scorer)
@@ -258,7 +256,7 @@
 	if rt.permission == inUseUntried {
 		return true
 	}
-	if c.use.late*maxLatePart > c.Outstanding || rt.at.Before(c.use.holdUntil) {
+	if c.use.overdueNow*overdueDivisor > c.Outstanding || rt.at.Before(c.use.holdUntil) {
 		return false
 	}
 	weight := c.use.weight(rt.at)
@@ -271,34 +269,34 @@
 	return g != nil && g.depth < maxHedgeDepth
 }
 
-// started takes the start of an attempt.
+// started counts an attempt in the load of its server.
 func (rt *router) started(c *Candidate) {
 	c.Outstanding++
 	c.load.own.record(rt.now(), c.Outstanding-1, c.Outstanding)
 }
 
-// overdue takes an attempt that goes on after the p95 of its kind.
+// overdue counts an attempt that goes on after the p95 of its kind of work against its server.
 func (rt *router) overdue(r *core.Request, number int, c *Candidate, lasted time.Duration) {
-	rt.late[attemptKey{r.ID, number}] = true
-	c.use.late++
-	c.use.wasOverdue(rt.now(), lasted)
+	rt.overdueAttempts[attemptKey{r.ID, number}] = true
+	c.use.overdueNow++
+	c.use.countOverdue(rt.now(), lasted)
 	if !r.IsModelCall() {
 		c.speed.atLeast(lasted.Seconds() / rt.times.of(r).mean)
 	}
 	rt.judge(c)
 }
 
-// ended takes the end of an attempt. stopped is true for one that was stopped
-// because it was no longer wanted.
+// ended updates the load, speed and use of the server. stopped is true for an
+// attempt that was stopped because it was no longer wanted.
 func (rt *router) ended(c *Candidate, e *AttemptEnd, stopped bool) {
 	now := rt.now()
 	c.Outstanding--
 	c.load.own.record(now, c.Outstanding+1, c.Outstanding)
 	r := e.Attempt.Call.Request
 	w := rt.times.of(r)
-	if key := (attemptKey{r.ID, e.Attempt.Number}); rt.late[key] {
-		delete(rt.late, key)
-		c.use.late--
+	if key := (attemptKey{r.ID, e.Attempt.Number}); rt.overdueAttempts[key] {
+		delete(rt.overdueAttempts, key)
+		c.use.overdueNow--
 	}
 	switch {
 	case e.Err == nil:
@@ -306,17 +304,19 @@
 	case stopped:
 		c.speed.atLeast(e.Duration.Seconds() / w.mean)
 	case countsAsFailure(e):
-		c.use.failures++
+		c.use.failureRow++
 	}
 	rt.judge(c)
 }
 
-// answered takes the duration of a whole answer.
+// answered learns from a whole answer. A resumed attempt made only a part of
+// it and a later attempt may have been a hedge, so their durations are left out
+// of the service times or of the p95.
 func (rt *router) answered(c *Candidate, w *workTimes, e *AttemptEnd) {
-	c.use.failures = 0
+	c.use.failureRow = 0
 	delay, known := w.delay.delay()
 	if known && e.Duration <= delay && !e.Attempt.Call.Request.IsModelCall() {
-		c.use.overdue = 0
+		c.use.overdueRow = 0
 	}
 	isResumed := len(e.Attempt.ResumeTokens) > 0
 	if isResumed {
--- a/internal/backend/routing_bench_test.go
+++ b/internal/backend/routing_bench_test.go
@@ -153,19 +153,21 @@
 }
 
 // BenchmarkDecision measures one routing decision as the fleet grows. The
-// baseline runs the filters on every server for each decision.
+// baseline runs the filters on every server for each decision. With a held
+// prompt one engine's cache has the whole prompt.
 func BenchmarkDecision(b *testing.B) {
 	r := &core.Request{Service: "wear", Model: "wear", Adapter: "b", MinVersion: 2, Prompt: string(make([]byte, 2000)), MaxTokens: 100, BackendKinds: []string{"gpu"}}
 	for _, workers := range []int{8, 56, 250, 1000} {
 		d := newLargeTable(b, workers)
-		b.Run(fmt.Sprintf("index/%d", workers), func(b *testing.B) {
+		decide := func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
 				if c, _ := d.router.pick(r, nil); c == nil {
 					b.Fatal("no server")
 				}
 			}
-		})
+		}
+		b.Run(fmt.Sprintf("index/%d", workers), decide)
 		b.Run(fmt.Sprintf("filter-each/%d", workers), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
@@ -175,10 +177,16 @@
 				}
 			}
 		})
+		var prefixes prefixHashes
+		prefixes.set(r.Prompt)
+		d.AddCacheEvents(CacheEvents{Server: "s0000", Incarnation: "1", Events: stored(1, prefixes.hashes[:prefixes.n]...)})
+		d.loop.Step()
+		b.Run(fmt.Sprintf("held-prompt/%d", workers), decide)
 	}
 }
 
-// BenchmarkTable measures a table update that brings load reports only.
+// BenchmarkTable measures a table update that brings a new load report of every
+// server and nothing else.
 func BenchmarkTable(b *testing.B) {
 	for _, workers := range []int{8, 56, 250, 1000} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
@@ -188,7 +196,12 @@
 				servers = append(servers, c.Server)
 			}
 			b.ReportAllocs()
+			at := time.Now()
 			for b.Loop() {
+				at = at.Add(pollPeriod)
+				for i := range servers {
+					servers[i].Load = Load{At: at, Running: 3}
+				}
 				d.handleServers(servers)
 			}
 		})
--- a/internal/backend/servicetime.go
+++ b/internal/backend/servicetime.go
@@ -12,9 +12,9 @@
 	fleetWeight = 0.02
 	// serverWeight is the weight of the newest attempt in a server's factor.
 	serverWeight = 0.2
-	// maxSurprise bounds one attempt's effect on the mean of the fleet, so that
+	// maxMeanMultiple bounds one attempt's effect on the mean of the fleet, so that
 	// a few slow servers do not hide themselves in it.
-	maxSurprise = 3
+	maxMeanMultiple = 3
 	// maxFactor and minFactor bound a server's factor.
 	maxFactor = 50
 	minFactor = 0.05
@@ -75,7 +75,7 @@
 		return
 	}
 	weight := max(fleetWeight, 1/float64(w.count))
-	w.mean += weight * (min(seconds, maxSurprise*w.mean) - w.mean)
+	w.mean += weight * (min(seconds, maxMeanMultiple*w.mean) - w.mean)
 }
 
 // serverSpeed is a server's service time in relation to the fleet's.
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -18,7 +18,7 @@
 func (d *Dispatch) SetOwnWork(deliver func([]OwnWork)) { d.deliverWork = deliver }
 
 // SetOtherWork takes the work of the other daemons of the data centre on the
-// servers, summed per server. Servers that are not named keep what was told.
+// servers, summed per server. Servers that are not named keep their last count.
 func (d *Dispatch) SetOtherWork(w []OtherWork) { d.others.PutLatest(w) }
 
 // AddCacheEvents takes changes of an engine's prefix cache. A dropped entry is
@@ -103,7 +103,7 @@
 	now := d.loop.Clock().Now()
 	for _, w := range work {
 		if c := d.table[w.Server]; c != nil {
-			c.load.told, c.load.toldAt = float64(w.Outstanding), now.Add(-w.Age)
+			c.load.digest, c.load.digestAt = float64(w.Outstanding), now.Add(-w.Age)
 		}
 	}
 }
@@ -128,13 +128,13 @@
 	d.deliverWork(work)
 }
 
-// observeStart is the hook of the load view for an attempt that starts.
+// observeStart updates the load view and the free slots when an attempt starts.
 func (d *Dispatch) observeStart(c *Candidate) {
 	d.router.started(c)
 	d.slotsChanged()
 }
 
-// observeEnd is the hook of the load view for an attempt that has ended.
+// observeEnd updates the load view and the free slots when an attempt has ended.
 func (d *Dispatch) observeEnd(e AttemptEnd) {
 	c := d.table[e.Attempt.Server]
 	if c == nil {
