Poll each backend server once per data centre and relay the host list

Cause: every daemon read the host list twice a second and polled every backend server twice a second. Change: the daemons that watch the store read the host list and relay it; reports carry descriptions when these change; a daemon polls its own servers by rendezvous, those of other data centres each 5 s, and any server whose reports have stopped for 6 periods; crash suspicions are spread. Hosts of other data centres that are backend servers stay in the list, since they serve when the own ones cannot; the test that wanted them absent now wants them present and daemons of other data centres absent.

--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -16,6 +16,12 @@
 	pollTick   = 100 * time.Millisecond
 	listPeriod = 500 * time.Millisecond
 	pollPeriod = 500 * time.Millisecond
+	// remotePollPeriod is for servers of other data centres, which serve only
+	// when the own ones cannot.
+	remotePollPeriod = 5 * time.Second
+	// missedReports is the number of periods without a report after which a
+	// daemon polls a server that another daemon should poll.
+	missedReports = 6
 	// describePeriod is longer than pollPeriod, since descriptions are larger
 	// and change seldom.
 	describePeriod = time.Second
@@ -60,6 +66,7 @@
 type tracked struct {
 	server      Server
 	listed      bool
+	knownAt     time.Time // when it was first listed
 	polling     bool
 	failures    int // in a row
 	polledAt    time.Time
@@ -89,6 +96,7 @@
 	order      []*tracked // by server
 	next       int        // index in order where the next tick begins
 	isAssigned Assignments
+	dataCentre string
 	fresh      []Report // polled since the last publication
 	listing    bool
 	listedAt   time.Time
@@ -125,6 +133,9 @@
 // SetHosts takes the listed backend servers.
 func (p *Poller) SetHosts(servers []Server) { p.hostResults.PutLatest(hostResult{servers: servers}) }
 
+// SetDataCentre names the daemon's own data centre. It is set before the duty starts.
+func (p *Poller) SetDataCentre(name string) { p.dataCentre = name }
+
 // SetAssignments sets which servers this daemon polls; by default all.
 func (p *Poller) SetAssignments(a Assignments) { p.assignments.PutLatest(a) }
 
@@ -180,7 +191,7 @@
 func (p *Poller) listed(s Server) bool {
 	t := p.known[s.ID]
 	if t == nil {
-		p.known[s.ID] = &tracked{server: s, listed: true}
+		p.known[s.ID] = &tracked{server: s, listed: true, knownAt: p.loop.Clock().Now()}
 		return true
 	}
 	t.listed = true
@@ -217,8 +228,7 @@
 	started, visited := 0, 0
 	for ; visited < len(p.order) && started < pollBudget; visited++ {
 		t := p.order[(p.next+visited)%len(p.order)]
-		isDue := t.polledAt.IsZero() || now.Sub(t.polledAt) >= pollPeriod
-		if t.polling || !isDue || !p.isAssigned(t.server.ID) {
+		if t.polling || !p.isDue(t, now) {
 			continue
 		}
 		p.poll(t, now)
@@ -229,6 +239,23 @@
 	}
 }
 
+// isDue reports whether this daemon polls the server now: its own servers each
+// period, and those of other daemons once their reports have stopped.
+func (p *Poller) isDue(t *tracked, now time.Time) bool {
+	period := pollPeriod
+	if t.server.DataCentre != p.dataCentre {
+		period = remotePollPeriod
+	}
+	if !t.polledAt.IsZero() && now.Sub(t.polledAt) < period {
+		return false
+	}
+	lastNews := t.knownAt
+	if t.heardAt.After(lastNews) {
+		lastNews = t.heardAt
+	}
+	return p.isAssigned(t.server.ID) || now.Sub(lastNews) >= missedReports*period
+}
+
 func (p *Poller) poll(t *tracked, now time.Time) {
 	server, after := t.server, t.cacheAfter
 	describe := t.failures > 0 || t.describedAt.IsZero() || now.Sub(t.describedAt) >= describePeriod
--- a/internal/backend/poller_reports.go
+++ b/internal/backend/poller_reports.go
@@ -37,9 +37,17 @@
 			p.publishSoon()
 			continue
 		}
+		description := r.Description
+		if description.Incarnation == "" {
+			// The report says that the description has not changed.
+			description = t.server.Description
+		}
+		if description.Incarnation == "" {
+			continue
+		}
 		load := r.Load
 		load.Arrived = at
-		p.heard(t, r.Description, load, at)
+		p.heard(t, description, load, at)
 	}
 }
 
--- a/internal/backend/poller_test.go
+++ b/internal/backend/poller_test.go
@@ -103,6 +103,10 @@
 	if len(b.polls) != 1 || b.polls["s001"] == 0 {
 		t.Errorf("polled %v, want only the assigned server", b.polls)
 	}
+	b.advance(missedReports * pollPeriod)
+	if len(b.polls) != 4*pollBudget {
+		t.Errorf("%d servers polled after the other daemons' reports had stopped, want all", len(b.polls))
+	}
 }
 
 // Guards against a late effect of leaving, a server that is dropped although it
--- a/internal/daemon/daemonrpc/wire.go
+++ b/internal/daemon/daemonrpc/wire.go
@@ -132,6 +132,7 @@
 		w.Reports = append(w.Reports, &ServerReport{
 			Server: string(r.Server), AgeNs: int64(r.Age),
 			Running: uint32(r.Running), Waiting: uint32(r.Waiting), KvUsed: float32(r.KVUsed),
+			Unreachable: r.Unreachable, Description: r.Description,
 		})
 	}
 	return w
@@ -143,6 +144,7 @@
 		m.Reports = append(m.Reports, daemon.ServerReport{
 			Server: core.ServerID(r.Server), Age: time.Duration(r.AgeNs),
 			Running: int(r.Running), Waiting: int(r.Waiting), KVUsed: float64(r.KvUsed),
+			Unreachable: r.Unreachable, Description: r.Description,
 		})
 	}
 	return m
--- a/internal/daemon/hostrelay.go
+++ b/internal/daemon/hostrelay.go
@@ -31,8 +31,8 @@
 	hostPollBound = 500 * time.Millisecond
 )
 
-// HostListener receives the hosts of this data centre and the leaving hosts of
-// all, sorted by name. The list must not be changed. It must not wait.
+// HostListener receives the hosts of this data centre, and the backend servers
+// and leaving hosts of all, sorted by name. The list must not be changed. It must not wait.
 type HostListener func([]platform.Host)
 
 // listedHost is a host and when its poller saw the entry change.
@@ -227,7 +227,7 @@
 	change := HostChanges{}
 	next := map[string]listedHost{}
 	for _, h := range hosts {
-		if h.DataCentre != r.self.DataCentre && h.State != platform.HostLeaving {
+		if !r.concerns(h) {
 			continue
 		}
 		entry, known := own.hosts[h.Name]
@@ -267,6 +267,13 @@
 	}
 }
 
+// concerns reports whether the daemons of this data centre need the host: all
+// backend servers, since those of other data centres serve when the own ones
+// cannot, and the own daemons.
+func (r *HostRelay) concerns(h platform.Host) bool {
+	return h.DataCentre == r.self.DataCentre || h.Role == platform.RoleBackend || h.State == platform.HostLeaving
+}
+
 // handleRelay takes a message of another daemon. Those of an earlier run of the
 // sender are late.
 func (r *HostRelay) handleRelay(m relayed) {
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/ring"
@@ -25,6 +27,9 @@
 	Running int
 	Waiting int
 	KVUsed  float64
+
+	Unreachable bool
+	Description []byte // opaque to this package; empty in a peer's report means unchanged
 }
 
 // PeerReport is a load report that another daemon polled.
@@ -54,6 +59,8 @@
 	flushing bool
 	digests  map[PeerID]workDigest
 	changed  bool
+
+	described map[core.ServerID]sentDescription // what was sent last of each server
 }
 
 type workDigest struct {
@@ -108,6 +115,8 @@
 		work:    work,
 		pending: map[core.ServerID]LocalReport{},
 		digests: map[PeerID]workDigest{},
+
+		described: map[core.ServerID]sentDescription{},
 	}
 	duty.On(l.loop, l.local, l.handleLocal)
 	duty.On(l.loop, l.relays, l.handleRelay)
@@ -162,12 +171,35 @@
 	for _, r := range l.pending {
 		message.Reports = append(message.Reports, ServerReport{
 			Server: r.Server, Age: now.Sub(r.At), Running: r.Running, Waiting: r.Waiting, KVUsed: r.KVUsed,
+			Unreachable: r.Unreachable, Description: l.changedDescription(r, now),
 		})
 	}
 	clear(l.pending)
 	l.link.Broadcast(message)
 }
 
+// describeEvery bounds how long a daemon that joined, or lost a message, waits
+// for the description of a server.
+const describeEvery = 5 * time.Second
+
+type sentDescription struct {
+	digest uint64
+	at     time.Time
+}
+
+// changedDescription returns the description if it has changed or is due.
+func (l *Load) changedDescription(r LocalReport, now time.Time) []byte {
+	if len(r.Description) == 0 {
+		return nil
+	}
+	sent, digest := l.described[r.Server], xxhash.Sum64(r.Description)
+	if sent.digest == digest && now.Sub(sent.at) < describeEvery {
+		return nil
+	}
+	l.described[r.Server] = sentDescription{digest: digest, at: now}
+	return r.Description
+}
+
 func (l *Load) handleRelay(r relayed) {
 	now := l.clock.Now()
 	switch m := r.message.(type) {
@@ -179,7 +211,10 @@
 	case LoadReports:
 		reports := make([]PeerReport, 0, len(m.Reports))
 		for _, s := range m.Reports {
-			local := LocalReport{Server: s.Server, At: now.Add(-s.Age), Running: s.Running, Waiting: s.Waiting, KVUsed: s.KVUsed}
+			local := LocalReport{
+				Server: s.Server, At: now.Add(-s.Age), Running: s.Running, Waiting: s.Waiting, KVUsed: s.KVUsed,
+				Unreachable: s.Unreachable, Description: s.Description,
+			}
 			reports = append(reports, PeerReport{LocalReport: local, From: r.from.ID()})
 		}
 		l.reports(reports)
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -123,6 +123,12 @@
 	Running int
 	Waiting int
 	KVUsed  float64 // share of the cache memory in use, 0 to 1
+	// Unreachable says that the sender's polls failed; the other fields are empty then.
+	Unreachable bool
+	// Description is what the server says of itself, encoded by the owner of the
+	// load table. It is empty when it is the same as in the sender's last report
+	// that carried one.
+	Description []byte
 }
 
 // LoadReports carries the reports of the servers that the sender polls.
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -1,8 +1,6 @@
 package server
 
 import (
-	"context"
-
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
 	"github.com/berylfall/berylfall/internal/core"
@@ -29,7 +27,8 @@
 	b.dispatch = backend.NewDispatch(b.clock, b.random(), client, exchanges)
 	b.dispatch.SetDataCentre(b.settings.DataCentre)
 	b.dispatch.SetSlots(b.setSlots)
-	b.poller = backend.NewPoller(b.clock, hostSource{b.platformClient}, client, probes, b.setServers)
+	b.poller = backend.NewPoller(b.clock, nil, client, probes, b.setServers)
+	b.poller.SetDataCentre(b.settings.DataCentre)
 	b.poller.SetCacheSource(client, b.dispatch.AddCacheEvents)
 	return b.start(b.dispatch.Loop(), b.poller.Loop())
 }
@@ -60,17 +59,8 @@
 	}
 }
 
-// hostSource reads the backend servers from the platform's host list.
-type hostSource struct {
-	list platform.HostList
-}
-
-// BackendHosts returns the listed backend servers.
-func (h hostSource) BackendHosts(ctx context.Context) ([]backend.Server, error) {
-	hosts, err := h.list.Hosts(ctx)
-	if err != nil {
-		return nil, err
-	}
+// setHosts takes the hosts that the data centre's daemons agree on.
+func (b *builder) setHosts(hosts []platform.Host) {
 	var servers []backend.Server
 	for _, host := range hosts {
 		if host.Role != platform.RoleBackend {
@@ -83,5 +73,5 @@
 			Leaving:    host.State == platform.HostLeaving,
 		})
 	}
-	return servers, nil
+	b.poller.SetHosts(servers)
 }
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -23,6 +23,8 @@
 	}
 	shares := b.buildShares(peers)
 	load := b.buildLoad(peers)
+	relay, hostPoller := b.buildHosts(peers)
+	suspects := b.buildSuspects(peers)
 	log := b.server.log.WithField("duty", "config")
 	b.config = daemon.NewConfig(b.clock, log, b.admission.SetContracts, b.status.SetContracts, shares.SetContracts, b.trainers.SetContracts)
 	watcher := platform.NewWatcher(b.clock, b.platformClient, b.storePool, daemon.ContractPrefix, b.config.Deliver,
@@ -36,7 +38,8 @@
 	hosts := daemon.NewHosts(b.clock, daemonHosts{b.platformClient}, b.storePool, peers.SetHosts)
 	peers.OnMembers(hosts.SetMembers)
 	b.server.leave = peers.Leave
-	return b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), load.Loop(), peers.Loop(), hosts.Loop())
+	return b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), load.Loop(), relay.Loop(), hostPoller.Loop(),
+		suspects.Loop(), peers.Loop(), hosts.Loop())
 }
 
 func (b *builder) buildPeers() (*daemon.Peers, error) {
@@ -88,10 +91,42 @@
 	return shares
 }
 
-// buildLoad exchanges the outstanding work at backend servers with the other
-// daemons of the data centre.
+// buildHosts joins the host list: the daemons that watch the store poll it and
+// relay it to the others.
+func (b *builder) buildHosts(peers *daemon.Peers) (*daemon.HostRelay, *platform.HostPoller) {
+	var relay *daemon.HostRelay
+	poller := platform.NewHostPoller(b.clock, b.platformClient, b.storePool,
+		platform.HostOptions{Budget: b.budget, Inactive: true, Random: b.random()},
+		func(c platform.HostChange) { relay.SetHosts(c.Hosts) })
+	relay = daemon.NewHostRelay(b.identity, b.clock, peers, poller, b.setHosts)
+	peers.OnMembers(relay.SetMembers)
+	peers.OnMessage(relay.Receive)
+	return relay, poller
+}
+
+// buildSuspects spreads what dispatch knows of requests that crash servers.
+func (b *builder) buildSuspects(peers *daemon.Peers) *daemon.Suspects {
+	suspects := daemon.NewSuspects(b.identity, b.clock, peers, func(r daemon.SuspectReport) {
+		b.dispatch.MergeConvictions(suspectsFromPeers(r))
+	})
+	b.dispatch.SetSuspects(func(r backend.SuspectReport) { suspects.Report(suspectsToPeers(r)) })
+	peers.OnMembers(suspects.SetMembers)
+	peers.OnMessage(suspects.Receive)
+	return suspects
+}
+
+// buildLoad exchanges load reports and the outstanding work at backend servers
+// with the other daemons of the data centre.
 func (b *builder) buildLoad(peers *daemon.Peers) *daemon.Load {
-	load := daemon.NewLoad(b.clock, peers, func([]daemon.PeerReport) {}, b.setOtherWork)
+	load := daemon.NewLoad(b.clock, peers, b.addPeerReports, b.setOtherWork)
+	b.poller.SetReports(func(reports []backend.Report) {
+		for _, r := range reports {
+			load.Report(reportToPeers(r, b.clock.Now()))
+		}
+	})
+	peers.OnMembers(func(v *daemon.MembersView) {
+		b.poller.SetAssignments(func(id core.ServerID) bool { return daemon.Polls(v, id) })
+	})
 	peers.OnMessage(load.Receive)
 	b.dispatch.SetOwnWork(func(own []backend.OwnWork) {
 		work := make([]daemon.ServerWork, 0, len(own))
