Use shares of limits and report what they are used for

Cause: admission used the whole limit of a contract at each daemon until a share came, and nobody told the shares owner of the use, so daemons had their base share only.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -93,14 +93,15 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 
-	contracts *core.ContractSet
-	customers map[core.CustomerID]*customerState
-	services  services
-	inFlight  int
-	local     map[claimKey]*localClaim
-	active    map[requestKey]*entry
-	recent    *simplelru.LRU[requestKey, RequestState]
-	drained   bool // the idle notification was given
+	contracts    *core.ContractSet
+	customers    map[core.CustomerID]*customerState
+	deliverUsage UsageListener // nil without shared limits
+	services     services
+	inFlight     int
+	local        map[claimKey]*localClaim
+	active       map[requestKey]*entry
+	recent       *simplelru.LRU[requestKey, RequestState]
+	drained      bool // the idle notification was given
 }
 
 // NewAdmission returns the admission duty, which hands admitted calls to
@@ -144,6 +145,7 @@
 	duty.On(a.loop, a.drains, func(struct{}) { a.reportIdle() })
 	duty.OnAsk(a.loop, a.queries, a.handleQuery)
 	a.loop.Every(tickPeriod, a.tick)
+	a.loop.Every(usagePeriod, a.reportUsage)
 }
 
 // Loop returns the duty's loop.
@@ -233,7 +235,7 @@
 func (a *Admission) customer(id core.CustomerID) *customerState {
 	state := a.customers[id]
 	if state == nil {
-		state = newCustomerState(a.now())
+		state = newCustomerState(a.deliverUsage != nil, a.now())
 		state.setContract(a.contracts.Lookup(id), a.now())
 		a.customers[id] = state
 	}
--- a/internal/caller/customer.go
+++ b/internal/caller/customer.go
@@ -19,8 +19,19 @@
 	estimates map[workKey]time.Duration
 }
 
-func newCustomerState(now time.Time) *customerState {
-	return &customerState{limits: newLimiter(now), estimates: map[workKey]time.Duration{}}
+func newCustomerState(shared bool, now time.Time) *customerState {
+	c := &customerState{limits: newLimiter(now), estimates: map[workKey]time.Duration{}}
+	c.limits.shared = shared
+	return c
+}
+
+// waiting returns the number of the customer's waiting calls.
+func (c *customerState) waiting() int {
+	n := 0
+	for _, l := range c.lanes {
+		n += l.waiting()
+	}
+	return n
 }
 
 // setContract takes what the contract in force says; nil leaves the amounts as
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -51,6 +51,14 @@
 	shares   [limitCount]share
 	requests *rate.Limiter
 	tokens   *rate.Limiter
+	// shared says that the limits are split between daemons. A limit without a
+	// share then admits nothing, since the other daemons may use all of it.
+	shared bool
+	// offered counts what callers asked for since the last report of the usage.
+	offered struct {
+		requests int
+		tokens   int
+	}
 }
 
 func newLimiter(now time.Time) *limiter {
@@ -86,6 +94,15 @@
 	if l.shares[limit].configured {
 		return l.shares[limit].at(now), true
 	}
+	amount := l.contracted(limit)
+	if l.shared && amount > 0 {
+		return 0, true
+	}
+	return amount, amount > 0
+}
+
+// contracted returns the whole of the limit that the contract sets; 0 is none.
+func (l *limiter) contracted(limit Limit) float64 {
 	var amount float64
 	switch limit {
 	case LimitRequests:
@@ -95,7 +112,7 @@
 	case LimitConcurrency:
 		amount = float64(l.contract.Concurrency)
 	}
-	return amount, amount > 0
+	return amount
 }
 
 // apply brings the buckets to the amounts in force.
@@ -129,6 +146,8 @@
 // limit is reached it takes nothing and returns the time until it may fit.
 func (l *limiter) admit(tokens int, now time.Time) (limit Limit, wait time.Duration, ok bool) {
 	l.apply(now)
+	l.offered.requests++
+	l.offered.tokens += tokens
 	if !l.requests.AllowN(now, 1) {
 		return LimitRequests, untilAvailable(l.requests, 1, now), false
 	}
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -76,6 +76,9 @@
 func (b *builder) buildShares(peers *daemon.Peers) *daemon.Shares {
 	log := b.server.log.WithField("duty", "shares")
 	shares := daemon.NewShares(b.identity, b.clock, log, peers, b.store, b.setShare)
+	b.admission.ShareLimits(func(customer core.CustomerID, limit caller.Limit, amount float64) {
+		shares.Use(customer, shareOf[limit], amount)
+	})
 	owner := &candidacy{
 		lessor: b.lessor,
 		name:   "shares/" + b.settings.DataCentre,
@@ -163,6 +166,13 @@
 	daemon.LimitConcurrency: caller.LimitConcurrency,
 }
 
+// shareOf is the reverse of limitOf.
+var shareOf = map[caller.Limit]daemon.Limit{
+	caller.LimitRequests:    daemon.LimitRequests,
+	caller.LimitTokens:      daemon.LimitTokens,
+	caller.LimitConcurrency: daemon.LimitConcurrency,
+}
+
 func (b *builder) setShare(customer core.CustomerID, limit daemon.Limit, amount float64, validUntil time.Time) {
 	b.admission.SetLimitShare(customer, limitOf[limit], amount, validUntil)
 }
