Join the roll-out of versions and the lease list to the daemon

Cause: published weight versions reached no engine through a daemon, and trainers did not know the newest version, so freshness by versions was off. Change: the holder of the lease weights/<data centre> rolls out; trainers learn the newest version that an engine serves; status lists the leases of the data centre that this daemon holds.

--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -308,6 +308,7 @@
 	}
 	if r.described {
 		t.describedAt = now
+		t.server.DescribedAt = now
 	}
 	r.load.Arrived = now
 	p.heard(t, r.description, r.load, now)
--- a/internal/backend/poller_reports.go
+++ b/internal/backend/poller_reports.go
@@ -45,6 +45,9 @@
 		if description.Incarnation == "" {
 			continue
 		}
+		// The other daemon may have asked for the description up to one period
+		// before it polled the load.
+		t.server.DescribedAt = at.Add(-describePeriod)
 		load := r.Load
 		load.Arrived = at
 		p.heard(t, description, load, at)
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -58,6 +58,8 @@
 	Unreachable bool // it has not answered the last polls
 	Description Description
 	Load        Load
+	// DescribedAt is a time at which the server still gave this description.
+	DescribedAt time.Time
 }
 
 // CacheSource reads what changed in an engine's prefix cache. It blocks.
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -16,6 +16,7 @@
 	"github.com/berylfall/berylfall/internal/platform/platformhttp"
 	"github.com/berylfall/berylfall/internal/settings"
 	"github.com/berylfall/berylfall/internal/trainer"
+	"github.com/berylfall/berylfall/internal/weights"
 )
 
 // builder holds the parts of a daemon while they are put together. Each
@@ -30,11 +31,13 @@
 	budget         *platform.Budget
 	store          *platform.Store
 	lessor         *platform.Lessor
+	leases         *heldLeases
 	dispatch       *backend.Dispatch
 	poller         *backend.Poller
 	claims         *caller.Claims
 	admission      *caller.Admission
 	trainers       *trainer.Trainer
+	rollout        *weights.Rollout // nil without a weight store
 	config         *daemon.Config
 	status         *operator.Status
 	metrics        *settings.Metrics
@@ -61,6 +64,7 @@
 		{"backend", b.buildBackend},
 		{"caller", b.buildCaller},
 		{"trainer", b.buildTrainer},
+		{"weights", b.buildWeights},
 		{"daemon", b.buildDaemon},
 		{"gate", b.buildGate},
 		{"duties", b.startDuties},
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -42,6 +42,7 @@
 	b.serverIDs.Store(&ids)
 	b.dispatch.SetServers(servers)
 	b.reportServers(servers)
+	b.reportVersions(servers)
 }
 
 // slotShare lets a daemon have more than its even part of the servers' slots,
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -81,6 +81,7 @@
 	})
 	owner := &candidacy{
 		lessor: b.lessor,
+		leases: b.leases,
 		name:   "shares/" + b.settings.DataCentre,
 		listener: func(e platform.LeaseEvent) {
 			if e.Kind == platform.LeaseGained || e.Kind == platform.LeaseRenewed {
--- a/internal/server/build_platform.go
+++ b/internal/server/build_platform.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/daemon"
+	"github.com/berylfall/berylfall/internal/operator"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/platform/platformhttp"
 	"github.com/berylfall/berylfall/internal/transport"
@@ -33,6 +36,7 @@
 		Random: b.random(),
 	})
 	b.lessor = platform.NewLessor(b.clock, b.store, string(b.daemonID()), b.random())
+	b.leases = &heldLeases{status: b.status, held: map[string]operator.LeaseStatus{}}
 	return b.start(b.store.Loop(), b.lessor.Loop())
 }
 
@@ -48,6 +52,25 @@
 	return core.DaemonID(fmt.Sprintf("%s/%s/%x-%x", i.DataCentre, i.Name, i.Incarnation.Start, i.Incarnation.Random))
 }
 
+// heldLeases tells the status duty which leases this daemon competes for and
+// holds. It is used on the lessor's goroutine only.
+type heldLeases struct {
+	status *operator.Status
+	held   map[string]operator.LeaseStatus
+}
+
+func (h *heldLeases) handle(e platform.LeaseEvent) {
+	switch e.Kind {
+	case platform.LeaseGained, platform.LeaseRenewed:
+		h.held[e.Holding.Name] = operator.LeaseStatus{Name: e.Holding.Name, Fencing: e.Holding.Fence, Until: e.Holding.Deadline}
+	case platform.LeaseLost:
+		delete(h.held, e.Holding.Name)
+	default:
+		return
+	}
+	h.status.SetLeases(slices.Collect(maps.Values(h.held)))
+}
+
 // candidacy keeps this daemon a candidate for a lease while it is one of the
 // daemons of its data centre that watch the store. All others leave the lease
 // alone, so that the calls to the platform grow with data centres. A daemon
@@ -56,6 +79,7 @@
 	lessor   *platform.Lessor
 	name     string
 	listener func(platform.LeaseEvent)
+	leases   *heldLeases
 	held     atomic.Bool
 	active   atomic.Bool
 }
@@ -84,5 +108,6 @@
 			c.lessor.Release(c.name)
 		}
 	}
+	c.leases.handle(e)
 	c.listener(e)
 }
--- a/internal/server/latency_test.go
+++ b/internal/server/latency_test.go
@@ -28,16 +28,16 @@
 
 const testCustomer = "prairie"
 
-func startTestbed(tb testing.TB, ctx context.Context, spec deployment.Spec) *testbed {
+func startTestbed(tb testing.TB, ctx context.Context, spec deployment.Spec, flags ...string) *testbed {
 	tb.Helper()
 	standins, err := deployment.Start(ctx, spec)
 	if err != nil {
 		tb.Fatal(err)
 	}
 	tb.Cleanup(func() { standins.Stop(context.Background()) })
-	set, err := settings.Parse([]string{
+	set, err := settings.Parse(append(flags,
 		"--drain-grace", "0s", "--platform-url", standins.PlatformURL(), "--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
-	})
+	))
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -44,12 +44,15 @@
 	k.name("--region", d.Region)
 	k.listeners(d)
 	k.peers(d)
-	k.platformURL(d.PlatformURL)
+	k.baseURL("--platform-url", d.PlatformURL)
 	k.dataFolder(d.DataFolder)
 	k.integer("--caller-max-body", d.CallerMaxBody, minBody, maxCallerBody)
 	k.integer("--operator-max-body", d.OperatorMaxBody, minBody, maxOperatorBody)
 	k.integer("--exchanges", d.Exchanges, 1, maxExchanges)
 	k.integer("--store-calls", d.StoreCalls, 1, maxStoreCalls)
+	if d.WeightsURL != "" {
+		k.baseURL("--weights-url", d.WeightsURL)
+	}
 	k.rate("--store-reads", d.StoreReads, maxStoreReads)
 	k.rate("--store-writes", d.StoreWrites, maxStoreWrites)
 	k.integer("--samples", d.Samples, 1, maxSamples)
@@ -132,11 +135,11 @@
 	}
 }
 
-func (k *checker) platformURL(value string) {
+func (k *checker) baseURL(flag, value string) {
 	u, err := url.Parse(value)
 	valid := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" && u.Fragment == "" && u.User == nil
 	if !valid {
-		k.fail("--platform-url", value, allowedURL, "is not a base URL")
+		k.fail(flag, value, allowedURL, "is not a base URL")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	OperatorMaxBody int           `long:"operator-max-body" env:"BERYLFALL_OPERATOR_MAX_BODY" default:"524288" description:"largest body of an operator's request in bytes, 1024 to 1048576"`
 	Exchanges       int           `long:"exchanges" env:"BERYLFALL_EXCHANGES" default:"2048" description:"most exchanges with backend servers at once, 1 to 16384"`
 	StoreCalls      int           `long:"store-calls" env:"BERYLFALL_STORE_CALLS" default:"32" description:"most calls of the object API at once, 1 to 1024"`
+	WeightsURL      string        `long:"weights-url" env:"BERYLFALL_WEIGHTS_URL" description:"base URL of the weight store; empty: this daemon rolls out no versions"`
 	StoreReads      float64       `long:"store-reads" env:"BERYLFALL_STORE_READS" default:"200" description:"most reads of the platform a second, a waiting watch counted as one, 1 to 2000"`
 	StoreWrites     float64       `long:"store-writes" env:"BERYLFALL_STORE_WRITES" default:"30" description:"most writes to the object API a second, 1 to 500"`
 	Samples         int           `long:"samples" env:"BERYLFALL_SAMPLES" default:"512" description:"most samples for trainers at once, 1 to 4096"`
