--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -79,11 +79,8 @@
 }
 
 // start has the duties run once every part of the daemon has been built, in the
-// order of the calls. It never fails; the result spares the callers a line.
-func (b *builder) start(loops ...*duty.Loop) error {
-	b.loops = append(b.loops, loops...)
-	return nil
-}
+// order of the calls.
+func (b *builder) start(loops ...*duty.Loop) { b.loops = append(b.loops, loops...) }
 
 // startDuties runs the duties after all callbacks between them have been set.
 func (b *builder) startDuties() error {
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -30,7 +30,8 @@
 	b.poller = backend.NewPoller(b.clock, nil, client, probes, b.setServers)
 	b.poller.SetDataCentre(b.settings.DataCentre)
 	b.poller.SetCacheSource(client, b.dispatch.AddCacheEvents)
-	return b.start(b.dispatch.Loop(), b.poller.Loop())
+	b.start(b.dispatch.Loop(), b.poller.Loop())
+	return nil
 }
 
 // setServers takes the backend servers from the poller.
--- a/internal/server/build_caller.go
+++ b/internal/server/build_caller.go
@@ -7,5 +7,6 @@
 func (b *builder) buildCaller() error {
 	b.claims = caller.NewClaims(b.clock, b.store, b.random(), b.daemonID())
 	b.admission = caller.NewAdmission(b.clock, b.dispatch, b.claims, b.random())
-	return b.start(b.claims.Loop(), b.admission.Loop())
+	b.start(b.claims.Loop(), b.admission.Loop())
+	return nil
 }
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -38,8 +38,9 @@
 	hosts := daemon.NewHosts(b.clock, daemonHosts{b.platformClient}, b.storePool, peers.SetHosts)
 	peers.OnMembers(hosts.SetMembers)
 	b.server.leave = peers.Leave
-	return b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), load.Loop(), relay.Loop(), hostPoller.Loop(),
+	b.start(b.config.Loop(), watcher.Loop(), shares.Loop(), load.Loop(), relay.Loop(), hostPoller.Loop(),
 		suspects.Loop(), peers.Loop(), hosts.Loop())
+	return nil
 }
 
 func (b *builder) buildPeers() (*daemon.Peers, error) {
--- a/internal/server/build_listeners.go
+++ b/internal/server/build_listeners.go
@@ -24,7 +24,8 @@
 	gate := operator.NewGate(b.clock, b.settings.DrainGrace, b.admission, b.status.AddEnd)
 	b.status.UseDrain(gate.State)
 	b.server.gate, b.server.admission = gate, b.admission
-	return b.start(b.status.Loop())
+	b.start(b.status.Loop())
+	return nil
 }
 
 // buildSockets opens the listeners for callers and operators, so that the other
@@ -63,7 +64,8 @@
 		return err
 	}
 	files := settings.NewFiles(b.clock, b.server.log.WithField("duty", "files"), pool, sources)
-	return b.start(files.Loop())
+	b.start(files.Loop())
+	return nil
 }
 
 func (b *builder) accessFiles() map[string]settings.Reloader {
--- a/internal/server/build_platform.go
+++ b/internal/server/build_platform.go
@@ -37,7 +37,8 @@
 	})
 	b.lessor = platform.NewLessor(b.clock, b.store, string(b.daemonID()), b.random())
 	b.leases = &heldLeases{status: b.status, held: map[string]operator.LeaseStatus{}}
-	return b.start(b.store.Loop(), b.lessor.Loop())
+	b.start(b.store.Loop(), b.lessor.Loop())
+	return nil
 }
 
 // daemonID differs for each run, so that claims and leases of an earlier run of
--- a/internal/server/build_trainer.go
+++ b/internal/server/build_trainer.go
@@ -37,7 +37,8 @@
 		return err
 	}
 	b.trainers = trainer.New(b.clock, options)
-	return b.start(scores.Loop(), b.trainers.Loop())
+	b.start(scores.Loop(), b.trainers.Loop())
+	return nil
 }
 
 func (b *builder) buildScorer() (*scorer.Scorer, error) {
@@ -71,5 +72,6 @@
 	closer := duty.New("bulk.close", b.clock)
 	closer.OnStop(func() { _ = store.Close() })
 	o.Bulk, o.Disk = store, pool
-	return b.start(closer)
+	b.start(closer)
+	return nil
 }
--- a/internal/server/build_weights.go
+++ b/internal/server/build_weights.go
@@ -41,7 +41,8 @@
 		},
 	}
 	b.onWatching = append(b.onWatching, owner.setActive)
-	return b.start(b.rollout.Loop())
+	b.start(b.rollout.Loop())
+	return nil
 }
 
 // reportVersions tells the roll-out what the engines of this data centre hold,
