Release leases at a planned stop

Cause: a stopped daemon left its leases to lapse, so the next holder waited; Stop called twice waited for ever. Change: Stop gives up the leases of the data centre and waits up to 0.5 s for the last writes; further calls of Stop do nothing.

--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/panjf2000/ants/v2"
 )
@@ -83,3 +84,6 @@
 
 // Release ends the pool; calls in progress finish.
 func (p *Pool) Release() { p.pool.Release() }
+
+// ReleaseWait ends the pool and waits for calls in progress, at most for limit.
+func (p *Pool) ReleaseWait(limit time.Duration) { _ = p.pool.ReleaseTimeout(limit) }
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -91,6 +91,7 @@
 		},
 	}
 	b.onWatching = append(b.onWatching, owner.setActive)
+	b.server.leases = append(b.server.leases, owner.leave)
 	peers.OnMembers(shares.SetMembers)
 	peers.OnMessage(shares.Receive)
 	return shares
--- a/internal/server/build_platform.go
+++ b/internal/server/build_platform.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return err
 	}
+	b.server.storePool = b.storePool
 	b.budget = platform.NewBudget(platform.BudgetOptions{
 		ReadsPerSecond:  b.settings.StoreReads,
 		WritesPerSecond: b.settings.StoreWrites,
@@ -98,6 +99,12 @@
 	}
 }
 
+// leave gives the lease up for good.
+func (c *candidacy) leave() {
+	c.active.Store(false)
+	c.lessor.Release(c.name)
+}
+
 // handle runs on the lessor's goroutine.
 func (c *candidacy) handle(e platform.LeaseEvent) {
 	switch e.Kind {
--- a/internal/server/build_weights.go
+++ b/internal/server/build_weights.go
@@ -41,6 +41,10 @@
 		},
 	}
 	b.onWatching = append(b.onWatching, owner.setActive)
+	b.server.leases = append(b.server.leases, func() {
+		b.rollout.SetHolding(weights.Holding{})
+		owner.leave()
+	})
 	b.start(b.rollout.Loop())
 	return nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,11 @@
 // dutyCapacity is the number of duties and listeners of one daemon.
 const dutyCapacity = 64
 
+// lastWrites bounds the wait for calls of the store at a stop, such as the
+// release of leases. Without a release the next holder waits for the lease to
+// lapse.
+const lastWrites = 500 * time.Millisecond
+
 // Server is a running daemon.
 type Server struct {
 	log      *logrus.Logger
@@ -30,6 +36,9 @@
 	admission   *caller.Admission
 	drainGrace  time.Duration
 	peerAddress string
+	storePool   *duty.Pool
+	leases      []func() // release the leases of the data centre
+	stopped     sync.Once
 	leave       func() // tells the other daemons that this one stops
 }
 
@@ -61,15 +70,24 @@
 // Stop ends the daemon. It first reports that it is not ready and takes requests
 // for the grace period, so that the load balancer can follow; then it refuses new
 // requests and lets those in flight end, unless ctx ends first.
-func (s *Server) Stop(ctx context.Context) {
+// Further calls do nothing.
+func (s *Server) Stop(ctx context.Context) { s.stopped.Do(func() { s.stop(ctx) }) }
+
+func (s *Server) stop(ctx context.Context) {
 	if s.gate != nil {
 		s.gate.Drain(true)
 		time.Sleep(s.drainGrace)
 		s.admission.Drain()
 		s.leave()
 		s.admission.Idle(ctx)
+		for _, release := range s.leases {
+			release()
+		}
 	}
 	s.runner.Stop(ctx)
+	if s.storePool != nil {
+		s.storePool.ReleaseWait(lastWrites)
+	}
 	for _, p := range s.pools {
 		p.Release()
 	}
--- /dev/null
+++ b/internal/server/stop_test.go
@@ -0,0 +1,37 @@
+package server
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/platform/platformhttp"
+	"github.com/berylfall/berylfall/internal/standin/deployment"
+	"github.com/berylfall/berylfall/internal/transport"
+)
+
+// Guards against a planned stop that leaves its leases to lapse, so that the
+// next holder has to wait.
+func TestStopReleasesLeases(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	bed := startTestbed(t, ctx, deployment.Spec{})
+	store, err := platformhttp.NewClient(bed.standins.PlatformURL(), transport.ClientOptions{})
+	check(t, err)
+	holder := func() string {
+		object, err := store.Get(ctx, "leases/shares/local")
+		if err != nil {
+			return ""
+		}
+		return string(object.Value)
+	}
+	for !strings.Contains(holder(), `"holder":"local/`) {
+		check(t, ctx.Err())
+		time.Sleep(20 * time.Millisecond)
+	}
+	bed.daemon.Stop(ctx)
+	if after := holder(); !strings.Contains(after, `"holder":""`) {
+		t.Errorf("lease after the stop = %s, want one without a holder", after)
+	}
+}
