--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -15,9 +15,10 @@
 // waitForServer lets the call wait until a server takes work again, or, for a
 // suspect, until another one has ended.
 func (d *Dispatch) waitForServer(s *callState) {
+	now := d.loop.Clock().Now()
 	var earliest time.Time
 	for _, c := range d.order {
-		at := d.health.acceptsAt(c.Server.ID)
+		at := d.health.acceptsAt(c.Server.ID, now)
 		if at.IsZero() || !d.isCapable(s.call.Request, c) {
 			continue
 		}
@@ -25,11 +26,11 @@
 			earliest = at
 		}
 	}
-	if earliest.IsZero() || d.health.suspects.IsSuspected(s.call.Request.Fingerprint, d.loop.Clock().Now()) {
+	if earliest.IsZero() || d.health.suspects.IsSuspected(s.call.Request.Fingerprint, now) {
 		d.park(s)
 		return
 	}
-	d.pause(s, earliest.Sub(d.loop.Clock().Now()))
+	d.pause(s, earliest.Sub(now))
 }
 
 func (d *Dispatch) isCapable(r *core.Request, c *Candidate) bool {
--- a/internal/backend/classes.go
+++ b/internal/backend/classes.go
@@ -28,6 +28,7 @@
 	local   []*Candidate // in the daemon's own data centre
 	remote  []*Candidate
 	missing string // what no server has, when there are none
+	capable []bool // by position in the index
 }
 
 // classIndex finds the servers for a request without running the filters on
@@ -51,7 +52,8 @@
 	x.contexts = x.contexts[:0]
 	clear(x.kinds)
 	clear(x.classes)
-	for _, c := range servers {
+	for i, c := range servers {
+		c.position = i
 		d := &c.Server.Description
 		x.contexts = append(x.contexts, d.ContextTokens)
 		if _, known := x.kinds[d.Kind]; !known {
@@ -115,7 +117,9 @@
 			return class
 		}
 	}
+	class.capable = make([]bool, len(x.servers))
 	for _, c := range kept {
+		class.capable[c.position] = true
 		if c.Server.DataCentre == x.dataCentre || x.dataCentre == "" {
 			class.local = append(class.local, c)
 		} else {
@@ -125,6 +129,13 @@
 	return class
 }
 
+// contains reports whether the server can run the requests of the class. A
+// server that is no longer listed has a stale position and is in no class.
+func (x *classIndex) contains(class *serverClass, c *Candidate) bool {
+	p := c.position
+	return p < len(x.servers) && x.servers[p] == c && class.capable[p]
+}
+
 // sameCapability reports whether two descriptions pass the same filters.
 func sameCapability(a, b *Server) bool {
 	x, y := &a.Description, &b.Description
--- a/internal/backend/ejection.go
+++ b/internal/backend/ejection.go
@@ -39,7 +39,8 @@
 	// from a fault grows from firstWeight to 1.
 	slowStart   = 5 * time.Second
 	firstWeight = 0.1
-	// minInUse is the share of a service's servers that stay in use.
+	// minInUse is the share of a service's servers in a data centre that stay
+	// in use.
 	minInUse = 0.5
 )
 
@@ -142,8 +143,8 @@
 }
 
 // judge ejects the server if it is an outlier and enough others stay in use.
-func (g *serviceGroup) judge(c *Candidate, accepts func(*Candidate) bool, now time.Time) {
-	if !c.use.outUntil.IsZero() || !g.isOutlier(c) || !g.canSpare(c, accepts) {
+func (g *serviceGroup) judge(c *Candidate, accepts func(*Candidate, time.Time) bool, now time.Time) {
+	if !c.use.outUntil.IsZero() || !g.isOutlier(c) || !g.canSpare(c, accepts, now) {
 		return
 	}
 	length := min(maxEjection, firstEjection<<min(c.use.ejections, 10))
@@ -151,14 +152,20 @@
 	c.use.outUntil, c.use.changed, c.use.rampFrom = now.Add(length), now, time.Time{}
 }
 
-// canSpare reports whether the floor holds without the server. Servers that
-// crashed or cannot be reached do not count as in use.
-func (g *serviceGroup) canSpare(without *Candidate, accepts func(*Candidate) bool) bool {
-	inUse := 0
+// canSpare reports whether the floor of the server's data centre holds without
+// it. Servers elsewhere do not count: they may be cut off or have no room for
+// the work of a whole data centre. Servers that crashed or cannot be reached do
+// not count as in use.
+func (g *serviceGroup) canSpare(without *Candidate, accepts func(*Candidate, time.Time) bool, now time.Time) bool {
+	members, inUse := 0, 0
 	for _, c := range g.members {
-		if c != without && c.use.outUntil.IsZero() && !c.Server.Unreachable && accepts(c) {
+		if c.Server.DataCentre != without.Server.DataCentre {
+			continue
+		}
+		members++
+		if c != without && c.use.outUntil.IsZero() && !c.Server.Unreachable && accepts(c, now) {
 			inUse++
 		}
 	}
-	return float64(inUse) >= minInUse*float64(len(g.members))
+	return float64(inUse) >= minInUse*float64(members)
 }
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -174,12 +174,12 @@
 }
 
 // isAccepting reports whether the server is neither crashed nor asked for a wait.
-func (h *health) isAccepting(_ *core.Request, c *Candidate) bool {
-	return h.acceptsAt(c.Server.ID).IsZero()
+func (h *health) isAccepting(c *Candidate, now time.Time) bool {
+	return h.acceptsAt(c.Server.ID, now).IsZero()
 }
 
 // acceptsAt returns when the server takes work again; zero is now.
-func (h *health) acceptsAt(id core.ServerID) time.Time {
+func (h *health) acceptsAt(id core.ServerID, now time.Time) time.Time {
 	state := h.servers[id]
 	if state == nil {
 		return time.Time{}
@@ -188,7 +188,7 @@
 	if state.holdUntil.After(at) {
 		at = state.holdUntil
 	}
-	if !at.After(h.now()) {
+	if !at.After(now) {
 		return time.Time{}
 	}
 	return at
@@ -196,8 +196,7 @@
 
 // mayRunSuspect keeps suspects alone: one run of a suspect at a time, and no
 // other suspect beside it on a server. Other requests pass.
-func (h *health) mayRunSuspect(r *core.Request, c *Candidate) bool {
-	now := h.now()
+func (h *health) mayRunSuspect(r *core.Request, c *Candidate, now time.Time) bool {
 	if !h.suspects.IsSuspected(r.Fingerprint, now) {
 		return true
 	}
--- a/internal/backend/locality.go
+++ b/internal/backend/locality.go
@@ -45,26 +45,26 @@
 	Events      []CacheEvent
 }
 
-// prefixHashes are the hashes of the prompt's prefixes of whole blocks.
+// prefixHashes are the hashes of the prompt's prefixes of whole blocks. A hash
+// is computed when it is first needed, since the binary searches of a decision
+// look at about 4 of 16.
 type prefixHashes struct {
-	hashes [maxPrefixBlocks]uint64
+	prompt string
+	hashes [maxPrefixBlocks]uint64 // zero when not computed yet
 	n      int
 }
 
-// set hashes the prompt.
+// set takes the prompt of a decision.
 func (p *prefixHashes) set(prompt string) {
-	p.n = 0
-	if len(prompt) < PrefixBlock {
-		return
-	}
-	var digest xxhash.Digest
-	digest.Reset()
-	for p.n < maxPrefixBlocks && len(prompt) >= PrefixBlock {
-		_, _ = digest.WriteString(prompt[:PrefixBlock])
-		prompt = prompt[PrefixBlock:]
-		p.hashes[p.n] = digest.Sum64()
-		p.n++
+	*p = prefixHashes{prompt: prompt, n: min(maxPrefixBlocks, len(prompt)/PrefixBlock)}
+}
+
+// at returns the hash of the prefix of i+1 blocks.
+func (p *prefixHashes) at(i int) uint64 {
+	if p.hashes[i] == 0 {
+		p.hashes[i] = xxhash.Sum64String(p.prompt[:(i+1)*PrefixBlock])
 	}
+	return p.hashes[i]
 }
 
 // prefixView is what the events of one engine say about its cache.
@@ -141,7 +141,7 @@
 	if view == nil || p.n == 0 {
 		return 0
 	}
-	held := sort.Search(p.n, func(i int) bool { return !view.blocks.Contains(p.hashes[i]) })
+	held := sort.Search(p.n, func(i int) bool { return !view.blocks.Contains(p.at(i)) })
 	return float64(held) / float64(p.n)
 }
 
@@ -155,7 +155,7 @@
 			break
 		}
 		middle := (low + high) / 2
-		if id, ok := l.holders.Peek(p.hashes[middle]); ok {
+		if id, ok := l.holders.Peek(p.at(middle)); ok {
 			found, low = id, middle+1
 		} else {
 			high = middle
--- a/internal/backend/locality_test.go
+++ b/internal/backend/locality_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -45,6 +46,50 @@
 	}
 }
 
+// Guards against a decision for the engine that holds the prompt although it
+// cannot run the request or is no longer listed, and against one that allocates.
+func TestHolderRunsTheRequest(t *testing.T) {
+	d := newLargeTable(t, 4)
+	r := &core.Request{Service: "wear", Model: "wear", Adapter: "b", Prompt: string(make([]byte, 2000))}
+	var prefixes prefixHashes
+	prefixes.set(r.Prompt)
+	for i := range prefixes.n {
+		prefixes.at(i)
+	}
+	d.AddCacheEvents(CacheEvents{Server: "s0001", Incarnation: "1", Events: stored(1, prefixes.hashes[:prefixes.n]...)})
+	d.loop.Step()
+	chosen := func() (n int) {
+		for range 100 {
+			if c, _ := d.router.pick(r, nil); c.Server.ID == "s0001" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := chosen(); n != 100 {
+		t.Errorf("the engine that holds the prompt got %d of 100 requests", n)
+	}
+	if n := testing.AllocsPerRun(1000, func() { d.router.pick(r, nil) }); n != 0 {
+		t.Errorf("%.1f allocations in a decision, want none", n)
+	}
+	var servers []Server
+	for _, c := range d.order {
+		servers = append(servers, c.Server)
+	}
+	servers[1].Description.Models = []ModelDescription{{Name: "wear", Version: 3, Adapters: []string{"a"}}}
+	d.handleServers(servers)
+	if n := chosen(); n != 0 {
+		t.Errorf("the engine without the adapter got %d of 100 requests", n)
+	}
+	servers[1].Description.Models = servers[0].Description.Models
+	d.handleServers(servers)
+	d.table["s0001"].Outstanding = 1              // keeps it in the table when it is not listed
+	d.handleServers(slices.Delete(servers, 1, 2)) // its position is now that of another server
+	if n := chosen(); n != 0 {
+		t.Errorf("the engine that is not listed got %d of 100 requests", n)
+	}
+}
+
 // Guards against locality that finds no cached prompt, and against locality
 // that outweighs load.
 func TestLocalityAgainstLoad(t *testing.T) {
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -29,6 +29,7 @@
 type Candidate struct {
 	Server      Server
 	Outstanding int // attempts of this daemon in progress
+	position    int // in the class index, if it is listed there
 	load        serverLoad
 	speed       serverSpeed
 	use         use
@@ -49,8 +50,8 @@
 type router struct {
 	now      func() time.Time
 	random   *rand.Rand
-	accepts  func(*core.Request, *Candidate) bool // whether a server takes the request now
-	isUp     func(*Candidate) bool                // whether it takes any
+	accepts  func(*core.Request, *Candidate, time.Time) bool // whether a server takes the request at that time
+	isUp     func(*Candidate, time.Time) bool                // whether it takes any
 	picker   Picker
 	index    *classIndex
 	view     loadView
@@ -62,6 +63,7 @@
 
 	// The decision in progress; fields, so that no closure is allocated.
 	request    *core.Request
+	class      *serverClass
 	tried      map[core.ServerID]bool
 	permission permission
 	at         time.Time
@@ -134,7 +136,7 @@
 	if class.missing != "" {
 		return nil, class.missing
 	}
-	rt.begin(r, tried)
+	rt.begin(r, class, tried)
 	for p := healthyUntried; p <= anyServer; p++ {
 		if p == anyServer && len(tried) == 0 {
 			break
@@ -150,7 +152,7 @@
 // pickOther returns a healthy server with a free slot that was not tried, or nil.
 func (rt *router) pickOther(r *core.Request, tried map[core.ServerID]bool) *Candidate {
 	class := rt.index.find(r)
-	rt.begin(r, tried)
+	rt.begin(r, class, tried)
 	rt.permission = healthyUntried
 	c := rt.pickNearest(class)
 	if c == nil || c.depth() >= 1 {
@@ -159,8 +161,9 @@
 	return c
 }
 
-func (rt *router) begin(r *core.Request, tried map[core.ServerID]bool) {
-	rt.request, rt.tried = r, tried
+// begin prepares a decision. The clock is read once for all of its checks.
+func (rt *router) begin(r *core.Request, class *serverClass, tried map[core.ServerID]bool) {
+	rt.request, rt.class, rt.tried = r, class, tried
 	rt.at = rt.now()
 	rt.scorer.expected = rt.times.of(r).mean
 	rt.scorer.prefixes.n = 0
@@ -199,7 +202,7 @@
 		return chosen
 	}
 	holder := rt.findHolder(chosen)
-	if holder != nil && rt.scorer.Score(rt.request, holder) < rt.scorer.Score(rt.request, chosen) {
+	if holder != nil && holder != chosen && rt.scorer.Score(rt.request, holder) < rt.scorer.Score(rt.request, chosen) {
 		return holder
 	}
 	return chosen
@@ -228,20 +231,18 @@
 		return nil
 	}
 	c := rt.table(id)
-	if c == nil || c.Server.DataCentre != beside.Server.DataCentre || !rt.usable(c) {
-		return nil
+	if c == nil || c == beside {
+		return c
 	}
-	for _, f := range rt.index.filters {
-		if !f.Keep(rt.request, c) {
-			return nil
-		}
+	if c.Server.DataCentre != beside.Server.DataCentre || !rt.index.contains(rt.class, c) || !rt.usable(c) {
+		return nil
 	}
 	return c
 }
 
 // isUsable applies what changes between two table updates.
 func (rt *router) isUsable(c *Candidate) bool {
-	if !rt.accepts(rt.request, c) {
+	if !rt.accepts(rt.request, c, rt.at) {
 		return false
 	}
 	if rt.permission < anyServer && rt.tried[c.Server.ID] {
--- a/internal/backend/routing_bench_test.go
+++ b/internal/backend/routing_bench_test.go
@@ -179,6 +179,9 @@
 		})
 		var prefixes prefixHashes
 		prefixes.set(r.Prompt)
+		for i := range prefixes.n {
+			prefixes.at(i)
+		}
 		d.AddCacheEvents(CacheEvents{Server: "s0000", Incarnation: "1", Events: stored(1, prefixes.hashes[:prefixes.n]...)})
 		d.loop.Step()
 		b.Run(fmt.Sprintf("held-prompt/%d", workers), decide)
--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -269,6 +269,44 @@
 	}
 }
 
+// Guards against ejection of all servers of one data centre while the floor
+// holds over all data centres together.
+func TestEjectionFloorPerDataCentre(t *testing.T) {
+	b := newBench(t, 10, nil)
+	b.exchange = func(a Attempt) AttemptEnd {
+		if a.Server < "s4" {
+			return broken(a)
+		}
+		return answered(a)
+	}
+	b.dispatch.SetDataCentre("regina")
+	for i := range b.servers {
+		b.servers[i].DataCentre = "brandon"
+		if i < 4 {
+			b.servers[i].DataCentre = "regina"
+		}
+	}
+	b.publish()
+	inUse := func(servers []*Candidate) (n int) {
+		for _, c := range servers {
+			if c.use.outUntil.IsZero() {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range 400 {
+		b.submit(context.Background(), uint64(i), false)
+		b.run()
+	}
+	if n := inUse(b.dispatch.order[:4]); n != 2 {
+		t.Errorf("%d of the 4 failing servers of one data centre in use, want the floor of 2", n)
+	}
+	if n := inUse(b.dispatch.order[4:]); n != 6 {
+		t.Errorf("%d of the 6 servers of the other data centre in use, want all", n)
+	}
+}
+
 // Guards against a server that is new, or that restarted, and is flooded.
 func TestSlowStart(t *testing.T) {
 	b := newBench(t, 4, answered)
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -1,6 +1,10 @@
 package backend
 
-import "github.com/berylfall/berylfall/internal/core"
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
 
 // OwnWork is the work that this daemon has on a server.
 type OwnWork struct {
@@ -28,9 +32,9 @@
 // bindRouter connects the router with what attempts have shown.
 func (d *Dispatch) bindRouter() {
 	d.router.table = func(id core.ServerID) *Candidate { return d.table[id] }
-	d.router.isUp = func(c *Candidate) bool { return d.health.isAccepting(nil, c) }
-	d.router.accepts = func(r *core.Request, c *Candidate) bool {
-		return d.health.isAccepting(r, c) && d.health.mayRunSuspect(r, c)
+	d.router.isUp = d.health.isAccepting
+	d.router.accepts = func(r *core.Request, c *Candidate, now time.Time) bool {
+		return d.health.isAccepting(c, now) && d.health.mayRunSuspect(r, c, now)
 	}
 }
 
