--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -75,18 +75,23 @@
 }
 
 // controlLoad is what the control work of a data centre depends on.
-type controlLoad struct{ dataCentres, perDC, servers, contracts, busy int }
+// The remote servers are those of the other data centres, polled every 5 s.
+// Described reports carry a description, as those of the poller do.
+type controlLoad struct {
+	dataCentres, perDC, servers, contracts, busy, remote int
+	described                                            bool
+}
 
 // BenchmarkControl measures what the daemons send each second without changes,
 // and the CPU time of the decisions. The encoding's is in package daemonrpc.
 func BenchmarkControl(b *testing.B) {
 	for _, c := range []controlLoad{
-		{1, 3, 0, 10, 2}, {1, 10, 0, 10, 2}, {1, 22, 0, 10, 2},
-		{1, 22, 28, 10, 2}, {1, 22, 56, 10, 2},
-		{1, 22, 56, 200, 2}, {1, 22, 56, 200, 20},
-		{18, 22, 56, 200, 20},
+		{1, 3, 0, 10, 2, 0, false}, {1, 10, 0, 10, 2, 0, false}, {1, 22, 0, 10, 2, 0, false},
+		{1, 22, 28, 10, 2, 0, false}, {1, 22, 56, 10, 2, 0, false},
+		{1, 22, 56, 200, 2, 0, false}, {1, 22, 56, 200, 20, 0, false}, {1, 22, 56, 200, 20, 944, false}, {1, 22, 56, 200, 20, 944, true},
+		{18, 22, 56, 200, 20, 0, false},
 	} {
-		name := fmt.Sprintf("dcs=%d/daemons=%d/servers=%d/contracts=%d/busy=%d", c.dataCentres, c.perDC, c.servers, c.contracts, c.busy)
+		name := fmt.Sprintf("dcs=%d/daemons=%d/servers=%d/contracts=%d/busy=%d/remote=%d/described=%v", c.dataCentres, c.perDC, c.servers, c.contracts, c.busy, c.remote, c.described)
 		b.Run(name, func(b *testing.B) { benchmarkControl(b, c) })
 	}
 }
@@ -145,15 +150,33 @@
 
 func serverID(i int) core.ServerID { return core.ServerID(fmt.Sprintf("engine-%03d", i)) }
 
+// description has the fields of an engine's description, 178 bytes of JSON.
+func (c controlLoad) description() []byte {
+	if !c.described {
+		return nil
+	}
+	return []byte(`{"kind":"gpu","service":"wear-model","incarnation":"0f8fad5b-d9cb-469f-a165-70867728950e","role":"serve","models":[{"name":"wear","version":7}],"context_tokens":32768,"slots":64}`)
+}
+
+// remoteTurns spreads the reports of remote servers, one each in 5 s, over the
+// calls of feed.
+const remoteTurns = 10
+
 // feed reports each server's load twice a second, and work and use at every
 // daemon. The busy customers want more than a daemon's base.
 func (w *world) feed(c controlLoad) {
+	turn := int(w.now.UnixMilli()/500) % remoteTurns
 	for _, n := range w.nodes {
 		work := make([]ServerWork, 0, c.servers)
 		for i := range c.servers {
 			work = append(work, ServerWork{Server: KeyOf(serverID(i)), Outstanding: 1 + i%5 + w.workChange(i)})
 			if n.peers.view != nil && Polls(n.peers.view, serverID(i)) {
-				n.load.Report(LocalReport{Server: serverID(i), At: w.now, Running: 4, Waiting: 2, KVUsed: 0.5})
+				n.load.Report(LocalReport{Server: serverID(i), At: w.now, Running: 4, Waiting: 2, KVUsed: 0.5, Description: c.description()})
+			}
+		}
+		for i := turn; i < c.remote; i += remoteTurns {
+			if id := serverID(c.servers + i); n.peers.view != nil && Polls(n.peers.view, id) {
+				n.load.Report(LocalReport{Server: id, At: w.now, Running: 4, Waiting: 2, KVUsed: 0.5, Description: c.description()})
 			}
 		}
 		n.peers.SetWork(work)
