--- a/internal/standin/deployment/admin.go
+++ b/internal/standin/deployment/admin.go
@@ -33,6 +33,11 @@
 	Runs []plain.Run `json:"runs"`
 }
 
+// CrashesMessage is the answer to GET /crashes.
+type CrashesMessage struct {
+	Crashes int `json:"crashes"` // of all engines together
+}
+
 // StateMessage is the body of POST /hosts/{name}.
 type StateMessage struct {
 	State platform.HostState `json:"state"`
@@ -57,6 +62,7 @@
 	r.POST("/faults/:name", d.handleFaults)
 	r.POST("/hosts/:name", d.handleState)
 	r.GET("/runs/:name", d.handleRuns)
+	r.GET("/crashes", d.handleCrashes)
 	return d.runner.Serve("standin.admin", d.admin.Serve, d.admin.Close)
 }
 
@@ -118,3 +124,11 @@
 	}
 	c.JSON(consts.StatusOK, m)
 }
+
+func (d *Deployment) handleCrashes(ctx context.Context, c *app.RequestContext) {
+	var m CrashesMessage
+	for _, e := range d.engines {
+		m.Crashes += e.Counts(ctx).Crashes
+	}
+	c.JSON(consts.StatusOK, m)
+}
