--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	s.attempts = number
-	s.tried[a.Server] = true
+	s.tried.add(a.Server)
 	s.running[number] = stop
 	d.running++
 	d.health.started(a, s.call.Request.Fingerprint)
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -33,7 +33,7 @@
 	running  map[int]context.CancelFunc // attempts in progress, by number
 	tokens   []int32                    // tokens that the caller has
 	verdict  core.Verdict
-	tried    map[core.ServerID]bool
+	tried    *attempted
 	backOff  *backoff.ExponentialBackOff
 
 	waiting   bool // for a time or for room
@@ -127,7 +127,7 @@
 		c.Fail(core.NotRunError(core.CodeOverloaded, "too many requests in progress"))
 		return
 	}
-	s := &callState{call: c, verdict: core.NotRun, running: map[int]context.CancelFunc{}, tried: map[core.ServerID]bool{}}
+	s := &callState{call: c, verdict: core.NotRun, running: map[int]context.CancelFunc{}, tried: &attempted{servers: map[core.ServerID]bool{}}}
 	d.inProgress[c.Request.ID] = s
 	d.budget.firstAttempt()
 	d.hedges.firstAttempt(c.Request)
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -43,9 +43,36 @@
 	healthyUntried permission = iota
 	inUseUntried              // also those with overdue work or in their slow start
 	anyUntried                // also ejected and unreachable ones
-	anyServer                 // also those that were tried
+	anyButLast                // also those that were tried, but for the last one
+	anyServer                 // also the one that was tried last
 )
 
+// attempted are the servers that a call has tried. The nil value has none.
+type attempted struct {
+	servers map[core.ServerID]bool
+	last    core.ServerID
+}
+
+func (a *attempted) add(id core.ServerID) {
+	a.servers[id] = true
+	a.last = id
+}
+
+func (a *attempted) isEmpty() bool { return a == nil || len(a.servers) == 0 }
+
+// excludes reports whether the server is left out at the permission. A server
+// that has just failed the call, for example by going silent, comes last.
+func (a *attempted) excludes(id core.ServerID, p permission) bool {
+	switch {
+	case a == nil:
+		return false
+	case p < anyButLast:
+		return a.servers[id]
+	default:
+		return p == anyButLast && id == a.last
+	}
+}
+
 // router chooses servers. The dispatch duty owns it.
 type router struct {
 	now      func() time.Time
@@ -64,7 +91,7 @@
 	// The decision in progress; fields, so that no closure is allocated.
 	request    *core.Request
 	class      *serverClass
-	tried      map[core.ServerID]bool
+	tried      *attempted
 	permission permission
 	at         time.Time
 	usable     func(*Candidate) bool
@@ -131,14 +158,14 @@
 
 // pick returns the server for the next attempt. With none it returns what no
 // server has, or "" when one is to be waited for.
-func (rt *router) pick(r *core.Request, tried map[core.ServerID]bool) (chosen *Candidate, missing string) {
+func (rt *router) pick(r *core.Request, tried *attempted) (chosen *Candidate, missing string) {
 	class := rt.index.find(r)
 	if class.missing != "" {
 		return nil, class.missing
 	}
 	rt.begin(r, class, tried)
 	for p := healthyUntried; p <= anyServer; p++ {
-		if p == anyServer && len(tried) == 0 {
+		if p > anyUntried && tried.isEmpty() {
 			break
 		}
 		rt.permission = p
@@ -150,7 +177,7 @@
 }
 
 // pickOther returns a healthy server with a free slot that was not tried, or nil.
-func (rt *router) pickOther(r *core.Request, tried map[core.ServerID]bool) *Candidate {
+func (rt *router) pickOther(r *core.Request, tried *attempted) *Candidate {
 	class := rt.index.find(r)
 	rt.begin(r, class, tried)
 	rt.permission = healthyUntried
@@ -162,7 +189,7 @@
 }
 
 // begin prepares a decision. The clock is read once for all of its checks.
-func (rt *router) begin(r *core.Request, class *serverClass, tried map[core.ServerID]bool) {
+func (rt *router) begin(r *core.Request, class *serverClass, tried *attempted) {
 	rt.request, rt.class, rt.tried = r, class, tried
 	rt.at = rt.now()
 	rt.scorer.expected = rt.times.of(r).mean
@@ -245,7 +272,7 @@
 	if !rt.accepts(rt.request, c, rt.at) {
 		return false
 	}
-	if rt.permission < anyServer && rt.tried[c.Server.ID] {
+	if rt.tried.excludes(c.Server.ID, rt.permission) {
 		return false
 	}
 	if rt.permission >= anyUntried {
--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -332,3 +332,24 @@
 		t.Errorf("%.1f allocations in a decision, want none", n)
 	}
 }
+
+// Guards against a call whose attempts go back to the server that has just
+// failed it, such as one that went silent, while another one is free.
+func TestLastTriedServerComesLast(t *testing.T) {
+	b := newBench(t, 2, answered)
+	b.publish()
+	b.advance(slowStart + time.Second)
+	r := lookup(1)
+	servers := map[core.ServerID]bool{}
+	for _, c := range b.dispatch.order {
+		servers[c.Server.ID] = true
+	}
+	for last := range servers {
+		tried := &attempted{servers: servers, last: last}
+		for range 100 {
+			if c, _ := b.dispatch.router.pick(r, tried); c == nil || c.Server.ID == last {
+				t.Fatalf("picked %v after %s had just failed", c, last)
+			}
+		}
+	}
+}
--- a/internal/backend/tail_test.go
+++ b/internal/backend/tail_test.go
@@ -52,7 +52,7 @@
 		t.Errorf("servers %s and %s, loser stopped: %v", first.Server, second.Server, first.Context.Err() != nil)
 	}
 	for range 100 {
-		if c := b.dispatch.router.pickOther(lookup(1), map[core.ServerID]bool{"s0": true, "s1": true}); c == nil || c.Server.ID != "s2" {
+		if c := b.dispatch.router.pickOther(lookup(1), &attempted{servers: map[core.ServerID]bool{"s0": true, "s1": true}}); c == nil || c.Server.ID != "s2" {
 			t.Fatalf("a hedge after attempts at s0 and s1 went to %+v, want s2", c)
 		}
 	}
