--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -18,7 +18,7 @@
 	pollPeriod = 500 * time.Millisecond
 	// remotePollPeriod is for servers of other data centres, which serve only
 	// when the own ones cannot.
-	remotePollPeriod = 5 * time.Second
+	remotePollPeriod = 10 * time.Second
 	// missedReports is the number of periods without a report after which a
 	// daemon polls a server that another daemon should poll.
 	missedReports = 6
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -75,7 +75,7 @@
 }
 
 // controlLoad is what the control work of a data centre depends on.
-// The remote servers are those of the other data centres, polled every 5 s.
+// The remote servers are those of the other data centres, polled every 10 s.
 // Described reports carry a description, as those of the poller do.
 type controlLoad struct {
 	dataCentres, perDC, servers, contracts, busy, remote int
@@ -158,9 +158,9 @@
 	return []byte(`{"kind":"gpu","service":"wear-model","incarnation":"0f8fad5b-d9cb-469f-a165-70867728950e","role":"serve","models":[{"name":"wear","version":7}],"context_tokens":32768,"slots":64}`)
 }
 
-// remoteTurns spreads the reports of remote servers, one each in 5 s, over the
+// remoteTurns spreads the reports of remote servers, one each in 10 s, over the
 // calls of feed.
-const remoteTurns = 10
+const remoteTurns = 20
 
 // feed reports each server's load twice a second, and work and use at every
 // daemon. The busy customers want more than a daemon's base.
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -178,9 +178,10 @@
 	l.link.Broadcast(message)
 }
 
-// describeEvery bounds how long a daemon that joined, or lost a message, waits
-// for the description of a server.
-const describeEvery = 5 * time.Second
+// describeEvery bounds how long a daemon that lost a message goes without a
+// changed description. It is many times the period of the slowest polls, or
+// almost every report would carry a description.
+const describeEvery = 5 * time.Minute
 
 type sentDescription struct {
 	digest uint64
@@ -222,7 +223,10 @@
 }
 
 func (l *Load) mergeWork(from PeerID, m Heartbeat) {
-	d := l.digests[from]
+	d, known := l.digests[from]
+	if !known {
+		clear(l.described) // a daemon that has joined knows no descriptions
+	}
 	d.at = l.clock.Now()
 	if d.work == nil || m.WorkFull {
 		d.work = make(map[ServerKey]int, len(m.Work))
