--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -6,6 +6,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"golang.org/x/time/rate"
 
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/transport"
@@ -16,7 +17,8 @@
 
 // Faults switch on failures. The zero value has none.
 type Faults struct {
-	Down bool // every call is refused
+	Down          bool    // every call is refused
+	RatePerSecond float64 // calls above it are refused with 429; 0 is no limit
 }
 
 type query struct {
@@ -26,7 +28,7 @@
 }
 
 type reply struct {
-	down    bool
+	status  int
 	version int64
 }
 
@@ -37,6 +39,7 @@
 	http     *transport.Server
 	versions map[string]int64
 	faults   Faults
+	limiter  *rate.Limiter
 }
 
 // Start listens on the address and serves on the runner's threads.
@@ -50,6 +53,7 @@
 		asks:     duty.NewAskRing[query, reply]("weightstore.asks", askCapacity),
 		http:     listener,
 		versions: map[string]int64{},
+		limiter:  newLimiter(0),
 	}
 	duty.OnAsk(s.loop, s.asks, s.handle)
 	listener.Router().GET(weightshttp.PathLatest+":model", s.latest)
@@ -74,8 +78,11 @@
 
 func (s *Server) latest(ctx context.Context, c *app.RequestContext) {
 	r, err := s.asks.Ask(ctx, query{model: c.Param("model")})
-	if err != nil || r.down {
-		c.SetStatusCode(consts.StatusServiceUnavailable)
+	if err != nil {
+		r.status = consts.StatusServiceUnavailable
+	}
+	if r.status != consts.StatusOK {
+		c.SetStatusCode(r.status)
 		return
 	}
 	c.JSON(consts.StatusOK, weightshttp.LatestMessage{Model: c.Param("model"), Version: r.version})
@@ -85,9 +92,29 @@
 	q := ask.Query
 	if q.setFaults != nil {
 		s.faults = *q.setFaults
+		s.limiter = newLimiter(s.faults.RatePerSecond)
 	}
 	if q.publish > 0 {
 		s.versions[q.model] = q.publish
 	}
-	ask.Reply(reply{down: s.faults.Down, version: s.versions[q.model]})
+	ask.Reply(reply{status: s.status(), version: s.versions[q.model]})
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// status returns how a call is answered under the faults.
+func (s *Server) status() int {
+	switch {
+	case s.faults.Down:
+		return consts.StatusServiceUnavailable
+	case !s.limiter.AllowN(s.loop.Clock().Now(), 1):
+		return consts.StatusTooManyRequests
+	default:
+		return consts.StatusOK
+	}
 }
