Write address files by one function

Cause: the daemon and the stand-ins each had their own copy of replacing a file in one step. Change: settings.WriteAddresses serves both.

--- a/internal/server/main.go
+++ b/internal/server/main.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -64,19 +63,12 @@
 }
 
 // WriteAddresses writes the addresses in use to the file, for settings whose
-// port is 0. An empty name writes nothing. The file appears in one step, so
-// that a reader never sees a part of it.
+// port is 0. An empty name writes nothing.
 func (s *Server) WriteAddresses(file string) error {
 	if file == "" {
 		return nil
 	}
-	content, err := json.Marshal(AddressesMessage{Callers: s.CallerAddress(), Operators: s.OperatorAddress(), Peers: s.peerAddress})
-	if err != nil {
-		return err
-	}
-	partial := file + ".partial"
-	if err := os.WriteFile(partial, content, 0o644); err != nil {
-		return err
-	}
-	return os.Rename(partial, file)
+	return settings.WriteAddresses(file, AddressesMessage{
+		Callers: s.CallerAddress(), Operators: s.OperatorAddress(), Peers: s.peerAddress,
+	})
 }
--- a/internal/standin/deployment/main.go
+++ b/internal/standin/deployment/main.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,6 +10,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/jessevdk/go-flags"
+
+	"github.com/berylfall/berylfall/internal/settings"
 )
 
 // Exit codes of the program.
@@ -51,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	if err := writeAddresses(o.AddressFile, d.Addresses()); err != nil {
+	if err := settings.WriteAddresses(o.AddressFile, d.Addresses()); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -71,16 +72,3 @@
 	err = yaml.UnmarshalWithOptions(content, &spec, yaml.Strict())
 	return spec, err
 }
-
-// writeAddresses replaces the file in one step, so that a reader never sees a part of it.
-func writeAddresses(file string, m AddressesMessage) error {
-	content, err := json.Marshal(m)
-	if err != nil {
-		return err
-	}
-	partial := file + ".partial"
-	if err := os.WriteFile(partial, content, 0o644); err != nil {
-		return err
-	}
-	return os.Rename(partial, file)
-}
