Move connections to servers into transport

Cause: the adapter of the users' platform needs the same pooled connections as the exchange with backend servers. Change: conn and pool move from backendhttp to transport with exported names; pools may set a keep-alive time, and take the server's idle limit.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -27,7 +27,7 @@
 
 // Client carries out attempts and probes over HTTP.
 type Client struct {
-	pool         *pool
+	pool         *transport.Pool
 	polls        *client.Client
 	probeTimeout time.Duration
 }
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{pool: newPool(o.Silence), polls: polls, probeTimeout: o.ProbeTimeout}, nil
+	return &Client{pool: transport.NewPool(o.Silence), polls: polls, probeTimeout: o.ProbeTimeout}, nil
 }
 
 // Exchange carries out one attempt and blocks until it has ended.
@@ -86,7 +86,7 @@
 		end, reusable = c.operate(a, connection, req, resp)
 	}
 	if stopClosing() && reusable {
-		c.pool.put(connection)
+		c.pool.Put(connection)
 	} else {
 		connection.Close()
 	}
@@ -96,11 +96,11 @@
 // connect returns the connection for an attempt. A call that must not be
 // repeated gets a new one: on a kept connection the server's close can cross
 // the request, and then nothing proves that it did not run.
-func (c *Client) connect(a backend.Attempt) (*conn, error) {
+func (c *Client) connect(a backend.Attempt) (*transport.Conn, error) {
 	if a.Call.Request.Repeatable {
-		return c.pool.get(a.Context, a.Address)
+		return c.pool.Get(a.Context, a.Address)
 	}
-	return dial(a.Context, a.Address, c.pool.silence)
+	return c.pool.Dial(a.Context, a.Address)
 }
 
 func encode(a backend.Attempt, req *protocol.Request) error {
@@ -133,12 +133,12 @@
 }
 
 // complete makes a model call and reads its stream.
-func (c *Client) complete(a backend.Attempt, connection *conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
+func (c *Client) complete(a backend.Attempt, connection *transport.Conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
 	s := newStream(a)
-	connection.onSilence = func() error { return c.checkStream(s, connection) }
-	err := connection.send(req)
+	connection.OnSilence = func() error { return c.checkStream(s, connection) }
+	err := connection.Send(req)
 	if err == nil {
-		err = connection.receiveHead(resp)
+		err = connection.ReceiveHead(resp)
 	}
 	if err == nil && resp.StatusCode() >= consts.StatusBadRequest {
 		return c.refusal(a, connection, resp)
@@ -159,13 +159,13 @@
 
 // brokenStream ends an attempt whose stream stopped early. The engine's status
 // tells a lost last event from a lost answer.
-func (c *Client) brokenStream(s *stream, connection *conn, err error) backend.AttemptEnd {
-	end := failed(classifyBroken(s.attempt.Context, connection.written, err))
+func (c *Client) brokenStream(s *stream, connection *transport.Conn, err error) backend.AttemptEnd {
+	end := failed(classifyBroken(s.attempt.Context, connection.Written, err))
 	end.Tokens = s.tokens
 	if errors.Is(err, errNotWanted) && s.attempt.Context.Err() == nil {
 		end.Err = core.MayHaveRunError(core.CodeCancelled, "another attempt answers the request")
 	}
-	if connection.written == 0 {
+	if connection.Written == 0 {
 		return end
 	}
 	end.CancelAtServer = true
@@ -191,20 +191,20 @@
 	end.Crashed = p.crashed(a.Incarnation)
 	end.Incarnation = p.incarnation
 	if end.Crashed {
-		c.pool.drop(a.Address)
+		c.pool.Drop(a.Address)
 	}
 }
 
 // operate makes a call of a plain service.
-func (c *Client) operate(a backend.Attempt, connection *conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
+func (c *Client) operate(a backend.Attempt, connection *transport.Conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
 	periods := 0
-	connection.onSilence = func() error {
+	connection.OnSilence = func() error {
 		periods++
 		return c.checkCall(a, periods)
 	}
-	if err := connection.roundTrip(req, resp); err != nil {
-		end = failed(classifyBroken(a.Context, connection.written, err))
-		if connection.written > 0 && a.Context.Err() == nil {
+	if err := connection.RoundTrip(req, resp); err != nil {
+		end = failed(classifyBroken(a.Context, connection.Written, err))
+		if connection.Written > 0 && a.Context.Err() == nil {
 			c.inspect(&end, a)
 		}
 		return end, false
@@ -235,25 +235,14 @@
 
 // refusal ends an attempt that the server answered with an error. The body is
 // read for the message only.
-func (c *Client) refusal(a backend.Attempt, connection *conn, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
+func (c *Client) refusal(a backend.Attempt, connection *transport.Conn, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
 	readErr := error(nil)
 	if a.Call.Request.IsModelCall() {
-		readErr = connection.receiveBody(resp)
+		readErr = connection.ReceiveBody(resp)
 	}
 	return failed(classifyRefusal(transport.NewResponseError(resp))), readErr == nil && !resp.ConnectionClose()
 }
 
-// roundTrip sends the request and reads the whole answer.
-func (c *conn) roundTrip(req *protocol.Request, resp *protocol.Response) error {
-	if err := c.send(req); err != nil {
-		return err
-	}
-	if err := c.receiveHead(resp); err != nil {
-		return err
-	}
-	return c.receiveBody(resp)
-}
-
 // decode reads the answer to a probe into out unless out is nil.
 func decode(resp *protocol.Response, out any) error {
 	if resp.StatusCode() >= consts.StatusBadRequest {
--- a/internal/backend/backendhttp/probe.go
+++ b/internal/backend/backendhttp/probe.go
@@ -125,7 +125,7 @@
 func (c *Client) fresh(ctx context.Context, address, method, path string, out any) error {
 	ctx, stop := context.WithTimeout(ctx, c.probeTimeout)
 	defer stop()
-	connection, err := dial(ctx, address, c.probeTimeout)
+	connection, err := transport.DialConn(ctx, address, c.probeTimeout)
 	if err != nil {
 		return err
 	}
@@ -138,7 +138,7 @@
 		return err
 	}
 	req.SetConnectionClose()
-	if err := connection.roundTrip(req, resp); err != nil {
+	if err := connection.RoundTrip(req, resp); err != nil {
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	return decode(resp, out)
--- a/internal/backend/backendhttp/silence.go
+++ b/internal/backend/backendhttp/silence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/transport"
 )
 
 // maxSilentPeriods is how many silence bounds a repeatable plain call waits
@@ -19,7 +20,7 @@
 
 // checkStream decides on a stream without a byte for the silence bound: nil
 // keeps waiting.
-func (c *Client) checkStream(s *stream, connection *conn) error {
+func (c *Client) checkStream(s *stream, connection *transport.Conn) error {
 	if err := s.attempt.Context.Err(); err != nil {
 		return err
 	}
@@ -35,7 +36,7 @@
 		return errBehind
 	}
 	s.behind, s.behindAt = true, s.next
-	connection.patience = lateGrace
+	connection.Patience = lateGrace
 	return nil
 }
 
--- a/internal/backend/backendhttp/stream.go
+++ b/internal/backend/backendhttp/stream.go
@@ -4,15 +4,14 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
-	hertzresp "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/transport"
 )
 
 // endOfBodyWait bounds the wait for the end of the body after the last event.
@@ -37,8 +36,8 @@
 
 // read copies the events into the answer until the last one. When whole is
 // true the body was read in full, so that the connection can be used again.
-func (s *stream) read(c *conn, resp *protocol.Response) (whole bool, err error) {
-	if err := openBody(c, resp); err != nil {
+func (s *stream) read(c *transport.Conn, resp *protocol.Response) (whole bool, err error) {
+	if err := c.OpenBody(resp); err != nil {
 		return false, err
 	}
 	reader, err := sse.NewReader(resp)
@@ -53,7 +52,7 @@
 		}
 		err := s.accept(event.Data)
 		if errors.Is(err, errLastEvent) {
-			c.onSilence, c.patience = nil, endOfBodyWait
+			c.OnSilence, c.Patience = nil, endOfBodyWait
 			return errors.Is(reader.Read(event), io.EOF) && c.Len() == 0, nil
 		}
 		if err != nil {
@@ -62,22 +61,6 @@
 	}
 }
 
-// openBody makes the body readable as it arrives. The library reads ahead in
-// a body without chunks, which would hold events back until it ends.
-func openBody(c *conn, resp *protocol.Response) error {
-	const chunked, untilClose = -1, -2 // content lengths of the library
-	length := resp.Header.ContentLength()
-	if length == chunked {
-		return hertzresp.ReadRespBodyStream(resp, c, 0, func(bool) error { return nil })
-	}
-	limit := int64(length)
-	if length == untilClose {
-		limit = math.MaxInt64
-	}
-	resp.SetBodyStream(io.LimitReader(c, limit), length)
-	return nil
-}
-
 // accept takes one event: only of this request, and only at the position that
 // follows what the caller has. What the caller has already is dropped.
 func (s *stream) accept(data []byte) error {
--- a/internal/backend/backendhttp/conn.go
+++ b/internal/transport/conn.go
@@ -1,10 +1,12 @@
-package backendhttp
+package transport
 
 import (
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"os"
 	"syscall"
@@ -14,8 +16,6 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	hertzreq "github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	hertzresp "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
-
-	"github.com/berylfall/berylfall/internal/transport"
 )
 
 const (
@@ -28,36 +28,49 @@
 	keepAliveProbes = 3
 )
 
-// conn is a connection to a backend server. It counts the bytes that it handed
+// Conn is a connection to a backend server. It counts the bytes that it handed
 // to the operating system, which is the proof that a request was not sent, and
-// asks onSilence whenever no byte arrived for the silence bound.
+// asks OnSilence whenever no byte arrived for the silence bound.
 //
 // It implements network.Conn's reading half, since the library's own
 // connection reports neither the bytes of a failed write nor the socket.
-type conn struct {
+type Conn struct {
 	net.Conn
 	address  string
 	silence  time.Duration
-	patience time.Duration // bound of the next read only; 0 is silence
+	Patience time.Duration // bound of the next read only; 0 is silence
 	lastUsed time.Time
+	// IdleLimit is how long the server keeps the connection open without a
+	// request; 0 is unknown.
+	IdleLimit time.Duration
 
-	written   int          // bytes of the current request
-	onSilence func() error // nil ends the read with the time-out
+	Written   int          // bytes of the current request
+	OnSilence func() error // nil ends the read with the time-out
 	buffer    []byte
 	start     int // of the unread part of buffer
 }
 
-var _ network.Reader = (*conn)(nil)
+var _ network.Reader = (*Conn)(nil)
+
+// DialConn opens a connection; ctx ends the attempt to. A connection in use may
+// bring no byte for the silence bound before OnSilence is asked.
+func DialConn(ctx context.Context, address string, silence time.Duration) (*Conn, error) {
+	return dialKeepAlive(ctx, address, silence, silence)
+}
+
+// NewConn returns a connection over an open socket.
+func NewConn(c net.Conn, silence time.Duration) *Conn { return &Conn{Conn: c, silence: silence} }
 
-// dial opens a connection; ctx ends the attempt to.
-func dial(ctx context.Context, address string, silence time.Duration) (*conn, error) {
+// dialKeepAlive opens a connection whose peer is probed once it has been quiet
+// for the keepAlive time.
+func dialKeepAlive(ctx context.Context, address string, silence, keepAlive time.Duration) (*Conn, error) {
 	dialer := net.Dialer{
-		Timeout:         transport.DefaultDialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence, Interval: time.Second, Count: keepAliveProbes},
+		Timeout:         DefaultDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: time.Second, Count: keepAliveProbes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
 				// Without the option the read's silence bound still holds.
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int((keepAlive + (keepAliveProbes-1)*time.Second).Milliseconds()))
 			})
 		},
 	}
@@ -65,19 +78,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, address: address, silence: silence}, nil
+	return &Conn{Conn: c, address: address, silence: silence}, nil
 }
 
 // Write counts what the operating system took.
-func (c *conn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.written += n
+	c.Written += n
 	return n, err
 }
 
-// send writes the request. written tells how much of it was sent.
-func (c *conn) send(req *protocol.Request) error {
-	c.written, c.patience = 0, 0
+// Send writes the request. Written tells how much of it was sent.
+func (c *Conn) Send(req *protocol.Request) error {
+	c.Written, c.Patience = 0, 0
 	var encoded bytes.Buffer
 	w := network.NewWriter(&encoded)
 	if err := hertzreq.Write(req, w); err != nil {
@@ -93,18 +106,18 @@
 	return err
 }
 
-// receiveHead reads the status and the headers of the answer.
-func (c *conn) receiveHead(resp *protocol.Response) error {
+// ReceiveHead reads the status and the headers of the answer.
+func (c *Conn) ReceiveHead(resp *protocol.Response) error {
 	return hertzresp.ReadHeaders(resp, c)
 }
 
-// receiveBody reads the whole body of the answer.
-func (c *conn) receiveBody(resp *protocol.Response) error {
-	return hertzresp.ReadRespBody(resp, c, transport.DefaultMaxBody)
+// ReceiveBody reads the whole body of the answer.
+func (c *Conn) ReceiveBody(resp *protocol.Response) error {
+	return hertzresp.ReadRespBody(resp, c, DefaultMaxBody)
 }
 
-// fill reads more bytes, waiting for as long as onSilence allows.
-func (c *conn) fill(n int) error {
+// fill reads more bytes, waiting for as long as OnSilence allows.
+func (c *Conn) fill(n int) error {
 	for len(c.buffer)-c.start < n {
 		c.makeRoom(n)
 		if err := c.SetReadDeadline(time.Now().Add(c.nextPatience())); err != nil {
@@ -113,8 +126,8 @@
 		used := len(c.buffer)
 		read, err := c.Conn.Read(c.buffer[used:cap(c.buffer)])
 		c.buffer = c.buffer[:used+read]
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.onSilence != nil {
-			err = c.onSilence()
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.OnSilence != nil {
+			err = c.OnSilence()
 		}
 		if err != nil && len(c.buffer)-c.start < n {
 			return err
@@ -123,9 +136,9 @@
 	return nil
 }
 
-func (c *conn) nextPatience() time.Duration {
-	p := c.patience
-	c.patience = 0
+func (c *Conn) nextPatience() time.Duration {
+	p := c.Patience
+	c.Patience = 0
 	if p == 0 {
 		return c.silence
 	}
@@ -134,7 +147,7 @@
 
 // makeRoom makes the buffer large enough for n unread bytes. It never moves
 // bytes that a caller of Peek may still hold.
-func (c *conn) makeRoom(n int) {
+func (c *Conn) makeRoom(n int) {
 	unread := len(c.buffer) - c.start
 	if c.start+n <= cap(c.buffer) && len(c.buffer) < cap(c.buffer) {
 		return
@@ -145,13 +158,13 @@
 }
 
 // Peek returns the next n bytes and leaves them unread.
-func (c *conn) Peek(n int) ([]byte, error) {
+func (c *Conn) Peek(n int) ([]byte, error) {
 	err := c.fill(n)
 	return c.buffer[c.start:min(c.start+n, len(c.buffer))], err
 }
 
 // Read returns the next bytes, at least one.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
@@ -164,20 +177,20 @@
 }
 
 // Skip drops the next n bytes.
-func (c *conn) Skip(n int) error {
+func (c *Conn) Skip(n int) error {
 	err := c.fill(n)
 	c.start = min(c.start+n, len(c.buffer))
 	return err
 }
 
 // Release does nothing: the buffer is kept for the connection's next answer.
-func (c *conn) Release() error { return nil }
+func (c *Conn) Release() error { return nil }
 
 // Len returns the number of bytes that can be read without waiting.
-func (c *conn) Len() int { return len(c.buffer) - c.start }
+func (c *Conn) Len() int { return len(c.buffer) - c.start }
 
 // ReadByte returns the next byte.
-func (c *conn) ReadByte() (byte, error) {
+func (c *Conn) ReadByte() (byte, error) {
 	b, err := c.ReadBinary(1)
 	if err != nil {
 		return 0, err
@@ -186,7 +199,7 @@
 }
 
 // ReadBinary returns a copy of the next n bytes.
-func (c *conn) ReadBinary(n int) ([]byte, error) {
+func (c *Conn) ReadBinary(n int) ([]byte, error) {
 	b, err := c.Peek(n)
 	if err != nil {
 		return nil, err
@@ -198,7 +211,7 @@
 // isIdle reports whether an unused connection is open and has nothing to read.
 // A server that has closed it, or has sent something unasked, cannot take a
 // request on it. The check does not wait.
-func (c *conn) isIdle() bool {
+func (c *Conn) isIdle() bool {
 	if c.Len() > 0 {
 		return false
 	}
@@ -218,3 +231,30 @@
 	})
 	return err == nil && idle
 }
+
+// RoundTrip sends the request and reads the whole answer.
+func (c *Conn) RoundTrip(req *protocol.Request, resp *protocol.Response) error {
+	if err := c.Send(req); err != nil {
+		return err
+	}
+	if err := c.ReceiveHead(resp); err != nil {
+		return err
+	}
+	return c.ReceiveBody(resp)
+}
+
+// OpenBody makes the body readable as it arrives. The library reads ahead in
+// a body without chunks, which would hold events back until it ends.
+func (c *Conn) OpenBody(resp *protocol.Response) error {
+	const chunked, untilClose = -1, -2 // content lengths of the library
+	length := resp.Header.ContentLength()
+	if length == chunked {
+		return hertzresp.ReadRespBodyStream(resp, c, 0, func(bool) error { return nil })
+	}
+	limit := int64(length)
+	if length == untilClose {
+		limit = math.MaxInt64
+	}
+	resp.SetBodyStream(io.LimitReader(c, limit), length)
+	return nil
+}
--- /dev/null
+++ b/internal/transport/conn_test.go
@@ -0,0 +1,74 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+)
+
+// pair returns a pooled connection and the server's side of it.
+func pair(t *testing.T) (*Conn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	c, err := DialConn(context.Background(), l.Addr().String(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = c.Close(), server.Close() })
+	return c, server
+}
+
+// Guards against a request on an idle connection that the server has closed,
+// or on one that has been idle for longer than the bound.
+func TestPoolDropsUnfitConnections(t *testing.T) {
+	now := time.Now()
+	p := NewPool(time.Minute)
+	p.now = func() time.Time { return now }
+	open, _ := pair(t)
+	p.Put(open)
+	if c, err := p.Get(context.Background(), open.address); err != nil || c != open {
+		t.Fatalf("open connection: got %p, %v, want it back", c, err)
+	}
+	p.Put(open)
+	now = now.Add(maxIdleAge)
+	if c, err := p.Get(context.Background(), open.address); err == nil {
+		t.Fatalf("connection idle for %v: got %p, want a dial, which is refused", maxIdleAge, c)
+	}
+	closed, server := pair(t)
+	p.Put(closed)
+	_ = server.Close()
+	if _, err := closed.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the close has not arrived")
+	}
+	if c, err := p.Get(context.Background(), closed.address); err == nil {
+		t.Fatalf("closed connection: got %p, want a dial, which is refused", c)
+	}
+}
+
+// Guards against an answer that is cut where the read buffer ends.
+func TestReaderGrowsPastItsBuffer(t *testing.T) {
+	c, server := pair(t)
+	const size = 5 * readBufferSize
+	sent := make([]byte, size)
+	for i := range sent {
+		sent[i] = byte(i * 7)
+	}
+	go func() { _, _ = server.Write(sent) }()
+	for at := 0; at < size; {
+		n := min(size-at, readBufferSize/3+at)
+		b, err := c.ReadBinary(n)
+		if err != nil || string(b) != string(sent[at:at+n]) {
+			t.Fatalf("bytes %d to %d differ: %v", at, at+n, err)
+		}
+		at += n
+	}
+}
--- /dev/null
+++ b/internal/transport/pool.go
@@ -0,0 +1,147 @@
+package transport
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+const (
+	// maxIdleAge is far below the time after which servers close idle
+	// connections, and bounds how long a connection can have been silent
+	// before a request is put on it.
+	maxIdleAge = 10 * time.Second
+	// maxIdlePerServer bounds the idle connections to one server.
+	maxIdlePerServer = 64
+	// maxIdleServers bounds the servers with idle connections; a fleet that is
+	// replaced over time would otherwise leave connections to gone addresses.
+	maxIdleServers = 4096
+)
+
+// Pool holds idle connections by address. Workers share it.
+type Pool struct {
+	silence   time.Duration
+	keepAlive time.Duration
+	now       func() time.Time
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// NewPool returns a pool of connections with the silence bound.
+func NewPool(silence time.Duration) *Pool { return NewKeepAlivePool(silence, silence) }
+
+// NewKeepAlivePool returns a pool whose connections probe a peer that has been
+// quiet for the keepAlive time, so that a connection that has gone silent is
+// found while it waits for an answer.
+func NewKeepAlivePool(silence, keepAlive time.Duration) *Pool {
+	return &Pool{silence: silence, keepAlive: keepAlive, now: time.Now, idle: map[string][]*Conn{}}
+}
+
+// Dial opens a new connection.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+	return dialKeepAlive(ctx, address, p.silence, p.keepAlive)
+}
+
+// Get returns an idle connection that is fit for a request, or a new one.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			return p.Dial(ctx, address)
+		}
+		if p.now().Sub(c.lastUsed) < c.idleAge() && c.isIdle() {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+// idleAge is how long the connection may be idle before it is no longer used.
+// Half of the server's own limit leaves time for a request to arrive before the
+// server closes the connection.
+func (c *Conn) idleAge() time.Duration {
+	if c.IdleLimit > 0 {
+		return min(maxIdleAge, c.IdleLimit/2)
+	}
+	return maxIdleAge
+}
+
+// Do makes one exchange and reads the whole answer.
+func (p *Pool) Do(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response) error {
+	_, err := p.Exchange(ctx, address, req, resp)
+	return err
+}
+
+// Exchange is Do that also tells whether any byte of the request was sent.
+func (p *Pool) Exchange(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response) (sent bool, err error) {
+	c, err := p.Get(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	// Closing is the only way to end a blocked read at once.
+	stopClosing := context.AfterFunc(ctx, func() { c.Close() })
+	err = c.RoundTrip(req, resp)
+	if !stopClosing() || err != nil || resp.ConnectionClose() || c.Len() > 0 {
+		c.Close()
+	} else {
+		p.Put(c)
+	}
+	return c.Written > 0, err
+}
+
+// take removes the connection that was used last.
+func (p *Pool) take(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	if len(idle) == 1 {
+		delete(p.idle, address)
+	} else {
+		p.idle[address] = idle[:len(idle)-1]
+	}
+	return c
+}
+
+// Put keeps a connection whose answer was read in full.
+func (p *Pool) Put(c *Conn) {
+	c.OnSilence = nil
+	c.lastUsed = p.now()
+	for _, old := range p.add(c) {
+		old.Close()
+	}
+}
+
+// add returns the connections that no longer fit.
+func (p *Pool) add(c *Conn) (dropped []*Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[c.address]
+	if idle == nil && len(p.idle) >= maxIdleServers {
+		return []*Conn{c}
+	}
+	oldest := 0
+	for oldest < len(idle) && (p.now().Sub(idle[oldest].lastUsed) >= maxIdleAge || len(idle)-oldest >= maxIdlePerServer) {
+		oldest++
+	}
+	dropped = append(dropped, idle[:oldest]...)
+	p.idle[c.address] = append(append([]*Conn{}, idle[oldest:]...), c)
+	return dropped
+}
+
+// Drop closes every idle connection to the server.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
