--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -112,11 +112,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		x.Timeout = time.Until(deadline)
 	}
-	return classify(transport.DoJSON(ctx, c.http, x, out))
+	return Classify(transport.DoJSON(ctx, c.http, x, out))
 }
 
-// classify maps a failed call to an error of package platform.
-func classify(err error) error {
+// Classify maps a failed call to an error of package platform.
+func Classify(err error) error {
 	if err == nil {
 		return nil
 	}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -45,6 +45,12 @@
 	Bound    time.Duration // longest wait for one watch
 	Inactive bool          // start without watching until SetActive(true)
 	Random   *rand.Rand    // for jitter
+	// Pace is the pause after an answer with changes, in which further changes
+	// collect. It saves calls at the price of delay.
+	Pace time.Duration
+	// OnStore is told on the duty's goroutine whether the last call was
+	// answered. It must not wait.
+	OnStore func(up bool)
 }
 
 // WatcherStats are the counters of a watcher.
@@ -235,6 +241,9 @@
 		return
 	}
 	w.calling = false
+	if w.options.OnStore != nil {
+		w.options.OnStore(r.err == nil || errors.Is(r.err, ErrCompacted))
+	}
 	if r.err != nil {
 		// A compacted revision needs a list. The delay keeps a store that
 		// compacts all the time from being listed all the time.
@@ -260,6 +269,10 @@
 	} else {
 		w.publishChanges(r.listing)
 	}
+	if w.options.Pace > 0 && len(r.listing.Objects) > 0 {
+		w.pause(w.options.Pace)
+		return
+	}
 	w.next()
 }
 
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
 )
@@ -36,6 +37,9 @@
 	StoreFetches    int     // loads from the weight store at once
 	CopiesPerSource int     // workers that copy from one worker at once
 	MinReady        float64 // share of the workers that stays ready, 0 to 1
+	// TakeoverWait is the time from a new owner's first moment until it orders
+	// engines that do not check fencing numbers; 0 is MaxOrderTime.
+	TakeoverWait time.Duration
 }
 
 // DefaultLimits leaves three quarters of the workers ready. With a load time of
@@ -50,6 +54,8 @@
 	Worker  core.ServerID
 	Version core.Version
 	Source  core.ServerID // worker to copy from; empty is the weight store
+	// ValidUntil is the end of the owner's lease. The order is not sent later.
+	ValidUntil time.Time
 }
 
 // loads counts the loads in progress by source.
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -29,8 +29,10 @@
 
 // Orderer gives orders to engines. Its methods block.
 type Orderer interface {
-	// Load returns once the engine has loaded the version or the load has failed.
-	Load(ctx context.Context, w Worker, o Order, source string, fence int64) error
+	// Load returns once the engine has loaded the version or the load has
+	// failed. held is the version that was read back from the engine
+	// afterwards; 0 if it was not.
+	Load(ctx context.Context, w Worker, o Order, source string, fence int64) (held core.Version, err error)
 }
 
 // Store is the weight store. Its methods block.
@@ -53,6 +55,7 @@
 
 type orderEnd struct {
 	order Order
+	held  core.Version
 	err   error
 }
 
@@ -266,7 +269,14 @@
 // mayOrder keeps a new owner from ordering engines that do not check fencing
 // numbers while an order of the old owner may still be on its way.
 func (r *Rollout) mayOrder(w *workerState) bool {
-	return w.ChecksFence || r.loop.Clock().Now().Sub(r.heldSince) >= MaxOrderTime
+	return w.ChecksFence || r.loop.Clock().Now().Sub(r.heldSince) >= r.takeoverWait()
+}
+
+func (r *Rollout) takeoverWait() time.Duration {
+	if r.limits.TakeoverWait > 0 {
+		return r.limits.TakeoverWait
+	}
+	return MaxOrderTime
 }
 
 func (r *Rollout) ordersOf(model string) []Order {
@@ -287,7 +297,8 @@
 	}
 	worker, holding, clock := w.Worker, r.holding, r.loop.Clock()
 	started := r.pool.TryGo(func() {
-		r.ends.TryPut(orderEnd{order: o, err: r.carryOut(clock, holding, worker, o, source)})
+		held, err := r.carryOut(clock, holding, worker, o, source)
+		r.ends.TryPut(orderEnd{order: o, held: held, err: err})
 	})
 	if !started {
 		return
@@ -298,13 +309,13 @@
 
 // carryOut runs on the pool. It checks the lease again right before the order
 // is sent, since the worker may have waited.
-func (r *Rollout) carryOut(clock duty.Clock, h Holding, w Worker, o Order, source string) error {
-	left := h.ValidUntil.Sub(clock.Now())
-	if left <= 0 {
-		return core.NotRunError(core.CodeConflict, "the lease on roll-outs has lapsed")
+func (r *Rollout) carryOut(clock duty.Clock, h Holding, w Worker, o Order, source string) (core.Version, error) {
+	if !clock.Now().Before(h.ValidUntil) {
+		return 0, core.NotRunError(core.CodeConflict, "the lease on roll-outs has lapsed")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), MaxOrderTime)
 	defer cancel()
+	o.ValidUntil = h.ValidUntil
 	return r.orderer.Load(ctx, w, o, source, h.Fence)
 }
 
@@ -319,6 +330,9 @@
 	if w := r.workers[e.order.Worker]; w != nil {
 		w.State = StateUnknown
 		w.loadEnded = r.loop.Clock().Now()
+		if e.held.Known() {
+			w.State, w.Version, w.reported = StateReady, e.held, w.loadEnded
+		}
 	}
 	r.order()
 }
--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -30,16 +30,16 @@
 	fail    map[core.ServerID]bool
 }
 
-func (e *engines) Load(_ context.Context, w Worker, o Order, _ string, fence int64) error {
+func (e *engines) Load(_ context.Context, w Worker, o Order, _ string, fence int64) (core.Version, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sent = append(e.sent, sentOrder{order: o, fence: fence})
 	if e.fail[w.ID] {
 		e.workers[w.ID].Version = 0
-		return errors.New("load failed partway")
+		return 0, errors.New("load failed partway")
 	}
 	e.workers[w.ID].Version = o.Version
-	return nil
+	return 0, nil
 }
 
 func (e *engines) Latest(context.Context, string) (core.Version, error) { return 2, nil }
@@ -178,7 +178,7 @@
 	b := newBench(t, 1, true)
 	h := Holding{Fence: 1, ValidUntil: b.clock.Now().Add(time.Second)}
 	b.clock.Advance(2 * time.Second)
-	if err := b.rollout.carryOut(b.clock, h, Worker{ID: "w000"}, Order{Worker: "w000", Version: 2}, ""); err == nil {
+	if _, err := b.rollout.carryOut(b.clock, h, Worker{ID: "w000"}, Order{Worker: "w000", Version: 2}, ""); err == nil {
 		t.Error("an order was sent after the lease had lapsed")
 	}
 }
--- a/internal/weights/weightshttp/weightshttp.go
+++ b/internal/weights/weightshttp/weightshttp.go
@@ -53,9 +53,10 @@
 	return core.Version(m.Version), err
 }
 
-// Load orders an engine to load a version and waits until it has answered.
-func (c *Client) Load(ctx context.Context, w weights.Worker, o weights.Order, source string, fence int64) error {
-	return transport.DoJSON(ctx, c.http, transport.Exchange{
+// Load orders an engine to load a version and waits until it has answered. The
+// version is not read back.
+func (c *Client) Load(ctx context.Context, w weights.Worker, o weights.Order, source string, fence int64) (held core.Version, err error) {
+	return 0, transport.DoJSON(ctx, c.http, transport.Exchange{
 		Method:  consts.MethodPost,
 		URL:     "http://" + w.Address + backendhttp.PathOrders,
 		Timeout: remaining(ctx),
