--- /dev/null
+++ b/internal/daemon/daemonrpc/jobs.go
@@ -0,0 +1,249 @@
+package daemonrpc
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/trainer/batch"
+)
+
+const (
+	// jobDialTimeout bounds the connection to an owner. A longer wait would
+	// keep a trainer from a job whose owner is gone.
+	jobDialTimeout = 500 * time.Millisecond
+	// jobAnswerTimeout bounds the writing of an answer to a daemon that does not read.
+	jobAnswerTimeout = 3 * time.Second
+	// jobKeepAlive is how often an idle session is probed.
+	jobKeepAlive = 10 * time.Second
+	// maxJobMessage bounds a question or an answer in bytes.
+	maxJobMessage = 4 << 20
+)
+
+// JobPeers relays queries about jobs to other daemons, one stream for each.
+type JobPeers struct {
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+var _ batch.Peers = (*JobPeers)(nil)
+
+// NewJobPeers returns a client without connections.
+func NewJobPeers() *JobPeers { return &JobPeers{sessions: map[string]*yamux.Session{}} }
+
+func jobSessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	c.KeepAliveInterval = jobKeepAlive
+	c.ConnectionWriteTimeout = jobAnswerTimeout
+	return c
+}
+
+// Ask sends the query to the daemon at the address and waits for its answer.
+func (p *JobPeers) Ask(ctx context.Context, address string, q batch.Query) (batch.Answer, error) {
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return batch.Answer{}, err
+	}
+	answer, err := askOn(ctx, session, q)
+	if err != nil {
+		p.drop(address, session)
+	}
+	return answer, err
+}
+
+// Close ends all sessions.
+func (p *JobPeers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.sessions {
+		_ = s.Close()
+	}
+	clear(p.sessions)
+}
+
+func (p *JobPeers) session(ctx context.Context, address string) (*yamux.Session, error) {
+	p.mu.Lock()
+	known := p.sessions[address]
+	p.mu.Unlock()
+	if known != nil && !known.IsClosed() {
+		return known, nil
+	}
+	dialer := net.Dialer{Timeout: jobDialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to daemon %s: %w", address, err)
+	}
+	session, err := yamux.Client(conn, jobSessionConfig())
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("open session with daemon %s: %w", address, err)
+	}
+	p.mu.Lock()
+	p.sessions[address] = session
+	p.mu.Unlock()
+	return session, nil
+}
+
+// drop closes a session that has failed. The next query connects anew.
+func (p *JobPeers) drop(address string, session *yamux.Session) {
+	p.mu.Lock()
+	if p.sessions[address] == session {
+		delete(p.sessions, address)
+	}
+	p.mu.Unlock()
+	_ = session.Close()
+}
+
+func askOn(ctx context.Context, session *yamux.Session, q batch.Query) (batch.Answer, error) {
+	stream, err := session.OpenStream()
+	if err != nil {
+		return batch.Answer{}, fmt.Errorf("open stream: %w", err)
+	}
+	defer func() { _ = stream.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := stream.SetDeadline(deadline); err != nil {
+			return batch.Answer{}, err
+		}
+	}
+	if _, err := protodelim.MarshalTo(stream, encodeQuestion(q)); err != nil {
+		return batch.Answer{}, fmt.Errorf("send question: %w", err)
+	}
+	var m JobAnswer
+	if err := jobUnmarshal().UnmarshalFrom(bufio.NewReader(stream), &m); err != nil {
+		return batch.Answer{}, fmt.Errorf("read answer: %w", err)
+	}
+	return decodeAnswer(&m), nil
+}
+
+func jobUnmarshal() protodelim.UnmarshalOptions {
+	return protodelim.UnmarshalOptions{MaxSize: maxJobMessage}
+}
+
+// JobServer answers the queries that other daemons relay.
+type JobServer struct {
+	listener net.Listener
+	pool     *duty.Pool
+	answer   func(context.Context, batch.Query) batch.Answer
+	log      *logrus.Entry
+}
+
+// ListenJobs opens the listener. The pool runs one worker for each session and
+// one for each query.
+func ListenJobs(address string, pool *duty.Pool, log *logrus.Entry, answer func(context.Context, batch.Query) batch.Answer) (*JobServer, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for daemons on %s: %w", address, err)
+	}
+	return &JobServer{listener: listener, pool: pool, answer: answer, log: log}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *JobServer) Address() string { return s.listener.Addr().String() }
+
+// Serve accepts sessions until Shutdown.
+func (s *JobServer) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return err
+		}
+		if !s.pool.TryGo(func() { s.serveSession(conn) }) {
+			s.log.Warn("session of a daemon refused: no worker is free")
+			conn.Close()
+		}
+	}
+}
+
+// Shutdown closes the listener.
+func (s *JobServer) Shutdown(context.Context) error { return s.listener.Close() }
+
+func (s *JobServer) serveSession(conn net.Conn) {
+	session, err := yamux.Server(conn, jobSessionConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer func() { _ = session.Close() }()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				s.log.WithError(err).Debug("session of a daemon ended")
+			}
+			return
+		}
+		if !s.pool.TryGo(func() { s.serveStream(stream) }) {
+			s.log.Warn("query of a daemon refused: no worker is free")
+			_ = stream.Close()
+		}
+	}
+}
+
+func (s *JobServer) serveStream(stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	var m JobQuestion
+	_ = stream.SetReadDeadline(time.Now().Add(jobAnswerTimeout))
+	if err := jobUnmarshal().UnmarshalFrom(bufio.NewReader(stream), &m); err != nil {
+		s.log.WithError(err).Debug("question of a daemon could not be read")
+		return
+	}
+	a := s.answer(context.Background(), decodeQuestion(&m))
+	_ = stream.SetWriteDeadline(time.Now().Add(jobAnswerTimeout))
+	if _, err := protodelim.MarshalTo(stream, encodeAnswer(a)); err != nil {
+		s.log.WithError(err).Debug("answer to a daemon could not be sent")
+	}
+}
+
+func encodeQuestion(q batch.Query) *JobQuestion {
+	return &JobQuestion{
+		Kind: int32(q.Kind), Job: string(q.ID), After: int64(q.After), WaitMs: q.Wait.Milliseconds(), Item: string(q.Item),
+	}
+}
+
+func decodeQuestion(m *JobQuestion) batch.Query {
+	return batch.Query{
+		Kind: batch.QueryKind(m.Kind), ID: batch.JobID(m.Job), After: int(m.After),
+		Wait: time.Duration(m.WaitMs) * time.Millisecond, Item: batch.ItemID(m.Item),
+	}
+}
+
+func encodeAnswer(a batch.Answer) *JobAnswer {
+	m := &JobAnswer{
+		Status: int32(a.Status), OwnerAddress: a.Owner.Address, OwnerRun: a.Owner.Run, Total: int64(a.Total), Body: a.Body,
+	}
+	for _, r := range a.Results {
+		result := &JobResult{Item: string(r.Item), Done: r.Done, Text: r.Text, Score: r.Score}
+		for _, v := range r.Versions {
+			result.Versions = append(result.Versions, int64(v))
+		}
+		m.Results = append(m.Results, result)
+	}
+	return m
+}
+
+func decodeAnswer(m *JobAnswer) batch.Answer {
+	a := batch.Answer{
+		Status: batch.Status(m.Status), Owner: batch.Owner{Address: m.OwnerAddress, Run: m.OwnerRun},
+		Total: int(m.Total), Body: m.Body,
+	}
+	for _, r := range m.Results {
+		result := batch.Result{Item: batch.ItemID(r.Item), Done: r.Done, Text: r.Text, Score: r.Score}
+		for _, v := range r.Versions {
+			result.Versions = append(result.Versions, core.Version(v))
+		}
+		a.Results = append(a.Results, result)
+	}
+	return a
+}
--- /dev/null
+++ b/internal/server/hosted/front.go
@@ -0,0 +1,253 @@
+package hosted
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/daemon/daemonrpc"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/trainer/batch"
+	"github.com/berylfall/berylfall/internal/transport"
+	adapter "github.com/berylfall/berylfall/platform"
+)
+
+const (
+	exchangeWorkers  = 4096
+	collectorWorkers = 4096
+	peerWorkers      = 512
+	// serverPace lets changes of servers collect; it is far below the time in
+	// which a leaving server must get no new work.
+	serverPace = 300 * time.Millisecond
+	// maxBody bounds the body of a request; the configuration's own limit is lower.
+	maxBody = 40 << 20
+	// stopReserve is kept of the stop grace for the release of jobs and leases.
+	stopReserve = 1500 * time.Millisecond
+	// stopMinimum is how long new connections may still come after the stop
+	// signal: the load balancer takes a daemon out after two missed questions.
+	stopMinimum = 2500 * time.Millisecond
+)
+
+// frontDaemon serves callers and trainers.
+type frontDaemon struct {
+	*base
+	routes    *caller.RouteTable
+	store     *platform.Store
+	dispatch  *backend.Dispatch
+	directory *backend.Directory
+	keeper    *batch.Keeper
+	peers     *daemonrpc.JobPeers
+	orders    *orderParts
+	callers   *transport.Server
+	readiness *transport.Server
+	stopping  atomic.Bool
+}
+
+func buildFront(set *adapter.Settings, log *logrus.Entry) (daemon, error) {
+	b, err := newBase(set, log)
+	if err != nil {
+		return nil, err
+	}
+	d := &frontDaemon{base: b, routes: &caller.RouteTable{}, peers: daemonrpc.NewJobPeers()}
+	for _, step := range []func() error{
+		d.buildStore, d.buildBackend, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
+	} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *frontDaemon) buildStore() error {
+	pool, err := d.pool("store", storeWorkers)
+	if err != nil {
+		return err
+	}
+	d.store = platform.NewStoreWith(d.clock, d.api, pool, platform.StoreOptions{
+		Budget: platform.NewBudget(platform.BudgetOptions{
+			ReadsPerSecond: d.set.Store.ReadsPerSecond / budgetDivisor, WritesPerSecond: d.set.Store.WritesPerSecond / budgetDivisor,
+		}),
+		Random: d.random(),
+	})
+	d.loops = append(d.loops, d.store.Loop())
+	return nil
+}
+
+// budgetDivisor is the part of the store's rates that one daemon may use. Work
+// is spread unevenly, so it is larger than an even part.
+const budgetDivisor = 5
+
+func (d *frontDaemon) buildBackend() error {
+	exchanges, err := d.pool("exchanges", exchangeWorkers)
+	if err != nil {
+		return err
+	}
+	d.dispatch = backend.NewDispatch(d.clock, d.random(), adapter.NewExchanger(), exchanges)
+	d.dispatch.SetDataCentre(d.set.DataCentre)
+	d.directory = backend.NewDirectory(d.clock, d.log, d.setServers)
+	d.loops = append(d.loops, d.dispatch.Loop(), d.directory.Loop())
+	d.follow(adapter.KindServers, platform.WatcherOptions{Pace: serverPace, OnStore: d.directory.SetStore}, d.handleServers)
+	return nil
+}
+
+// setServers runs on the directory's goroutine.
+func (d *frontDaemon) setServers(servers []backend.Server) {
+	d.dispatch.SetServers(servers)
+	d.orders.setServers(servers, d.routes.Current())
+}
+
+// handleServers decodes entries on the watch's goroutine.
+func (d *frontDaemon) handleServers(s platform.Snapshot) {
+	changes := make([]backend.ServerChange, 0, len(s.Objects))
+	for _, o := range s.Objects {
+		name := o.Key[len(adapter.KindServers)+1:]
+		change := backend.ServerChange{ID: core.ServerID(name), Gone: o.Deleted}
+		if !o.Deleted {
+			server, err := adapter.DecodeServer(name, o.Value)
+			if err != nil {
+				d.log.WithError(err).WithField("backend_server", name).Warn("entry names no backend server")
+				change.Gone = true
+			}
+			change.Server = server
+		}
+		changes = append(changes, change)
+	}
+	if !d.directory.Change(changes) {
+		d.log.Error("changes of backend servers are lost: the directory's ring is full")
+	}
+}
+
+func (d *frontDaemon) buildJobs() error {
+	collectors, err := d.pool("collectors", collectorWorkers)
+	if err != nil {
+		return err
+	}
+	d.keeper = batch.NewKeeper(batch.Options{
+		Clock: d.clock, Log: d.log, Store: d.store, Calls: d.dispatch, Pool: collectors,
+		Routes: jobRoutes{table: d.routes},
+		Self:   batch.Owner{Address: d.set.PeerAddress, Run: d.runName()},
+	})
+	d.loops = append(d.loops, d.keeper.Loop())
+	return nil
+}
+
+func (d *frontDaemon) buildConfig() error {
+	d.follow(adapter.KindConfig, platform.WatcherOptions{}, d.handleConfig)
+	return nil
+}
+
+// handleConfig puts a configuration into force, on the watch's goroutine.
+func (d *frontDaemon) handleConfig(s platform.Snapshot) {
+	for _, o := range s.Objects {
+		if o.Deleted || o.Key != adapter.ConfigKey() {
+			continue
+		}
+		set, err := adapter.DecodeConfig(o.Value)
+		if err != nil {
+			d.log.WithError(err).Error("configuration cannot be read; the one before stays in force")
+			continue
+		}
+		d.log.WithFields(logrus.Fields{"config": set.Version, "applied": d.routes.Apply(set)}).Info("configuration received")
+	}
+}
+
+func (d *frontDaemon) buildListeners() error {
+	desk := batch.NewDesk(d.keeper, d.peers, d.log)
+	front := &adapter.Front{Routes: d.routes, Calls: d.dispatch, Jobs: desk, Log: d.log, Ready: d.isReady}
+	var err error
+	if d.callers, err = transport.Listen(d.set.Callers, transport.ServerOptions{MaxBody: maxBody}); err != nil {
+		return err
+	}
+	d.callers.Router().NoRoute(front.Handle)
+	if d.readiness, err = transport.Listen(d.set.Readiness, transport.ServerOptions{}); err != nil {
+		return err
+	}
+	d.readiness.Router().NoRoute(front.HandleReady)
+	pool, err := d.pool("peers", peerWorkers)
+	if err != nil {
+		return err
+	}
+	jobs, err := daemonrpc.ListenJobs(d.set.PeerAddress, pool, d.log, desk.Relayed)
+	if err != nil {
+		return err
+	}
+	for _, s := range []struct {
+		name     string
+		serve    func() error
+		shutdown func(context.Context) error
+	}{
+		{"peers", jobs.Serve, jobs.Shutdown},
+		{"readiness", d.readiness.Serve, d.readiness.Close},
+		{"callers", d.callers.Serve, d.callers.Shutdown},
+	} {
+		if err := d.runner.Serve(s.name, s.serve, s.shutdown); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isReady reports whether the daemon takes new connections and jobs.
+func (d *frontDaemon) isReady() bool {
+	return !d.stopping.Load() && d.routes.Current() != nil
+}
+
+// stop ends the daemon within the grace of ctx. Open connections are served to
+// the end; jobs run on until the reserve, then other daemons take them.
+func (d *frontDaemon) stop(ctx context.Context) {
+	d.stopping.Store(true)
+	d.callers.Drain()
+	d.orders.release()
+	deadline, _ := ctx.Deadline()
+	working, cancel := context.WithDeadline(ctx, deadline.Add(-stopReserve))
+	defer cancel()
+	_ = duty.Sleep(working, stopMinimum)
+	d.keeper.WaitIdle(working)
+	d.callers.WaitIdle(working)
+	d.keeper.Release()
+	_ = duty.Sleep(ctx, stopReserve/3)
+	d.runner.Stop(ctx)
+	d.peers.Close()
+	d.release()
+}
+
+// jobRoutes finds the rules of jobs in the configuration in force.
+type jobRoutes struct {
+	table *caller.RouteTable
+}
+
+// JobRules implements batch.Routes.
+func (r jobRoutes) JobRules(host, target string) (batch.Rules, bool) {
+	route := r.match(host, target)
+	if route == nil || len(route.Targets) == 0 {
+		return batch.Rules{}, false
+	}
+	return batch.Rules{
+		Service: route.Targets[0].Service, MaxAttempts: route.MaxAttempts,
+		SingleVersion: route.SingleVersion, GiveUpAfter: route.GiveUpAfter,
+	}, true
+}
+
+// RewardRules implements batch.Routes.
+func (r jobRoutes) RewardRules(host, target string) (batch.RewardRules, bool) {
+	route := r.match(host, target)
+	if route == nil || len(route.Targets) == 0 {
+		return batch.RewardRules{}, false
+	}
+	return batch.RewardRules{Service: route.Targets[0].Service, MaxAttempts: route.MaxAttempts, Timeout: route.Timeout}, true
+}
+
+func (r jobRoutes) match(host, target string) *caller.Route {
+	set := r.table.Current()
+	if set == nil {
+		return nil
+	}
+	return set.Match(host, target)
+}
--- /dev/null
+++ b/internal/server/hosted/main.go
@@ -0,0 +1,94 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/transport"
+	"github.com/berylfall/berylfall/platform"
+)
+
+const (
+	// heapShare is the part of the host's memory that the Go runtime aims to
+	// stay under; stacks of the system and arrived bytes take the rest.
+	heapShare = 0.6
+	// collectorPercent trades processor time for memory.
+	collectorPercent = 50
+)
+
+// Main runs a daemon on the platform until SIGTERM and returns its exit code.
+func Main(args []string) int {
+	o, err := parseOptions(args)
+	if err != nil {
+		return reportOptions(err)
+	}
+	set, err := platform.LoadSettings(platform.SettingsPath())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "berylfalld:", err)
+		return exitSettings
+	}
+	if set.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(set.Memory)))
+	}
+	debug.SetGCPercent(collectorPercent)
+	log := o.newLogger()
+	transport.UseLogger(log)
+	entry := log.WithFields(logrus.Fields{"host": set.Host, "data_centre": set.DataCentre})
+	if err := run(o, set, entry); err != nil {
+		entry.WithError(err).Error("daemon cannot run")
+		return exitFailure
+	}
+	return exitOK
+}
+
+// daemon is a composed daemon.
+type daemon interface {
+	// stop ends the daemon; ctx bounds the wait for work in progress.
+	stop(ctx context.Context)
+}
+
+func run(o *options, set *platform.Settings, log *logrus.Entry) error {
+	signals := duty.NotifySignals(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signals.Stop()
+	d, err := build(o, set, log)
+	if err != nil {
+		return err
+	}
+	log.WithField("role", o.Role).Info("daemon started")
+	for {
+		if s := signals.Wait(); s != syscall.SIGHUP {
+			log.WithField("signal", s.String()).Info("daemon stops")
+			break
+		}
+		reload(set, log)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), set.Bounds.StopGrace)
+	defer cancel()
+	d.stop(ctx)
+	log.Info("daemon stopped")
+	return nil
+}
+
+// reload reads the settings file again. Addresses and limits of a process are
+// fixed for its life, so only what it found is logged.
+func reload(set *platform.Settings, log *logrus.Entry) {
+	next, err := platform.LoadSettings(platform.SettingsPath())
+	if err != nil {
+		log.WithError(err).Warn("settings could not be read again; the old ones stay in force")
+		return
+	}
+	log.WithField("changed", *next != *set).Info("settings read again")
+}
+
+func build(o *options, set *platform.Settings, log *logrus.Entry) (daemon, error) {
+	if o.Role == roleStore {
+		return buildStore(set, log)
+	}
+	return buildFront(set, log)
+}
--- /dev/null
+++ b/internal/server/hosted/options.go
@@ -0,0 +1,73 @@
+// Package hosted composes the daemons that run on the users' platform from the
+// adapter in platform/ and the packages of the peers.
+package hosted
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// Roles of a daemon.
+const (
+	roleFront = "front" // serves callers and trainers
+	roleStore = "store" // runs on a host with a disk, on which it keeps nothing
+)
+
+// options are the flags of a daemon on the platform. All else stands in the
+// platform's settings file.
+type options struct {
+	Role     string `long:"role" env:"BERYLFALL_ROLE" default:"front" choice:"front" choice:"store" description:"what this daemon does"`
+	LogLevel string `long:"log-level" env:"BERYLFALL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe level that is logged"`
+	Metrics  string `long:"metrics-address" env:"BERYLFALL_METRICS_ADDRESS" description:"IP address and port of the metrics; empty serves none"`
+}
+
+func parseOptions(args []string) (*options, error) {
+	o := &options{}
+	parser := flags.NewParser(o, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "berylfalld"
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		return nil, core.InvalidError("arguments", strings.Join(rest, " "), "flags only", "are not known")
+	}
+	return o, nil
+}
+
+// newLogger writes JSON lines to standard output.
+func (o *options) newLogger() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(os.Stdout)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	if level, err := logrus.ParseLevel(o.LogLevel); err == nil {
+		log.SetLevel(level)
+	}
+	return log
+}
+
+// reportOptions prints a failure of the flags and returns the exit code.
+func reportOptions(err error) int {
+	var flagError *flags.Error
+	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "berylfalld:", err)
+	return exitSettings
+}
--- a/internal/server/main.go
+++ b/internal/server/main.go
@@ -10,8 +10,10 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/berylfall/berylfall/internal/server/hosted"
 	"github.com/berylfall/berylfall/internal/settings"
 	"github.com/berylfall/berylfall/internal/transport"
+	"github.com/berylfall/berylfall/platform"
 )
 
 // Exit codes of berylfalld.
@@ -22,8 +24,12 @@
 )
 
 // Main runs a daemon with the arguments until SIGTERM or SIGINT and returns its
-// exit code.
+// exit code. With a settings file of the users' platform it is one of the
+// daemons there.
 func Main(args []string) int {
+	if platform.SettingsPath() != "" {
+		return hosted.Main(args)
+	}
 	set, err := settings.Parse(args)
 	var flagError *flags.Error
 	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
--- /dev/null
+++ b/internal/trainer/batch/desk.go
@@ -0,0 +1,77 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// relayTimeout bounds the wait for the owner's answer, beside the wait that
+	// the query itself asks for. A longer silence makes this daemon the owner.
+	relayTimeout = 700 * time.Millisecond
+	// askTimeout bounds the wait for the own duty, beside the query's wait.
+	askTimeout = 2500 * time.Millisecond
+)
+
+// Peers relays queries to other daemons. Its methods block.
+type Peers interface {
+	Ask(ctx context.Context, address string, q Query) (Answer, error)
+}
+
+// Desk answers queries at any daemon: from the own duty, from the owner, or by
+// taking the job over from an owner that does not answer.
+type Desk struct {
+	keeper *Keeper
+	peers  Peers
+	log    *logrus.Entry
+}
+
+// NewDesk returns a desk.
+func NewDesk(k *Keeper, p Peers, log *logrus.Entry) *Desk {
+	return &Desk{keeper: k, peers: p, log: log}
+}
+
+// Answer answers the query. It blocks; callers are handlers.
+func (d *Desk) Answer(ctx context.Context, q Query) Answer {
+	a := d.own(ctx, q)
+	if a.Status != StatusElsewhere {
+		return a
+	}
+	answer, err := d.relay(ctx, a.Owner, q)
+	if err == nil && answer.Status != StatusElsewhere && answer.Status != StatusUnavailable {
+		return answer
+	}
+	d.log.WithError(err).WithFields(logrus.Fields{
+		"job": q.ID, "owner": a.Owner.Address, "answer": answer.Status.String(),
+	}).Info("owner of a job does not answer")
+	q.TakeOver = err != nil
+	return d.own(ctx, q)
+}
+
+// Relayed answers a query that another daemon has relayed to this one.
+func (d *Desk) Relayed(ctx context.Context, q Query) Answer {
+	q.Relayed = true
+	return d.own(ctx, q)
+}
+
+func (d *Desk) own(ctx context.Context, q Query) Answer {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout+q.Wait)
+	defer cancel()
+	a, err := d.keeper.queries.Ask(ctx, q)
+	if err != nil {
+		d.log.WithError(err).WithField("job", q.ID).Warn("no answer from the jobs duty")
+		if q.Kind == QuerySubmit {
+			return Answer{Status: StatusUncertain}
+		}
+		return Answer{Status: StatusUnavailable}
+	}
+	return a
+}
+
+func (d *Desk) relay(ctx context.Context, owner Owner, q Query) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout+q.Wait)
+	defer cancel()
+	return d.peers.Ask(ctx, owner.Address, q)
+}
--- /dev/null
+++ b/internal/trainer/batch/keeper.go
@@ -0,0 +1,451 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/ring"
+)
+
+// Prefixes of the objects in the store.
+const (
+	jobPrefix    = "jobs/"
+	statePrefix  = "jobstates/"
+	resultPrefix = "results/"
+)
+
+// Limits and timings of the jobs duty.
+const (
+	queryCapacity  = 1024
+	resultCapacity = 4096 // store answers in flight
+	itemCapacity   = 16384
+	maxJobs        = 512 // that this daemon knows at once
+
+	// tickPeriod is how often waiting items, checks of ownership and forgotten
+	// jobs are looked at.
+	tickPeriod = 200 * time.Millisecond
+	// listDelay lets results collect before they are written, so that a job
+	// costs few calls of the store.
+	listDelay = 250 * time.Millisecond
+	// unreadCheck is how long an owner goes without a question about an open
+	// job before it reads in the store whether it still owns it.
+	unreadCheck = 1200 * time.Millisecond
+	// keepEnded is how long a job that has ended or that is owned elsewhere
+	// stays in memory after its last question.
+	keepEnded = 10 * time.Second
+	// storeTimeout bounds the wait for the store while a client waits.
+	storeTimeout = 1500 * time.Millisecond
+	// maxAnswerBytes bounds the texts of one answer.
+	maxAnswerBytes = 900 << 10
+	// maxPartBytes bounds the texts of one object of results.
+	maxPartBytes = 600 << 10
+)
+
+// Submitter is what the duty needs of the store duty.
+type Submitter interface {
+	Submit(op platform.Op) bool
+}
+
+// Pool runs the collection of answers; duty.Pool implements it.
+type Pool interface {
+	TryGo(f func()) bool
+}
+
+// phase is what this daemon knows of a job.
+type phase int
+
+const (
+	phaseStoring   phase = iota // the acceptance is being written
+	phaseLoading                // it is being read from the store
+	phaseOwned                  // this daemon runs it
+	phaseElsewhere              // another daemon owns it
+	phaseEnded                  // it has ended; its results are final here
+)
+
+// question is a query that waits for its answer.
+type question struct {
+	ask duty.Ask[Query, Answer]
+	due time.Time // of a wait for results
+}
+
+// entry is one job that this daemon knows.
+type entry struct {
+	id    JobID
+	phase phase
+	job   *Job
+	state state
+	// stateVersion is the version of the state object, platform.Absent if there is none.
+	stateVersion int64
+	takeOver     bool // the load in progress is to end in ownership
+	waiting      []question
+	readers      []question
+	usedAt       time.Time // of the last question
+	checking     bool      // the state is being read
+
+	items    map[ItemID]*itemRun
+	listed   []Result
+	parts    int // objects of results
+	pending  []Result
+	writing  int // results in the write in progress
+	listDue  bool
+	unlisted int // items without a listed or pending result
+}
+
+// Keeper is the duty that keeps batch jobs.
+type Keeper struct {
+	loop   *duty.Loop
+	log    *logrus.Entry
+	store  Submitter
+	calls  core.Submitter
+	pool   Pool
+	routes Routes
+	self   Owner
+
+	queries *duty.AskRing[Query, Answer]
+	counts  *duty.AskRing[struct{}, int]
+	results *ring.Ring[func()]
+	ends    *ring.Ring[itemEnd]
+
+	jobs     map[JobID]*entry
+	released bool
+}
+
+// Options are the parts that a Keeper works with.
+type Options struct {
+	Clock  duty.Clock
+	Log    *logrus.Entry
+	Store  Submitter
+	Calls  core.Submitter
+	Pool   Pool
+	Routes Routes
+	Self   Owner
+}
+
+// NewKeeper returns the duty.
+func NewKeeper(o Options) *Keeper {
+	k := &Keeper{
+		loop:    duty.New("jobs", o.Clock),
+		log:     o.Log,
+		store:   o.Store,
+		calls:   o.Calls,
+		pool:    o.Pool,
+		routes:  o.Routes,
+		self:    o.Self,
+		queries: duty.NewAskRing[Query, Answer]("jobs.queries", queryCapacity),
+		counts:  duty.NewAskRing[struct{}, int]("jobs.counts", queryCapacity),
+		results: ring.New[func()]("jobs.results", resultCapacity),
+		ends:    ring.New[itemEnd]("jobs.ends", itemCapacity),
+		jobs:    map[JobID]*entry{},
+	}
+	duty.On(k.loop, k.results, func(f func()) { f() })
+	duty.On(k.loop, k.ends, k.handleItemEnd)
+	duty.OnAsk(k.loop, k.queries, k.handleQuery)
+	duty.OnAsk(k.loop, k.counts, func(a duty.Ask[struct{}, int]) { a.Reply(k.openJobs()) })
+	k.loop.Every(tickPeriod, k.tick)
+	return k
+}
+
+// Loop returns the duty's loop.
+func (k *Keeper) Loop() *duty.Loop { return k.loop }
+
+func (k *Keeper) now() time.Time { return k.loop.Clock().Now() }
+
+// Release gives all jobs up, so that other daemons go on with them. Any
+// goroutine may call it.
+func (k *Keeper) Release() { k.results.TryPut(k.release) }
+
+// submit sends an operation to the store; reply runs on the duty's goroutine.
+func (k *Keeper) submit(op platform.Op, reply func(platform.Result)) {
+	op.Timeout = storeTimeout
+	op.Reply = func(r platform.Result) { k.results.TryPut(func() { reply(r) }) }
+	if !k.store.Submit(op) {
+		reply(platform.Result{Err: platform.ErrQueueFull})
+	}
+}
+
+func (k *Keeper) handleQuery(ask duty.Ask[Query, Answer]) {
+	q := ask.Query
+	e := k.jobs[q.ID]
+	if k.released || (e == nil && len(k.jobs) >= maxJobs) {
+		ask.Reply(Answer{Status: StatusUnavailable})
+		return
+	}
+	if e == nil {
+		e = &entry{id: q.ID, stateVersion: platform.Absent}
+		k.jobs[q.ID] = e
+		e.usedAt = k.now()
+		e.waiting = append(e.waiting, question{ask: ask})
+		if q.Kind == QuerySubmit {
+			k.accept(e, q.Job)
+			return
+		}
+		e.takeOver = q.TakeOver
+		k.load(e)
+		return
+	}
+	e.usedAt = k.now()
+	switch e.phase {
+	case phaseStoring, phaseLoading:
+		e.waiting = append(e.waiting, question{ask: ask})
+		e.takeOver = e.takeOver || q.TakeOver
+	case phaseElsewhere:
+		k.askElsewhere(e, ask)
+	default:
+		k.answer(e, question{ask: ask})
+	}
+}
+
+// askElsewhere answers a query about a job of another daemon. A daemon that
+// is taken for the owner or asked to take over reads the store again.
+func (k *Keeper) askElsewhere(e *entry, ask duty.Ask[Query, Answer]) {
+	q := ask.Query
+	switch {
+	case q.Kind == QuerySubmit:
+		ask.Reply(Answer{Status: StatusOK})
+	case q.Relayed || q.TakeOver:
+		e.takeOver = q.TakeOver
+		e.waiting = append(e.waiting, question{ask: ask})
+		k.load(e)
+	default:
+		ask.Reply(Answer{Status: StatusElsewhere, Owner: e.state.Owner})
+	}
+}
+
+// answer answers a query about a job whose results this daemon holds.
+func (k *Keeper) answer(e *entry, q question) {
+	query := q.ask.Query
+	switch query.Kind {
+	case QuerySubmit:
+		q.ask.Reply(Answer{Status: StatusOK})
+	case QueryBody:
+		q.ask.Reply(e.body(query.Item))
+	case QueryEnd:
+		k.end(e, q)
+	default:
+		if query.After >= len(e.listed) && query.Wait > 0 && e.phase == phaseOwned && len(e.listed) < len(e.job.Items) {
+			q.due = k.now().Add(query.Wait)
+			e.readers = append(e.readers, q)
+			k.loop.After(query.Wait, func() { k.wakeReaders(e) })
+			return
+		}
+		q.ask.Reply(e.read(query.After))
+	}
+}
+
+func (e *entry) body(id ItemID) Answer {
+	for i := range e.job.Items {
+		if e.job.Items[i].ID == id {
+			return Answer{Status: StatusOK, Body: e.job.Items[i].Body}
+		}
+	}
+	return Answer{Status: StatusNotFound}
+}
+
+// read returns the listed results from the position on, at least one if there is one.
+func (e *entry) read(after int) Answer {
+	a := Answer{Status: StatusOK, Total: len(e.job.Items)}
+	size := 0
+	for at := max(0, after); at < len(e.listed); at++ {
+		size += len(e.listed[at].Text)
+		if size > maxAnswerBytes && len(a.Results) > 0 {
+			break
+		}
+		a.Results = append(a.Results, e.listed[at])
+	}
+	return a
+}
+
+// wakeReaders answers the waiting readers that have results or no time left.
+func (k *Keeper) wakeReaders(e *entry) {
+	now := k.now()
+	kept := e.readers[:0]
+	for _, r := range e.readers {
+		if r.ask.Query.After < len(e.listed) || !r.due.After(now) || e.phase != phaseOwned {
+			r.ask.Reply(e.read(r.ask.Query.After))
+			continue
+		}
+		kept = append(kept, r)
+	}
+	e.readers = kept
+}
+
+// accept writes a new job. Its creation is the acceptance.
+func (k *Keeper) accept(e *entry, job *Job) {
+	e.phase = phaseStoring
+	job.Owner = k.self
+	value, err := json.Marshal(job)
+	if err != nil {
+		k.accepted(e, job, platform.Result{Err: platform.ErrRejected})
+		return
+	}
+	op := platform.Op{Kind: platform.OpPut, Key: jobPrefix + string(e.id), Value: value, IfVersion: platform.Absent}
+	k.submit(op, func(r platform.Result) { k.accepted(e, job, r) })
+}
+
+// accepted opens a job that was stored. A conflict means that the job was
+// accepted before. A refusal by the store proves that it was not.
+func (k *Keeper) accepted(e *entry, job *Job, r platform.Result) {
+	log := k.log.WithFields(logrus.Fields{"job": e.id, "items": len(job.Items), "min_version": job.MinVersion})
+	switch {
+	case r.Err == nil:
+		log.Info("job accepted")
+		e.job, e.state = job, state{Owner: k.self}
+		k.open(e)
+	case errors.Is(r.Err, platform.ErrConflict):
+		log.Info("job was accepted before")
+		k.load(e)
+	case errors.Is(r.Err, platform.ErrUnknownOutcome):
+		log.WithError(r.Err).Warn("job acceptance has an unknown outcome")
+		k.drop(e, StatusUncertain)
+	default:
+		log.WithError(r.Err).Warn("job refused")
+		k.drop(e, StatusUnavailable)
+	}
+}
+
+// drop forgets a job and answers everybody who waits for it.
+func (k *Keeper) drop(e *entry, status Status) {
+	if k.jobs[e.id] == e {
+		delete(k.jobs, e.id)
+	}
+	k.reply(e, Answer{Status: status})
+}
+
+func (k *Keeper) reply(e *entry, a Answer) {
+	waiting := append(e.waiting, e.readers...)
+	e.waiting, e.readers = nil, nil
+	for _, w := range waiting {
+		w.ask.Reply(a)
+	}
+}
+
+// settleWaiting answers the questions that waited for the job to be known.
+func (k *Keeper) settleWaiting(e *entry) {
+	waiting := e.waiting
+	e.waiting = nil
+	for _, w := range waiting {
+		if e.phase == phaseElsewhere {
+			answer := Answer{Status: StatusElsewhere, Owner: e.state.Owner}
+			if w.ask.Query.Kind == QuerySubmit {
+				answer = Answer{Status: StatusOK}
+			}
+			w.ask.Reply(answer)
+			continue
+		}
+		k.answer(e, w)
+	}
+}
+
+// end ends a job. The store's answer is the acknowledgement.
+func (k *Keeper) end(e *entry, q question) {
+	if e.state.Ended {
+		q.ask.Reply(Answer{Status: StatusOK})
+		return
+	}
+	next := e.state
+	next.Ended = true
+	k.writeState(e, next, func(err error) {
+		if err != nil {
+			q.ask.Reply(Answer{Status: StatusUnavailable})
+			return
+		}
+		k.log.WithFields(logrus.Fields{"job": e.id, "listed": len(e.listed)}).Info("job ended")
+		e.state = next
+		k.closeJob(e, phaseEnded)
+		q.ask.Reply(Answer{Status: StatusOK})
+	})
+}
+
+// writeState replaces the state under its version. A conflict loads the job anew.
+func (k *Keeper) writeState(e *entry, s state, done func(error)) {
+	value, err := json.Marshal(s)
+	if err != nil {
+		done(err)
+		return
+	}
+	op := platform.Op{Kind: platform.OpPut, Key: statePrefix + string(e.id), Value: value, IfVersion: e.stateVersion}
+	k.submit(op, func(r platform.Result) {
+		if r.Err == nil {
+			e.stateVersion = r.Object.Version
+		}
+		done(r.Err)
+		if errors.Is(r.Err, platform.ErrConflict) || errors.Is(r.Err, platform.ErrUnknownOutcome) {
+			k.checkOwner(e)
+		}
+	})
+}
+
+// closeJob stops the runs of a job.
+func (k *Keeper) closeJob(e *entry, next phase) {
+	for _, item := range e.items {
+		item.stop()
+	}
+	e.items, e.pending = nil, nil
+	e.phase = next
+	k.wakeReaders(e)
+}
+
+// release gives up the open jobs at a planned stop.
+func (k *Keeper) release() {
+	k.released = true
+	for _, e := range k.jobs {
+		if e.phase != phaseOwned {
+			continue
+		}
+		k.closeJob(e, phaseElsewhere)
+		e.state.Owner = Owner{}
+		k.writeState(e, e.state, func(err error) {
+			if err != nil {
+				k.log.WithError(err).WithField("job", e.id).Warn("job could not be released")
+			}
+		})
+	}
+}
+
+// openJobs returns the number of jobs that this daemon runs.
+func (k *Keeper) openJobs() int {
+	n := 0
+	for _, e := range k.jobs {
+		if e.phase == phaseOwned {
+			n++
+		}
+	}
+	return n
+}
+
+func (k *Keeper) tick() {
+	now := k.now()
+	for id, e := range k.jobs {
+		switch e.phase {
+		case phaseOwned:
+			k.launchWaiting(e)
+			if now.Sub(e.usedAt) > unreadCheck {
+				k.checkOwner(e)
+			}
+		case phaseElsewhere, phaseEnded:
+			if now.Sub(e.usedAt) > keepEnded {
+				delete(k.jobs, id)
+			}
+		}
+	}
+}
+
+// WaitIdle blocks until this daemon runs no job or ctx ends.
+func (k *Keeper) WaitIdle(ctx context.Context) {
+	for {
+		n, err := k.counts.Ask(ctx, struct{}{})
+		if err != nil || n == 0 {
+			return
+		}
+		if duty.Sleep(ctx, tickPeriod) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/trainer/batch/results.go
@@ -0,0 +1,123 @@
+package batch
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/platform"
+)
+
+// addResult puts the result of an item on the way to the list.
+func (k *Keeper) addResult(e *entry, result Result) {
+	item := e.items[result.Item]
+	if item == nil || item.finished {
+		return
+	}
+	item.finished = true
+	item.stop()
+	e.unlisted--
+	e.pending = append(e.pending, result)
+	if e.unlisted == 0 {
+		k.list(e)
+		return
+	}
+	if !e.listDue {
+		e.listDue = true
+		k.loop.After(listDelay, func() {
+			e.listDue = false
+			k.list(e)
+		})
+	}
+}
+
+func partKey(id JobID, part int) string { return fmt.Sprintf("%s%s.%05d", resultPrefix, id, part) }
+
+// list writes the pending results as the next part of the list. Creating the
+// part succeeds for one daemon only, which fixes the positions.
+func (k *Keeper) list(e *entry) {
+	if e.phase != phaseOwned || e.writing > 0 || len(e.pending) == 0 {
+		return
+	}
+	part := resultPart{From: len(e.listed)}
+	size := 0
+	for _, r := range e.pending {
+		size += len(r.Text)
+		if size > maxPartBytes && len(part.Results) > 0 {
+			break
+		}
+		part.Results = append(part.Results, r)
+	}
+	value, err := json.Marshal(part)
+	if err != nil {
+		k.log.WithError(err).WithField("job", e.id).Error("results cannot be encoded")
+		return
+	}
+	e.writing = len(part.Results)
+	op := platform.Op{Kind: platform.OpPut, Key: partKey(e.id, e.parts), Value: value, IfVersion: platform.Absent}
+	k.submit(op, func(r platform.Result) { k.partWritten(e, part, r) })
+}
+
+func (k *Keeper) partWritten(e *entry, part resultPart, r platform.Result) {
+	written := e.writing
+	e.writing = 0
+	if e.phase != phaseOwned {
+		return
+	}
+	switch {
+	case r.Err == nil:
+		e.pending = append(e.pending[:0:0], e.pending[written:]...)
+		e.appendPart(part)
+		k.log.WithFields(logrus.Fields{"job": e.id, "from": part.From, "results": len(part.Results), "left": e.unlisted}).Info("results listed")
+		k.wakeReaders(e)
+		k.list(e)
+	case errors.Is(r.Err, platform.ErrConflict) || errors.Is(r.Err, platform.ErrUnknownOutcome):
+		k.readPart(e)
+	default:
+		k.log.WithError(r.Err).WithField("job", e.id).Warn("results could not be listed")
+		k.loop.After(listDelay, func() { k.list(e) })
+	}
+}
+
+// readPart reads the part that another write has created, which may be an
+// earlier copy of the own one.
+func (k *Keeper) readPart(e *entry) {
+	e.writing = len(e.pending)
+	k.submit(platform.Op{Kind: platform.OpGet, Key: partKey(e.id, e.parts)}, func(r platform.Result) {
+		e.writing = 0
+		if e.phase != phaseOwned {
+			return
+		}
+		var part resultPart
+		if err := decode(r, &part); err != nil {
+			k.loop.After(listDelay, func() { k.list(e) })
+			return
+		}
+		k.mergePart(e, part)
+	})
+}
+
+func (k *Keeper) mergePart(e *entry, part resultPart) {
+	e.appendPart(part)
+	listed := map[ItemID]bool{}
+	for _, result := range part.Results {
+		listed[result.Item] = true
+		if item := e.items[result.Item]; item != nil && !item.finished {
+			item.finished = true
+			item.stop()
+			e.unlisted--
+		}
+	}
+	kept := e.pending[:0]
+	for _, result := range e.pending {
+		if !listed[result.Item] {
+			kept = append(kept, result)
+		}
+	}
+	e.pending = kept
+	k.wakeReaders(e)
+	k.checkOwner(e)
+	k.list(e)
+}
--- /dev/null
+++ b/internal/trainer/batch/types.go
@@ -0,0 +1,157 @@
+// Package batch holds the decisions about trainers' batch jobs: acceptance,
+// ownership, the runs of their items, and the list of results that keeps each
+// position for ever.
+//
+// A job and its results are objects of the platform's store that are created
+// once and never changed, so that every daemon reads the same. One daemon owns
+// an open job and runs its items; any other may take it over, because a list
+// of results only grows by creating its next part, which succeeds once.
+package batch
+
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+)
+
+// JobID names a batch job.
+type JobID string
+
+// ItemID names an item of a batch job.
+type ItemID string
+
+// Reward is the request that scores an item's text.
+type Reward struct {
+	ID     string `json:"id"`
+	Host   string `json:"host"`
+	Target string `json:"target"`
+	Body   []byte `json:"body"`
+}
+
+// Item is one request for tokens of a batch job.
+type Item struct {
+	ID        ItemID        `json:"id"`
+	Target    string        `json:"target"` // path and query
+	Headers   []core.Header `json:"headers"`
+	Body      []byte        `json:"body"`
+	Model     string        `json:"model"`
+	MaxTokens int           `json:"maxTokens"` // of the output
+	Group     string        `json:"group"`
+	Reward    *Reward       `json:"reward,omitempty"`
+}
+
+// Job is a batch job as it was accepted. It does not change.
+type Job struct {
+	ID         JobID        `json:"id"`
+	Host       string       `json:"host"`
+	Target     string       `json:"target"` // path that it was submitted to
+	Step       int64        `json:"step"`
+	Model      string       `json:"model"`
+	MinVersion core.Version `json:"minVersion"` // oldest weights that may make its tokens
+	Wanted     int          `json:"wanted"`     // groups that the trainer waits for
+	Items      []Item       `json:"items"`
+	AcceptedAt time.Time    `json:"acceptedAt"`
+	Owner      Owner        `json:"owner"` // that accepted it
+}
+
+// Owner is the run of a daemon that owns a job. The zero Owner is none.
+type Owner struct {
+	Address string `json:"address"` // for other daemons
+	Run     string `json:"run"`     // differs for each start of the daemon
+}
+
+// state is the part of a job that changes: who owns it and whether it has ended.
+type state struct {
+	Owner Owner `json:"owner"`
+	Ended bool  `json:"ended"`
+}
+
+// Result is the outcome of one item.
+type Result struct {
+	Item     ItemID         `json:"item"`
+	Done     bool           `json:"done"` // false: given up
+	Text     string         `json:"text,omitempty"`
+	Versions []core.Version `json:"versions,omitempty"` // that made the text, ascending
+	Score    string         `json:"score,omitempty"`
+}
+
+// resultPart is one object of a job's list of results.
+type resultPart struct {
+	From    int      `json:"from"` // position of the first result
+	Results []Result `json:"results"`
+}
+
+// Rules are what the configuration says of a job now.
+type Rules struct {
+	Service       string
+	MaxAttempts   int // failures of an item after which it is given up
+	SingleVersion bool
+	GiveUpAfter   time.Duration // since the submission
+}
+
+// RewardRules are what the configuration says of a reward call now.
+type RewardRules struct {
+	Service     string
+	MaxAttempts int // failures after which the item is given up
+	Timeout     time.Duration
+}
+
+// Routes finds the rules in the configuration in force. ok is false without a route.
+type Routes interface {
+	JobRules(host, target string) (r Rules, ok bool)
+	RewardRules(host, target string) (r RewardRules, ok bool)
+}
+
+// QueryKind is what a query asks for.
+type QueryKind int
+
+// Kinds of queries.
+const (
+	QuerySubmit QueryKind = iota
+	QueryRead
+	QueryBody
+	QueryEnd
+)
+
+// Query is a question about one job.
+type Query struct {
+	Kind QueryKind
+	ID   JobID
+	Job  *Job // of a submission
+
+	After int           // first position wanted
+	Wait  time.Duration // longest wait for a result at that position
+	Item  ItemID
+
+	// Relayed queries come from a daemon that takes this one for the owner.
+	Relayed bool
+	// TakeOver asks this daemon to become the owner, since the owner could not
+	// be reached.
+	TakeOver bool
+}
+
+// Status is how a query was answered.
+type Status int
+
+// Statuses of answers.
+const (
+	StatusUnavailable Status = iota // not known now; nothing was done
+	StatusOK
+	StatusNotFound
+	StatusElsewhere // another daemon owns the job
+	StatusUncertain // a submission whose outcome is not known
+)
+
+// String returns the status as it is logged.
+func (s Status) String() string {
+	return [...]string{"unavailable", "ok", "not-found", "elsewhere", "uncertain"}[s]
+}
+
+// Answer is the answer to a query.
+type Answer struct {
+	Status  Status
+	Owner   Owner // for StatusElsewhere
+	Total   int
+	Results []Result // from Query.After on
+	Body    []byte
+}
