Hold servers that refuse, and hand jobs over from a daemon cut off from the store

Cause: engines that load weights look idle and drew every retry (653 of 1486 arrivals refused); an owner without the store could not list results, and a lapsed lease on orders held versions up for 9 s. Change: a refusal without a time holds the server for 100 ms; an owner that cannot write hands its results to the daemon that is asked, which takes the job over; lease on orders of 3 s.

--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -14,6 +14,11 @@
 // Without it a dead server looks idle and draws the work of a whole poll period.
 const unreachableHold = 500 * time.Millisecond
 
+// refusalHold is how long a server that refuses work without naming a time is
+// left out. An engine that loads weights refuses for about a second; it looks
+// idle meanwhile and would draw every retry.
+const refusalHold = 100 * time.Millisecond
+
 // attemptKey names an attempt among all attempts of this daemon.
 type attemptKey struct {
 	request core.RequestID
@@ -123,6 +128,8 @@
 		state.retryAt = now.Add(unreachableHold)
 	case e.Verdict == core.NotRun && e.Err.RetryAfter > 0:
 		state.retryAt = now.Add(e.Err.RetryAfter)
+	case e.Verdict == core.NotRun && e.Err.Code == core.CodeOverloaded && e.Attempt.Call.Request.IsModelCall():
+		state.retryAt = now.Add(refusalHold)
 	}
 	return suspected || e.Crashed
 }
--- a/internal/daemon/daemonrpc/jobs.go
+++ b/internal/daemon/daemonrpc/jobs.go
@@ -220,30 +220,40 @@
 }
 
 func encodeAnswer(a batch.Answer) *JobAnswer {
-	m := &JobAnswer{
+	return &JobAnswer{
 		Status: int32(a.Status), OwnerAddress: a.Owner.Address, OwnerRun: a.Owner.Run, Total: int64(a.Total), Body: a.Body,
+		Results: encodeResults(a.Results), CutOff: a.CutOff, Handover: encodeResults(a.Handover),
 	}
-	for _, r := range a.Results {
-		result := &JobResult{Item: string(r.Item), Done: r.Done, Text: r.Text, Score: r.Score}
+}
+
+func encodeResults(results []batch.Result) []*JobResult {
+	list := make([]*JobResult, 0, len(results))
+	for _, r := range results {
+		m := &JobResult{Item: string(r.Item), Done: r.Done, Text: r.Text, Score: r.Score}
 		for _, v := range r.Versions {
-			result.Versions = append(result.Versions, int64(v))
+			m.Versions = append(m.Versions, int64(v))
 		}
-		m.Results = append(m.Results, result)
+		list = append(list, m)
 	}
-	return m
+	return list
 }
 
 func decodeAnswer(m *JobAnswer) batch.Answer {
-	a := batch.Answer{
+	return batch.Answer{
 		Status: batch.Status(m.Status), Owner: batch.Owner{Address: m.OwnerAddress, Run: m.OwnerRun},
-		Total: int(m.Total), Body: m.Body,
+		Total: int(m.Total), Body: m.Body, Results: decodeResults(m.Results),
+		CutOff: m.CutOff, Handover: decodeResults(m.Handover),
 	}
-	for _, r := range m.Results {
-		result := batch.Result{Item: batch.ItemID(r.Item), Done: r.Done, Text: r.Text, Score: r.Score}
-		for _, v := range r.Versions {
-			result.Versions = append(result.Versions, core.Version(v))
+}
+
+func decodeResults(list []*JobResult) []batch.Result {
+	results := make([]batch.Result, 0, len(list))
+	for _, m := range list {
+		r := batch.Result{Item: batch.ItemID(m.Item), Done: m.Done, Text: m.Text, Score: m.Score}
+		for _, v := range m.Versions {
+			r.Versions = append(r.Versions, core.Version(v))
 		}
-		a.Results = append(a.Results, result)
+		results = append(results, r)
 	}
-	return a
+	return results
 }
--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -147,6 +147,12 @@
 	return s.seenAt.Add(duration + duration/driftDivisor)
 }
 
+// LapseGap is the least time between the last use of a lease that lapses and
+// its next holder.
+func LapseGap(duration time.Duration) time.Duration {
+	return duration + duration/driftDivisor - usable(duration)
+}
+
 func usable(duration time.Duration) time.Duration {
 	return duration / usableDenominator * usableNumerator
 }
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -204,11 +204,11 @@
 func (d *frontDaemon) stop(ctx context.Context) {
 	d.stopping.Store(true)
 	d.callers.Drain()
-	d.orders.release()
+	d.orders.release(ctx)
 	deadline, _ := ctx.Deadline()
 	working, cancel := context.WithDeadline(ctx, deadline.Add(-stopReserve))
 	defer cancel()
-	_ = duty.Sleep(working, stopMinimum)
+	_ = duty.Sleep(working, stopMinimum-releaseWait)
 	d.keeper.WaitIdle(working)
 	d.callers.WaitIdle(working)
 	d.keeper.Release()
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -21,14 +21,18 @@
 	// ordersLease is held by the daemon that gives orders to the engines.
 	ordersLease = "orders"
 	// ordersLeaseTime is how long that daemon's death holds up new versions.
-	ordersLeaseTime = 5 * time.Second
+	ordersLeaseTime = 3 * time.Second
 	// orderWorkers bounds the orders in progress.
 	orderWorkers = 64
 	// takeoverMargin is added to the time that must lie between the orders of
 	// two holders.
-	takeoverMargin = 700 * time.Millisecond
+	takeoverMargin = 400 * time.Millisecond
 )
 
+// releaseWait lies between the last order and the release of the lease, so that
+// a release leaves as much time as a lapse.
+var releaseWait = platform.LapseGap(ordersLeaseTime)
+
 // orderParts bring named versions to the engines.
 type orderParts struct {
 	lessor   *platform.Lessor
@@ -36,6 +40,7 @@
 	versions *platform.Watcher
 	named    *namedVersions
 	assigner *weights.Assigner // used on the directory's goroutine
+	stopping atomic.Bool
 }
 
 func (d *frontDaemon) buildOrders() error {
@@ -47,7 +52,7 @@
 	o := &orderParts{named: &namedVersions{}, assigner: weights.NewAssigner()}
 	limits := weights.Limits{
 		StoreFetches: orderWorkers, MinReady: weights.DefaultLimits().MinReady,
-		TakeoverWait: d.set.Bounds.LeaseTurn + takeoverMargin,
+		TakeoverWait: max(0, d.set.Bounds.LeaseTurn-platform.LapseGap(ordersLeaseTime)) + takeoverMargin,
 	}
 	o.rollout = weights.NewRollout(clock, d.log, adapter.NewOrders(d.set.Host, clock), o.named, pool, limits)
 	o.lessor = platform.NewLessor(clock, d.store, d.runName(), d.random())
@@ -62,6 +67,9 @@
 func (d *frontDaemon) handleLease(o *orderParts, e platform.LeaseEvent) {
 	switch e.Kind {
 	case platform.LeaseGained, platform.LeaseRenewed:
+		if o.stopping.Load() {
+			return
+		}
 		o.rollout.SetHolding(weights.Holding{Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline})
 	case platform.LeaseLost:
 		o.rollout.SetHolding(weights.Holding{})
@@ -72,8 +80,13 @@
 	}
 }
 
-// release gives the lease up at a planned stop.
-func (o *orderParts) release() { o.lessor.Release(ordersLease) }
+// release gives the lease up at a planned stop, some time after the last order.
+func (o *orderParts) release(ctx context.Context) {
+	o.stopping.Store(true)
+	o.rollout.SetHolding(weights.Holding{})
+	_ = duty.Sleep(ctx, releaseWait)
+	o.lessor.Release(ordersLease)
+}
 
 func (d *frontDaemon) handleVersions(named *namedVersions, s platform.Snapshot) {
 	for _, object := range s.Objects {
--- a/internal/trainer/batch/desk.go
+++ b/internal/trainer/batch/desk.go
@@ -40,14 +40,32 @@
 		return a
 	}
 	answer, err := d.relay(ctx, a.Owner, q)
-	if err == nil && answer.Status != StatusElsewhere && answer.Status != StatusUnavailable {
+	isAnswered := err == nil && (answer.Status == StatusOK || answer.Status == StatusNotFound)
+	if isAnswered && !answer.CutOff {
 		return answer
 	}
 	d.log.WithError(err).WithFields(logrus.Fields{
-		"job": q.ID, "owner": a.Owner.Address, "answer": answer.Status.String(),
-	}).Info("owner of a job does not answer")
-	q.TakeOver = err != nil
-	return d.own(ctx, q)
+		"job": q.ID, "owner": a.Owner.Address, "answer": answer.Status.String(), "cut_off": answer.CutOff,
+	}).Info("owner of a job does not answer or cannot write")
+	taken := d.takeOver(ctx, q, a.Owner, answer, err)
+	if isAnswered && taken.Status != StatusOK {
+		return answer
+	}
+	return taken
+}
+
+// takeOver makes this daemon the owner and tells the former one, which then
+// stops its runs.
+func (d *Desk) takeOver(ctx context.Context, q Query, former Owner, answer Answer, err error) Answer {
+	q.TakeOver = err != nil || answer.CutOff
+	q.Handover = answer.Handover
+	taken := d.own(ctx, q)
+	if taken.Status == StatusOK && answer.CutOff {
+		if _, err := d.relay(ctx, former, Query{Kind: QueryYield, ID: q.ID}); err != nil {
+			d.log.WithError(err).WithField("job", q.ID).Info("former owner could not be told")
+		}
+	}
+	return taken
 }
 
 // Relayed answers a query that another daemon has relayed to this one.
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -84,10 +84,20 @@
 		}
 	}
 	e.unlisted = len(e.items)
+	e.cutOff = false
+	k.adoptHandover(e)
 	k.settleWaiting(e)
 	k.launchWaiting(e)
 }
 
+// adoptHandover lists the results that the former owner could not list.
+func (k *Keeper) adoptHandover(e *entry) {
+	for _, result := range e.handover {
+		k.addResult(e, result)
+	}
+	e.handover = nil
+}
+
 // launchWaiting runs the items that are due and gives up those whose time is over.
 func (k *Keeper) launchWaiting(e *entry) {
 	if e.phase != phaseOwned || k.released {
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -93,7 +93,9 @@
 	listed   []Result
 	parts    int // objects of results
 	pending  []Result
-	writing  int // results in the write in progress
+	handover []Result // of the former owner
+	cutOff   bool     // the last write of results did not reach the store
+	writing  int      // results in the write in progress
 	listDue  bool
 	unlisted int // items without a listed or pending result
 }
@@ -186,15 +188,20 @@
 			k.accept(e, q.Job)
 			return
 		}
-		e.takeOver = q.TakeOver
+		e.takeOver, e.handover = q.TakeOver, q.Handover
 		k.load(e)
 		return
 	}
+	if q.Kind == QueryYield {
+		k.yield(e, ask)
+		return
+	}
 	e.usedAt = k.now()
 	switch e.phase {
 	case phaseStoring, phaseLoading:
 		e.waiting = append(e.waiting, question{ask: ask})
 		e.takeOver = e.takeOver || q.TakeOver
+		e.handover = append(e.handover, q.Handover...)
 	case phaseElsewhere:
 		k.askElsewhere(e, ask)
 	default:
@@ -210,7 +217,7 @@
 	case q.Kind == QuerySubmit:
 		ask.Reply(Answer{Status: StatusOK})
 	case q.Relayed || q.TakeOver:
-		e.takeOver = q.TakeOver
+		e.takeOver, e.handover = q.TakeOver, q.Handover
 		e.waiting = append(e.waiting, question{ask: ask})
 		k.load(e)
 	default:
@@ -229,6 +236,12 @@
 	case QueryEnd:
 		k.end(e, q)
 	default:
+		if query.Relayed && e.phase == phaseOwned && e.cutOff {
+			a := e.read(query.After)
+			a.CutOff, a.Handover = true, e.pending
+			q.ask.Reply(a)
+			return
+		}
 		if query.After >= len(e.listed) && query.Wait > 0 && e.phase == phaseOwned && len(e.listed) < len(e.job.Items) {
 			q.due = k.now().Add(query.Wait)
 			e.readers = append(e.readers, q)
@@ -239,6 +252,17 @@
 	}
 }
 
+// yield stops the runs of a job that the asking daemon has taken over.
+func (k *Keeper) yield(e *entry, ask duty.Ask[Query, Answer]) {
+	if e.phase == phaseOwned && e.cutOff {
+		k.log.WithField("job", e.id).Info("job yielded to another daemon")
+		e.state.Owner = Owner{}
+		k.closeJob(e, phaseElsewhere)
+		delete(k.jobs, e.id)
+	}
+	ask.Reply(Answer{Status: StatusOK})
+}
+
 func (e *entry) body(id ItemID) Answer {
 	for i := range e.job.Items {
 		if e.job.Items[i].ID == id {
--- a/internal/trainer/batch/results.go
+++ b/internal/trainer/batch/results.go
@@ -68,6 +68,7 @@
 	}
 	switch {
 	case r.Err == nil:
+		e.cutOff = false
 		e.pending = append(e.pending[:0:0], e.pending[written:]...)
 		e.appendPart(part)
 		k.log.WithFields(logrus.Fields{"job": e.id, "from": part.From, "results": len(part.Results), "left": e.unlisted}).Info("results listed")
@@ -76,6 +77,7 @@
 	case errors.Is(r.Err, platform.ErrConflict) || errors.Is(r.Err, platform.ErrUnknownOutcome):
 		k.readPart(e)
 	default:
+		e.cutOff = true
 		k.log.WithError(r.Err).WithField("job", e.id).Warn("results could not be listed")
 		k.loop.After(listDelay, func() { k.list(e) })
 	}
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -111,6 +111,7 @@
 	QueryRead
 	QueryBody
 	QueryEnd
+	QueryYield // tells the former owner that the asking daemon has taken the job over
 )
 
 // Query is a question about one job.
@@ -128,6 +129,8 @@
 	// TakeOver asks this daemon to become the owner, since the owner could not
 	// be reached.
 	TakeOver bool
+	// Handover are results that the former owner could not list.
+	Handover []Result
 }
 
 // Status is how a query was answered.
@@ -154,4 +157,8 @@
 	Total   int
 	Results []Result // from Query.After on
 	Body    []byte
+	// CutOff reports that the owner cannot write to the store, and Handover the
+	// results that it could not list.
+	CutOff   bool
+	Handover []Result
 }
