Take over the jobs of an earlier run of the same daemon

Change: an owner at the own address with another run is gone; a relay that meets a new owner follows it once.

--- a/internal/trainer/batch/desk.go
+++ b/internal/trainer/batch/desk.go
@@ -13,6 +13,8 @@
 	relayTimeout = 700 * time.Millisecond
 	// askTimeout bounds the wait for the own duty, beside the query's wait.
 	askTimeout = 2500 * time.Millisecond
+	// maxRelays bounds the owners that one query is relayed to.
+	maxRelays = 2
 )
 
 // Peers relays queries to other daemons. Its methods block.
@@ -36,28 +38,32 @@
 // Answer answers the query. It blocks; callers are handlers.
 func (d *Desk) Answer(ctx context.Context, q Query) Answer {
 	a := d.own(ctx, q)
-	if a.Status != StatusElsewhere {
-		return a
-	}
-	answer, err := d.relay(ctx, a.Owner, q)
-	isAnswered := err == nil && (answer.Status == StatusOK || answer.Status == StatusNotFound)
-	if isAnswered && !answer.CutOff {
-		return answer
-	}
-	d.log.WithError(err).WithFields(logrus.Fields{
-		"job": q.ID, "owner": a.Owner.Address, "answer": answer.Status.String(), "cut_off": answer.CutOff,
-	}).Info("owner of a job does not answer or cannot write")
-	taken := d.takeOver(ctx, q, a.Owner, answer, err)
-	if isAnswered && taken.Status != StatusOK {
-		return answer
+	for range maxRelays {
+		if a.Status != StatusElsewhere {
+			return a
+		}
+		owner := a.Owner
+		answer, err := d.relay(ctx, owner, q)
+		isAnswered := err == nil && (answer.Status == StatusOK || answer.Status == StatusNotFound)
+		if isAnswered && !answer.CutOff {
+			return answer
+		}
+		d.log.WithError(err).WithFields(logrus.Fields{
+			"job": q.ID, "owner": owner.Address, "answer": answer.Status.String(), "cut_off": answer.CutOff,
+		}).Info("owner of a job does not answer or cannot write")
+		a = d.takeOver(ctx, q, owner, answer, err)
+		if isAnswered && a.Status != StatusOK {
+			return answer
+		}
 	}
-	return taken
+	return a
 }
 
-// takeOver makes this daemon the owner and tells the former one, which then
-// stops its runs.
+// takeOver makes this daemon the owner, unless the store names a new one, and
+// tells the former one, which then stops its runs.
 func (d *Desk) takeOver(ctx context.Context, q Query, former Owner, answer Answer, err error) Answer {
 	q.TakeOver = err != nil || answer.CutOff
+	q.Reload = true
 	q.Handover = answer.Handover
 	taken := d.own(ctx, q)
 	if taken.Status == StatusOK && answer.CutOff {
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -216,7 +216,7 @@
 	switch {
 	case q.Kind == QuerySubmit:
 		ask.Reply(Answer{Status: StatusOK})
-	case q.Relayed || q.TakeOver:
+	case q.Relayed || q.Reload || q.TakeOver:
 		e.takeOver, e.handover = q.TakeOver, q.Handover
 		e.waiting = append(e.waiting, question{ask: ask})
 		k.load(e)
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -72,7 +72,8 @@
 
 // placeLoaded decides who goes on with a job whose state was read.
 func (k *Keeper) placeLoaded(e *entry) {
-	free := e.state.Owner == Owner{}
+	// An earlier run of this daemon is gone for good.
+	free := e.state.Owner == Owner{} || e.state.Owner.Address == k.self.Address
 	switch {
 	case e.state.Ended:
 		k.loadResults(e, phaseEnded)
