--- a/internal/backend/classes.go
+++ b/internal/backend/classes.go
@@ -27,6 +27,7 @@
 type serverClass struct {
 	local   []*Candidate // in the daemon's own data centre
 	remote  []*Candidate
+	all     []*Candidate
 	missing string // what no server has, when there are none
 	capable []bool // by position in the index
 }
@@ -120,6 +121,7 @@
 	class.capable = make([]bool, len(x.servers))
 	for _, c := range kept {
 		class.capable[c.position] = true
+		class.all = append(class.all, c)
 		if c.Server.DataCentre == x.dataCentre || x.dataCentre == "" {
 			class.local = append(class.local, c)
 		} else {
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -200,8 +200,12 @@
 }
 
 // pickNearest prefers the servers of the own data centre, unless they are
-// missing or one elsewhere is much faster.
+// missing or one elsewhere is much faster. The items of a step come all at once
+// and are not urgent one by one, so they are spread over all data centres.
 func (rt *router) pickNearest(class *serverClass) *Candidate {
+	if rt.request.Class == core.ClassRollout {
+		return rt.pickFrom(class.all)
+	}
 	local := rt.pickFrom(class.local)
 	if len(class.remote) == 0 || (local != nil && local.depth() < remoteDepth) {
 		return local
@@ -221,6 +225,9 @@
 
 // pickFrom compares the picker's choice with the engine that holds the prompt.
 func (rt *router) pickFrom(from []*Candidate) *Candidate {
+	if rt.request.Class == core.ClassRollout && len(from) <= scanLimit {
+		return rt.best(from)
+	}
 	chosen := rt.picker.Pick(rt.request, from, rt.usable, &rt.scorer)
 	if chosen == nil && (rt.permission > healthyUntried || len(from) <= scanLimit) {
 		chosen = rt.scan(from)
@@ -235,6 +242,27 @@
 	return chosen
 }
 
+// best returns the usable server with the best score. Many items of one daemon
+// come together, and draws would spread them less evenly.
+func (rt *router) best(from []*Candidate) *Candidate {
+	if len(from) == 0 {
+		return nil
+	}
+	var best *Candidate
+	var lowest float64
+	start := rt.random.IntN(len(from))
+	for i := range from {
+		c := from[(start+i)%len(from)]
+		if !rt.usable(c) {
+			continue
+		}
+		if score := rt.scorer.Score(rt.request, c); best == nil || score < lowest {
+			best, lowest = c, score
+		}
+	}
+	return best
+}
+
 // scan returns the first usable server from a random place on. It runs only
 // when the draws missed, so when there are few servers or few in use.
 func (rt *router) scan(from []*Candidate) *Candidate {
--- a/internal/daemon/daemonrpc/jobs.go
+++ b/internal/daemon/daemonrpc/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -33,14 +34,21 @@
 
 // JobPeers relays queries about jobs to other daemons, one stream for each.
 type JobPeers struct {
-	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	addresses func() []string
+	mu        sync.Mutex
+	sessions  map[string]*yamux.Session
 }
 
 var _ batch.Peers = (*JobPeers)(nil)
 
-// NewJobPeers returns a client without connections.
-func NewJobPeers() *JobPeers { return &JobPeers{sessions: map[string]*yamux.Session{}} }
+// NewJobPeers returns a client without connections. addresses returns the other
+// daemons as far as known.
+func NewJobPeers(addresses func() []string) *JobPeers {
+	return &JobPeers{addresses: addresses, sessions: map[string]*yamux.Session{}}
+}
+
+// Addresses returns the addresses of the other daemons.
+func (p *JobPeers) Addresses() []string { return p.addresses() }
 
 func jobSessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
@@ -117,7 +125,11 @@
 			return batch.Answer{}, err
 		}
 	}
-	if _, err := protodelim.MarshalTo(stream, encodeQuestion(q)); err != nil {
+	question, err := encodeQuestion(q)
+	if err != nil {
+		return batch.Answer{}, fmt.Errorf("encode question: %w", err)
+	}
+	if _, err := protodelim.MarshalTo(stream, question); err != nil {
 		return batch.Answer{}, fmt.Errorf("send question: %w", err)
 	}
 	var m JobAnswer
@@ -199,24 +211,41 @@
 		s.log.WithError(err).Debug("question of a daemon could not be read")
 		return
 	}
-	a := s.answer(context.Background(), decodeQuestion(&m))
+	q, err := decodeQuestion(&m)
+	if err != nil {
+		s.log.WithError(err).Warn("question of a daemon could not be decoded")
+		return
+	}
+	a := s.answer(context.Background(), q)
 	_ = stream.SetWriteDeadline(time.Now().Add(jobAnswerTimeout))
 	if _, err := protodelim.MarshalTo(stream, encodeAnswer(a)); err != nil {
 		s.log.WithError(err).Debug("answer to a daemon could not be sent")
 	}
 }
 
-func encodeQuestion(q batch.Query) *JobQuestion {
-	return &JobQuestion{
+func encodeQuestion(q batch.Query) (*JobQuestion, error) {
+	m := &JobQuestion{
 		Kind: int32(q.Kind), Job: string(q.ID), After: int64(q.After), WaitMs: q.Wait.Milliseconds(), Item: string(q.Item),
+		Delegated: q.Delegated,
 	}
+	if q.Job == nil {
+		return m, nil
+	}
+	var err error
+	m.Submitted, err = json.Marshal(q.Job)
+	return m, err
 }
 
-func decodeQuestion(m *JobQuestion) batch.Query {
-	return batch.Query{
+func decodeQuestion(m *JobQuestion) (batch.Query, error) {
+	q := batch.Query{
 		Kind: batch.QueryKind(m.Kind), ID: batch.JobID(m.Job), After: int(m.After),
-		Wait: time.Duration(m.WaitMs) * time.Millisecond, Item: batch.ItemID(m.Item),
+		Wait: time.Duration(m.WaitMs) * time.Millisecond, Item: batch.ItemID(m.Item), Delegated: m.Delegated,
+	}
+	if len(m.Submitted) == 0 {
+		return q, nil
 	}
+	q.Job = &batch.Job{}
+	return q, json.Unmarshal(m.Submitted, q.Job)
 }
 
 func encodeAnswer(a batch.Answer) *JobAnswer {
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -24,10 +24,12 @@
 	OpDelete
 )
 
-// Errors of the store duty. Both wrap ErrUnavailable: nothing changed.
+// Errors of the store duty. All wrap ErrUnavailable: nothing changed.
 var (
 	// ErrQueueFull means that too many operations wait.
 	ErrQueueFull = fmt.Errorf("%w: store queue is full", ErrUnavailable)
+	// ErrAway means that the store does not answer.
+	ErrAway = fmt.Errorf("%w: store does not answer", ErrUnavailable)
 	// ErrQueueDeadline means that the operation was not carried out before its deadline.
 	ErrQueueDeadline = fmt.Errorf("%w: deadline passed before the call was carried out", ErrUnavailable)
 )
@@ -44,6 +46,9 @@
 	// Urgent operations go before others and may use the reserved part of the
 	// budget. It is meant for leases.
 	Urgent bool
+	// FailFast refuses the operation at once while the store does not answer,
+	// but for the one call that finds out whether it does again.
+	FailFast bool
 	// Reply takes the result on the store duty's goroutine. It must not wait:
 	// it puts the result into a ring of the asking duty.
 	Reply func(Result)
@@ -265,6 +270,11 @@
 		op.Reply(Result{Err: ErrQueueFull})
 		return
 	}
+	if op.FailFast && s.failing && (s.running > 0 || s.loop.Clock().Now().Before(s.gateUntil)) {
+		s.counters.refused.Inc(1)
+		op.Reply(Result{Err: ErrAway})
+		return
+	}
 	if len(op.Value) > MaxValueBytes {
 		s.counters.refused.Inc(1)
 		op.Reply(Result{Err: ErrTooLarge})
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -45,6 +45,8 @@
 	Bound    time.Duration // longest wait for one watch
 	Inactive bool          // start without watching until SetActive(true)
 	Random   *rand.Rand    // for jitter
+	// RetryLongest bounds the pause between failed calls; 0 is the default.
+	RetryLongest time.Duration
 	// Pace is the pause after an answer with changes, in which further changes
 	// collect. It saves calls at the price of delay.
 	Pace time.Duration
@@ -113,6 +115,9 @@
 	if o.Bound <= 0 {
 		o.Bound = DefaultWatchBound
 	}
+	if o.RetryLongest <= 0 {
+		o.RetryLongest = watchRetryLongest
+	}
 	w := &Watcher{
 		loop:     duty.New("watch."+prefix, clock),
 		api:      api,
@@ -129,7 +134,7 @@
 		active: !o.Inactive,
 		cancel: func() {},
 		known:  map[string]held{},
-		retry:  newRetryDelay(watchRetryFirst, watchRetryLongest, o.Random),
+		retry:  newRetryDelay(watchRetryFirst, o.RetryLongest, o.Random),
 	}
 	duty.On(w.loop, w.results, w.handleResult)
 	duty.On(w.loop, w.switches, w.handleSwitch)
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -22,6 +22,9 @@
 	// watchBound is beyond the wait of the store itself; probes of the
 	// connection find a silent one much earlier.
 	watchBound = 32 * time.Second
+	// watchRetry bounds the pause between failed calls of a watch. After an
+	// outage a new configuration is to be in force within two seconds.
+	watchRetry = 700 * time.Millisecond
 )
 
 // base is what the daemons of all roles are built on.
@@ -60,7 +63,7 @@
 
 // follow adds a duty that watches a kind of objects.
 func (b *base) follow(kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
-	o.Bound = watchBound
+	o.Bound, o.RetryLongest = watchBound, watchRetry
 	o.Random = b.random()
 	told := o.OnStore
 	up := true
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -27,6 +27,9 @@
 	serverPace = 300 * time.Millisecond
 	// maxBody bounds the body of a request; the configuration's own limit is lower.
 	maxBody = 40 << 20
+	// storeCallTimeout is far above the time of an answer from a slow store and
+	// below the patience of a trainer.
+	storeCallTimeout = 800 * time.Millisecond
 	// stopReserve is kept of the stop grace for the release of jobs and leases.
 	stopReserve = 1500 * time.Millisecond
 	// stopMinimum is how long new connections may still come after the stop
@@ -43,6 +46,7 @@
 	directory *backend.Directory
 	keeper    *batch.Keeper
 	peers     *daemonrpc.JobPeers
+	roster    *roster
 	orders    *orderParts
 	callers   *transport.Server
 	readiness *transport.Server
@@ -54,9 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &frontDaemon{base: b, routes: &caller.RouteTable{}, peers: daemonrpc.NewJobPeers()}
+	d := &frontDaemon{base: b, routes: &caller.RouteTable{}, roster: &roster{}}
+	d.peers = daemonrpc.NewJobPeers(d.roster.others)
 	for _, step := range []func() error{
-		d.buildStore, d.buildBackend, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
+		d.buildStore, d.buildRoster, d.buildBackend, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
 	} {
 		if err := step(); err != nil {
 			return nil, err
@@ -74,7 +79,8 @@
 		Budget: platform.NewBudget(platform.BudgetOptions{
 			ReadsPerSecond: d.set.Store.ReadsPerSecond / budgetDivisor, WritesPerSecond: d.set.Store.WritesPerSecond / budgetDivisor,
 		}),
-		Random: d.random(),
+		CallTimeout: storeCallTimeout,
+		Random:      d.random(),
 	})
 	d.loops = append(d.loops, d.store.Loop())
 	return nil
--- a/internal/trainer/batch/desk.go
+++ b/internal/trainer/batch/desk.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,11 +17,15 @@
 	askTimeout = 2500 * time.Millisecond
 	// maxRelays bounds the owners that one query is relayed to.
 	maxRelays = 2
+	// maxDelegates bounds the daemons that are asked in place of the store.
+	maxDelegates = 2
 )
 
 // Peers relays queries to other daemons. Its methods block.
 type Peers interface {
 	Ask(ctx context.Context, address string, q Query) (Answer, error)
+	// Addresses returns the addresses of the other daemons as far as known.
+	Addresses() []string
 }
 
 // Desk answers queries at any daemon: from the own duty, from the owner, or by
@@ -35,8 +41,30 @@
 	return &Desk{keeper: k, peers: p, log: log}
 }
 
-// Answer answers the query. It blocks; callers are handlers.
+// Answer answers the query. It blocks; callers are handlers. A daemon without
+// the store has another one answer.
 func (d *Desk) Answer(ctx context.Context, q Query) Answer {
+	a := d.answer(ctx, q)
+	isCutOff := a.Status == StatusUnavailable || a.CutOff
+	if q.Delegated || !isCutOff {
+		return a
+	}
+	q.Delegated = true
+	for _, address := range d.others() {
+		answer, err := d.relay(ctx, Owner{Address: address}, q)
+		if err == nil && (answer.Status == StatusOK || answer.Status == StatusNotFound) {
+			d.log.WithFields(logrus.Fields{"job": q.ID, "daemon": address}).Info("query answered by another daemon")
+			return answer
+		}
+		if q.Kind == QuerySubmit && (err != nil || answer.Status == StatusUncertain) {
+			return Answer{Status: StatusUncertain}
+		}
+	}
+	return a
+}
+
+// answer answers from the own duty or from the owner.
+func (d *Desk) answer(ctx context.Context, q Query) Answer {
 	a := d.own(ctx, q)
 	for range maxRelays {
 		if a.Status != StatusElsewhere {
@@ -59,6 +87,13 @@
 	return a
 }
 
+// others returns some other daemons in a random order.
+func (d *Desk) others() []string {
+	list := slices.Clone(d.peers.Addresses())
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxDelegates)]
+}
+
 // takeOver makes this daemon the owner, unless the store names a new one, and
 // tells the former one, which then stops its runs.
 func (d *Desk) takeOver(ctx context.Context, q Query, former Owner, answer Answer, err error) Answer {
@@ -76,6 +111,9 @@
 
 // Relayed answers a query that another daemon has relayed to this one.
 func (d *Desk) Relayed(ctx context.Context, q Query) Answer {
+	if q.Delegated {
+		return d.Answer(ctx, q)
+	}
 	q.Relayed = true
 	return d.own(ctx, q)
 }
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -165,7 +165,7 @@
 
 // submit sends an operation to the store; reply runs on the duty's goroutine.
 func (k *Keeper) submit(op platform.Op, reply func(platform.Result)) {
-	op.Timeout = storeTimeout
+	op.Timeout, op.FailFast = storeTimeout, true
 	op.Reply = func(r platform.Result) { k.results.TryPut(func() { reply(r) }) }
 	if !k.store.Submit(op) {
 		reply(platform.Result{Err: platform.ErrQueueFull})
@@ -236,7 +236,7 @@
 	case QueryEnd:
 		k.end(e, q)
 	default:
-		if query.Relayed && e.phase == phaseOwned && e.cutOff {
+		if e.phase == phaseOwned && e.cutOff {
 			a := e.read(query.After)
 			a.CutOff, a.Handover = true, e.pending
 			q.ask.Reply(a)
--- a/internal/trainer/batch/results.go
+++ b/internal/trainer/batch/results.go
@@ -20,17 +20,24 @@
 	item.stop()
 	e.unlisted--
 	e.pending = append(e.pending, result)
+	k.listSoon(e)
+}
+
+// listSoon writes the pending results once more have had time to collect, or
+// at once when there are no more to come.
+func (k *Keeper) listSoon(e *entry) {
 	if e.unlisted == 0 {
 		k.list(e)
 		return
 	}
-	if !e.listDue {
-		e.listDue = true
-		k.loop.After(listDelay, func() {
-			e.listDue = false
-			k.list(e)
-		})
+	if len(e.pending) == 0 || e.listDue {
+		return
 	}
+	e.listDue = true
+	k.loop.After(listDelay, func() {
+		e.listDue = false
+		k.list(e)
+	})
 }
 
 func partKey(id JobID, part int) string { return fmt.Sprintf("%s%s.%05d", resultPrefix, id, part) }
@@ -73,7 +80,7 @@
 		e.appendPart(part)
 		k.log.WithFields(logrus.Fields{"job": e.id, "from": part.From, "results": len(part.Results), "left": e.unlisted}).Info("results listed")
 		k.wakeReaders(e)
-		k.list(e)
+		k.listSoon(e)
 	case errors.Is(r.Err, platform.ErrConflict) || errors.Is(r.Err, platform.ErrUnknownOutcome):
 		k.readPart(e)
 	default:
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -126,6 +126,8 @@
 
 	// Relayed queries come from a daemon that takes this one for the owner.
 	Relayed bool
+	// Delegated queries come from a daemon that the store does not answer.
+	Delegated bool
 	// Reload asks for the state in the store in place of the one in memory.
 	Reload bool
 	// TakeOver asks this daemon to become the owner, since the owner could not
