Confirm ownership before an empty read, and name the owner that is replaced

Cause: a former owner cut off from the store said that there were no results at positions that others had listed (LOST); several readers took one job over in turn; a watch that came back right after a cut waited deaf for 4.5 s (CONFIG). Change: an empty read needs a check of ownership within 600 ms; Query.Replace names the owner; lists of ended jobs are read again; a failed watch lists again.

--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -45,14 +45,18 @@
 	Bound    time.Duration // longest wait for one watch
 	Inactive bool          // start without watching until SetActive(true)
 	Random   *rand.Rand    // for jitter
+	// ListAfterFailure lists again after every failed call. A store that drops
+	// its history may let a watch that comes right after wait without hearing
+	// of the changes before.
+	ListAfterFailure bool
 	// RetryLongest bounds the pause between failed calls; 0 is the default.
 	RetryLongest time.Duration
 	// Pace is the pause after an answer with changes, in which further changes
 	// collect. It saves calls at the price of delay.
 	Pace time.Duration
-	// OnStore is told on the duty's goroutine whether the last call was
-	// answered. It must not wait.
-	OnStore func(up bool)
+	// OnStore is told on the duty's goroutine how each call ended; nil means
+	// that the store answered. It must not wait.
+	OnStore func(err error)
 }
 
 // WatcherStats are the counters of a watcher.
@@ -247,12 +251,12 @@
 	}
 	w.calling = false
 	if w.options.OnStore != nil {
-		w.options.OnStore(r.err == nil || errors.Is(r.err, ErrCompacted))
+		w.options.OnStore(r.err)
 	}
 	if r.err != nil {
 		// A compacted revision needs a list. The delay keeps a store that
 		// compacts all the time from being listed all the time.
-		w.listed = w.listed && !errors.Is(r.err, ErrCompacted)
+		w.listed = w.listed && !errors.Is(r.err, ErrCompacted) && !w.options.ListAfterFailure
 		w.counters.failed.Inc(1)
 		w.pause(w.retry.next())
 		return
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -63,17 +64,18 @@
 
 // follow adds a duty that watches a kind of objects.
 func (b *base) follow(kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
-	o.Bound, o.RetryLongest = watchBound, watchRetry
+	o.Bound, o.RetryLongest, o.ListAfterFailure = watchBound, watchRetry, true
 	o.Random = b.random()
 	told := o.OnStore
 	up := true
-	o.OnStore = func(now bool) {
-		if now != up {
-			up = now
-			b.log.WithFields(logrus.Fields{"kind": kind, "up": up}).Warn("watch of the store changed")
+	o.OnStore = func(err error) {
+		now := err == nil || errors.Is(err, platform.ErrCompacted)
+		if now != up || err != nil {
+			b.log.WithError(err).WithFields(logrus.Fields{"kind": kind, "up": now}).Warn("watch of the store changed")
 		}
+		up = now
 		if told != nil {
-			told(now)
+			told(err)
 		}
 	}
 	w := platform.NewWatcher(b.clock, b.api, b.watch, kind+"/", deliver, o)
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -99,10 +100,15 @@
 	d.dispatch.SetDataCentre(d.set.DataCentre)
 	d.directory = backend.NewDirectory(d.clock, d.log, d.setServers)
 	d.loops = append(d.loops, d.dispatch.Loop(), d.directory.Loop())
-	d.follow(adapter.KindServers, platform.WatcherOptions{Pace: serverPace, OnStore: d.directory.SetStore}, d.handleServers)
+	d.follow(adapter.KindServers, platform.WatcherOptions{Pace: serverPace, OnStore: d.storeAnswered}, d.handleServers)
 	return nil
 }
 
+// storeAnswered runs on the watch's goroutine.
+func (d *frontDaemon) storeAnswered(err error) {
+	d.directory.SetStore(err == nil || errors.Is(err, platform.ErrCompacted))
+}
+
 // setServers runs on the directory's goroutine.
 func (d *frontDaemon) setServers(servers []backend.Server) {
 	d.dispatch.SetServers(servers)
--- a/internal/trainer/batch/desk.go
+++ b/internal/trainer/batch/desk.go
@@ -97,7 +97,9 @@
 // takeOver makes this daemon the owner, unless the store names a new one, and
 // tells the former one, which then stops its runs.
 func (d *Desk) takeOver(ctx context.Context, q Query, former Owner, answer Answer, err error) Answer {
-	q.TakeOver = err != nil || answer.CutOff
+	if err != nil || answer.CutOff {
+		q.Replace = former
+	}
 	q.Reload = true
 	q.Handover = answer.Handover
 	taken := d.own(ctx, q)
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -37,6 +37,9 @@
 	// unreadCheck is how long an owner goes without a question about an open
 	// job before it reads in the store whether it still owns it.
 	unreadCheck = 1200 * time.Millisecond
+	// confirmTime is how long the list of results counts as complete after it
+	// was read or written, well below the time in which every daemon must show it.
+	confirmTime = 600 * time.Millisecond
 	// keepEnded is how long a job that has ended or that is owned elsewhere
 	// stays in memory after its last question.
 	keepEnded = 10 * time.Second
@@ -83,11 +86,13 @@
 	state state
 	// stateVersion is the version of the state object, platform.Absent if there is none.
 	stateVersion int64
-	takeOver     bool // the load in progress is to end in ownership
+	replace      Owner // the load in progress is to end in ownership in place of this one
 	waiting      []question
 	readers      []question
-	usedAt       time.Time // of the last question
-	checking     bool      // the state is being read
+	unconfirmed  []question // that wait for the check of ownership
+	confirmedAt  time.Time  // when the list was surely complete
+	usedAt       time.Time  // of the last question
+	checking     bool       // the state is being read
 
 	items    map[ItemID]*itemRun
 	listed   []Result
@@ -188,7 +193,7 @@
 			k.accept(e, q.Job)
 			return
 		}
-		e.takeOver, e.handover = q.TakeOver, q.Handover
+		e.replace, e.handover = q.Replace, q.Handover
 		k.load(e)
 		return
 	}
@@ -200,7 +205,9 @@
 	switch e.phase {
 	case phaseStoring, phaseLoading:
 		e.waiting = append(e.waiting, question{ask: ask})
-		e.takeOver = e.takeOver || q.TakeOver
+		if q.Replace != (Owner{}) {
+			e.replace = q.Replace
+		}
 		e.handover = append(e.handover, q.Handover...)
 	case phaseElsewhere:
 		k.askElsewhere(e, ask)
@@ -216,8 +223,8 @@
 	switch {
 	case q.Kind == QuerySubmit:
 		ask.Reply(Answer{Status: StatusOK})
-	case q.Relayed || q.Reload || q.TakeOver:
-		e.takeOver, e.handover = q.TakeOver, q.Handover
+	case q.Relayed || q.Reload:
+		e.replace, e.handover = q.Replace, q.Handover
 		e.waiting = append(e.waiting, question{ask: ask})
 		k.load(e)
 	default:
@@ -236,22 +243,48 @@
 	case QueryEnd:
 		k.end(e, q)
 	default:
-		if e.phase == phaseOwned && e.cutOff {
-			a := e.read(query.After)
-			a.CutOff, a.Handover = true, e.pending
-			q.ask.Reply(a)
-			return
-		}
-		if query.After >= len(e.listed) && query.Wait > 0 && e.phase == phaseOwned && len(e.listed) < len(e.job.Items) {
-			q.due = k.now().Add(query.Wait)
-			e.readers = append(e.readers, q)
-			k.loop.After(query.Wait, func() { k.wakeReaders(e) })
-			return
+		k.answerRead(e, q)
+	}
+}
+
+// answerRead answers with results that are listed. That there are none is said
+// only when the list is known to be complete.
+func (k *Keeper) answerRead(e *entry, q question) {
+	query := q.ask.Query
+	isWhole := len(e.listed) == len(e.job.Items)
+	switch {
+	case query.After < len(e.listed) || isWhole:
+		a := e.read(query.After)
+		a.CutOff = e.phase == phaseOwned && e.cutOff
+		if a.CutOff {
+			a.Handover = e.pending
 		}
+		q.ask.Reply(a)
+	case e.phase == phaseEnded && k.now().Sub(e.confirmedAt) > confirmTime:
+		e.waiting = append(e.waiting, q)
+		k.loadResults(e, phaseEnded)
+	case e.phase == phaseEnded:
 		q.ask.Reply(e.read(query.After))
+	case e.cutOff || query.Wait <= 0:
+		k.answerEmpty(e, q)
+	default:
+		q.due = k.now().Add(query.Wait)
+		e.readers = append(e.readers, q)
+		k.loop.After(query.Wait, func() { k.wakeReaders(e) })
 	}
 }
 
+// answerEmpty says that there are no results at the position, after a check of
+// ownership unless the list was known to be complete just now.
+func (k *Keeper) answerEmpty(e *entry, q question) {
+	if k.now().Sub(e.confirmedAt) <= confirmTime {
+		q.ask.Reply(e.read(q.ask.Query.After))
+		return
+	}
+	e.unconfirmed = append(e.unconfirmed, q)
+	k.checkOwner(e)
+}
+
 // yield stops the runs of a job that the asking daemon has taken over.
 func (k *Keeper) yield(e *entry, ask duty.Ask[Query, Answer]) {
 	if e.phase == phaseOwned && e.cutOff {
@@ -259,6 +292,7 @@
 		e.state.Owner = Owner{}
 		k.closeJob(e, phaseElsewhere)
 		delete(k.jobs, e.id)
+		k.reply(e, Answer{Status: StatusUnavailable})
 	}
 	ask.Reply(Answer{Status: StatusOK})
 }
@@ -289,15 +323,18 @@
 // wakeReaders answers the waiting readers that have results or no time left.
 func (k *Keeper) wakeReaders(e *entry) {
 	now := k.now()
-	kept := e.readers[:0]
-	for _, r := range e.readers {
-		if r.ask.Query.After < len(e.listed) || !r.due.After(now) || e.phase != phaseOwned {
+	readers := e.readers
+	e.readers = nil
+	for _, r := range readers {
+		switch {
+		case r.ask.Query.After < len(e.listed):
 			r.ask.Reply(e.read(r.ask.Query.After))
-			continue
+		case !r.due.After(now) && e.phase == phaseOwned:
+			k.answerEmpty(e, r)
+		default:
+			e.readers = append(e.readers, r)
 		}
-		kept = append(kept, r)
 	}
-	e.readers = kept
 }
 
 // accept writes a new job. Its creation is the acceptance.
@@ -344,6 +381,7 @@
 
 func (k *Keeper) reply(e *entry, a Answer) {
 	waiting := append(e.waiting, e.readers...)
+	waiting = append(waiting, e.takeUnconfirmed()...)
 	e.waiting, e.readers = nil, nil
 	for _, w := range waiting {
 		w.ask.Reply(a)
@@ -377,12 +415,13 @@
 	next.Ended = true
 	k.writeState(e, next, func(err error) {
 		if err != nil {
-			q.ask.Reply(Answer{Status: StatusUnavailable})
+			q.ask.Reply(Answer{Status: StatusUnavailable, CutOff: e.cutOff, Handover: e.pending})
 			return
 		}
 		k.log.WithFields(logrus.Fields{"job": e.id, "listed": len(e.listed)}).Info("job ended")
 		e.state = next
 		k.closeJob(e, phaseEnded)
+		k.settleWaiting(e)
 		q.ask.Reply(Answer{Status: StatusOK})
 	})
 }
@@ -413,7 +452,9 @@
 	}
 	e.items, e.pending = nil, nil
 	e.phase = next
-	k.wakeReaders(e)
+	e.waiting = append(e.waiting, e.readers...)
+	e.waiting = append(e.waiting, e.takeUnconfirmed()...)
+	e.readers = nil
 }
 
 // release gives up the open jobs at a planned stop.
@@ -425,6 +466,7 @@
 		}
 		k.closeJob(e, phaseElsewhere)
 		e.state.Owner = Owner{}
+		k.settleWaiting(e)
 		k.writeState(e, e.state, func(err error) {
 			if err != nil {
 				k.log.WithError(err).WithField("job", e.id).Warn("job could not be released")
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -79,7 +80,7 @@
 		k.loadResults(e, phaseEnded)
 	case e.state.Owner == k.self:
 		k.loadResults(e, phaseOwned)
-	case e.takeOver || free:
+	case free || e.state.Owner == e.replace:
 		k.takeJob(e)
 	default:
 		e.phase = phaseElsewhere
@@ -89,7 +90,7 @@
 
 // takeJob makes this daemon the owner.
 func (k *Keeper) takeJob(e *entry) {
-	e.takeOver = false
+	e.replace = Owner{}
 	before := e.state.Owner
 	next := state{Owner: k.self}
 	value, err := json.Marshal(next)
@@ -114,12 +115,14 @@
 
 // loadResults reads the whole list of results.
 func (k *Keeper) loadResults(e *entry, next phase) {
+	e.phase = phaseLoading
+	asked := k.now()
 	k.submit(platform.Op{Kind: platform.OpList, Key: resultPrefix + string(e.id) + "."}, func(r platform.Result) {
 		if r.Err != nil {
 			k.loadFailed(e, r.Err)
 			return
 		}
-		e.listed, e.parts = nil, 0
+		e.listed, e.parts, e.confirmedAt = nil, 0, asked
 		for _, o := range r.Listing.Objects {
 			var part resultPart
 			if err := json.Unmarshal(o.Value, &part); err != nil {
@@ -142,12 +145,14 @@
 	e.parts++
 }
 
-// checkOwner reads whether this daemon still owns the job and whether it has ended.
+// checkOwner reads whether this daemon still owns the job and whether it has
+// ended, and then answers the questions that wait for that.
 func (k *Keeper) checkOwner(e *entry) {
-	if e.checking {
+	if e.checking || e.phase != phaseOwned {
 		return
 	}
 	e.checking = true
+	asked := k.now()
 	k.submit(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
 		e.checking = false
 		if e.phase != phaseOwned {
@@ -157,14 +162,38 @@
 			// The store is away: the job goes on, since its results can still
 			// be listed only once.
 			k.log.WithError(err).WithField("job", e.id).Debug("ownership could not be checked")
+			e.replyUnconfirmed(Answer{Status: StatusUnavailable, CutOff: e.cutOff, Handover: e.pending})
 			return
 		}
-		switch {
-		case e.state.Ended:
-			k.closeJob(e, phaseEnded)
-		case e.state.Owner != k.self:
-			k.log.WithFields(logrus.Fields{"job": e.id, "owner": e.state.Owner.Address}).Info("job is owned elsewhere")
-			k.closeJob(e, phaseElsewhere)
-		}
+		k.ownerChecked(e, asked)
 	})
 }
+
+func (k *Keeper) ownerChecked(e *entry, asked time.Time) {
+	switch {
+	case e.state.Ended:
+		k.closeJob(e, phaseLoading)
+		k.loadResults(e, phaseEnded)
+	case e.state.Owner != k.self:
+		k.log.WithFields(logrus.Fields{"job": e.id, "owner": e.state.Owner.Address}).Info("job is owned elsewhere")
+		k.closeJob(e, phaseElsewhere)
+		k.settleWaiting(e)
+	default:
+		e.confirmedAt = asked
+		for _, q := range e.takeUnconfirmed() {
+			q.ask.Reply(e.read(q.ask.Query.After))
+		}
+	}
+}
+
+func (e *entry) takeUnconfirmed() []question {
+	list := e.unconfirmed
+	e.unconfirmed = nil
+	return list
+}
+
+func (e *entry) replyUnconfirmed(a Answer) {
+	for _, q := range e.takeUnconfirmed() {
+		q.ask.Reply(a)
+	}
+}
--- a/internal/trainer/batch/results.go
+++ b/internal/trainer/batch/results.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -63,19 +64,23 @@
 		return
 	}
 	e.writing = len(part.Results)
+	asked := k.now()
 	op := platform.Op{Kind: platform.OpPut, Key: partKey(e.id, e.parts), Value: value, IfVersion: platform.Absent}
-	k.submit(op, func(r platform.Result) { k.partWritten(e, part, r) })
+	k.submit(op, func(r platform.Result) { k.partWritten(e, part, asked, r) })
 }
 
-func (k *Keeper) partWritten(e *entry, part resultPart, r platform.Result) {
+func (k *Keeper) partWritten(e *entry, part resultPart, asked time.Time, r platform.Result) {
 	written := e.writing
 	e.writing = 0
+	if e.phase == phaseEnded && r.Err == nil {
+		e.appendPart(part)
+	}
 	if e.phase != phaseOwned {
 		return
 	}
 	switch {
 	case r.Err == nil:
-		e.cutOff = false
+		e.cutOff, e.confirmedAt = false, asked
 		e.pending = append(e.pending[:0:0], e.pending[written:]...)
 		e.appendPart(part)
 		k.log.WithFields(logrus.Fields{"job": e.id, "from": part.From, "results": len(part.Results), "left": e.unlisted}).Info("results listed")
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -130,9 +130,9 @@
 	Delegated bool
 	// Reload asks for the state in the store in place of the one in memory.
 	Reload bool
-	// TakeOver asks this daemon to become the owner, since the owner could not
-	// be reached.
-	TakeOver bool
+	// Replace asks this daemon to become the owner in place of this one, which
+	// could not be reached or cannot write. The zero Owner asks for nothing.
+	Replace Owner
 	// Handover are results that the former owner could not list.
 	Handover []Result
 }
