Tell all daemons about loads, hold refusing servers longer

Cause: daemons learned the version of an engine from its entry about 2 s late, so steps ran on one or two engines; engines that load drew 2117 of 4713 arrivals. Change: the daemon that orders engines tells all others when a load starts and ends; holds after refusals double up to 400 ms; named versions reach the roll-out at once.

--- a/internal/backend/classes.go
+++ b/internal/backend/classes.go
@@ -147,5 +147,5 @@
 }
 
 func sameModel(a, b ModelDescription) bool {
-	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+	return a.Name == b.Name && a.Version == b.Version && a.Loading == b.Loading && slices.Equal(a.Adapters, b.Adapters)
 }
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -22,6 +22,31 @@
 	directoryPeriod = 2 * time.Second
 )
 
+// loadingTime is how long a notice of a load in progress counts. A load takes
+// about a second; the daemon that tells its end may be gone.
+const loadingTime = 3 * time.Second
+
+// Notice is what the daemon that orders the engines knows of a model at one of
+// them, ahead of the engine's own entry.
+type Notice struct {
+	Server  core.ServerID
+	Model   string
+	Version core.Version // 0 if it is not known
+	Loading bool
+}
+
+// noted is the newest notice of a model at one run of a server.
+type noted struct {
+	incarnation  string
+	version      core.Version
+	loadingUntil time.Time
+}
+
+type noteKey struct {
+	server core.ServerID
+	model  string
+}
+
 // ServerChange is a change of one entry of the list of servers.
 type ServerChange struct {
 	ID     core.ServerID
@@ -37,8 +62,10 @@
 	deliver func([]Server)
 	changes *ring.Ring[[]ServerChange]
 	store   *ring.Ring[bool]
+	notices *ring.Ring[[]Notice]
 
 	servers map[core.ServerID]Server
+	notes   map[noteKey]noted
 	lapsed  map[core.ServerID]time.Time // when the server counts as gone unless it comes back
 	// uncertainUntil is the end of the time in which a removed entry may come back.
 	uncertainUntil time.Time
@@ -54,12 +81,15 @@
 		deliver: deliver,
 		changes: ring.New[[]ServerChange]("directory.changes", directoryRing),
 		store:   ring.New[bool]("directory.store", directoryRing),
+		notices: ring.New[[]Notice]("directory.notices", directoryRing),
 		servers: map[core.ServerID]Server{},
+		notes:   map[noteKey]noted{},
 		lapsed:  map[core.ServerID]time.Time{},
 		storeUp: true,
 	}
 	duty.On(d.loop, d.store, d.handleStore)
 	duty.On(d.loop, d.changes, d.handleChanges)
+	duty.On(d.loop, d.notices, d.handleNotices)
 	d.loop.Every(directoryPeriod, d.publish)
 	return d
 }
@@ -73,6 +103,57 @@
 // SetStore takes whether the store answers.
 func (d *Directory) SetStore(up bool) { d.store.PutLatest(up) }
 
+// Note takes notices about engines, in order.
+func (d *Directory) Note(n []Notice) { d.notices.PutLatest(n) }
+
+func (d *Directory) handleNotices(notices []Notice) {
+	now := d.loop.Clock().Now()
+	for _, n := range notices {
+		s, present := d.servers[n.Server]
+		if !present {
+			continue
+		}
+		key := noteKey{n.Server, n.Model}
+		note := d.notes[key]
+		if note.incarnation != s.Description.Incarnation {
+			note = noted{incarnation: s.Description.Incarnation}
+		}
+		note.version = max(note.version, n.Version)
+		note.loadingUntil = time.Time{}
+		if n.Loading {
+			note.loadingUntil = now.Add(loadingTime)
+		}
+		d.notes[key] = note
+	}
+	d.publish()
+}
+
+// withNotes returns the server with what the notices say of its models. A
+// version is never lower than its entry says: a server keeps it when it restarts.
+func (d *Directory) withNotes(s Server, now time.Time) Server {
+	models := slices.Clone(s.Description.Models)
+	for i := range models {
+		note, ok := d.notes[noteKey{s.ID, models[i].Name}]
+		if !ok || note.incarnation != s.Description.Incarnation {
+			continue
+		}
+		models[i].Version = max(models[i].Version, note.version)
+		models[i].Loading = now.Before(note.loadingUntil)
+	}
+	s.Description.Models = models
+	return s
+}
+
+// forget drops the notices about a server that is gone.
+func (d *Directory) forget(id core.ServerID) {
+	delete(d.servers, id)
+	for key := range d.notes {
+		if key.server == id {
+			delete(d.notes, key)
+		}
+	}
+}
+
 func (d *Directory) handleStore(up bool) {
 	if up && !d.storeUp {
 		d.uncertainUntil = d.loop.Clock().Now().Add(returnTime)
@@ -98,7 +179,7 @@
 			d.loop.After(d.uncertainUntil.Sub(now), d.dropLapsed)
 			log.WithField("until", d.uncertainUntil).Info("entry of a backend server lapsed while the store was away")
 		default:
-			delete(d.servers, c.ID)
+			d.forget(c.ID)
 			log.Info("backend server is gone")
 		}
 	}
@@ -112,7 +193,7 @@
 			continue
 		}
 		delete(d.lapsed, id)
-		delete(d.servers, id)
+		d.forget(id)
 		d.log.WithField("backend_server", id).Info("backend server is gone")
 	}
 	d.publish()
@@ -120,9 +201,10 @@
 
 // publish delivers the servers in the order of their names.
 func (d *Directory) publish() {
+	now := d.loop.Clock().Now()
 	list := make([]Server, 0, len(d.servers))
 	for _, s := range d.servers {
-		list = append(list, s)
+		list = append(list, d.withNotes(s, now))
 	}
 	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	d.deliver(list)
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -74,6 +74,7 @@
 	deliverSlots    func([]ServiceSlots)
 	deliverSuspects func(SuspectReport)
 	deliverWork     func([]OwnWork)
+	onAttemptEnd    func(AttemptEnd)
 }
 
 // NewDispatch returns the dispatch duty. The pool bounds the attempts in progress.
@@ -113,6 +114,10 @@
 // Loop returns the duty's loop.
 func (d *Dispatch) Loop() *duty.Loop { return d.loop }
 
+// SetOnAttemptEnd sets a function that is told of each attempt that has ended.
+// It must not wait, and it is set before the duty starts.
+func (d *Dispatch) SetOnAttemptEnd(f func(AttemptEnd)) { d.onAttemptEnd = f }
+
 // Submit queues the call. When it reports false the call was not taken.
 func (d *Dispatch) Submit(c *core.Call) bool { return d.calls.TryPut(c) }
 
@@ -161,6 +166,9 @@
 // a failure counts once no other attempt is in progress.
 func (d *Dispatch) handleEnd(e AttemptEnd) {
 	d.running--
+	if d.onAttemptEnd != nil {
+		d.onAttemptEnd(e)
+	}
 	d.observeEnd(e)
 	roomForSuspects := d.health.ended(e)
 	d.stopCopies()
--- a/internal/backend/filters.go
+++ b/internal/backend/filters.go
@@ -74,7 +74,7 @@
 		return true
 	}
 	model := findModel(c, r.Model)
-	return model != nil && model.Version >= r.MinVersion
+	return model != nil && model.Version >= r.MinVersion && !model.Loading
 }
 
 // hasRole leaves out engines that run only one phase of a request.
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -19,6 +19,9 @@
 // idle meanwhile and would draw every retry.
 const refusalHold = 100 * time.Millisecond
 
+// maxRefusalHold bounds the hold, which doubles with each refusal in a row.
+const maxRefusalHold = 400 * time.Millisecond
+
 // attemptKey names an attempt among all attempts of this daemon.
 type attemptKey struct {
 	request core.RequestID
@@ -40,6 +43,7 @@
 	crashed     string    // incarnation that crashed last
 	holdUntil   time.Time // after a crash
 	retryAt     time.Time // asked for by a refusal with Retry-After, or after a failed dial
+	refusals    int       // holds in a row after refusals without a time
 }
 
 // health is what attempts have shown about the servers. The dispatch duty owns it.
@@ -123,17 +127,28 @@
 	suspected := h.suspects.IsSuspected(fingerprint, now)
 	switch {
 	case e.Err == nil:
+		state.refusals = 0
 		h.suspects.Finished(fingerprint)
 	case e.Unreachable:
 		state.retryAt = now.Add(unreachableHold)
 	case e.Verdict == core.NotRun && e.Err.RetryAfter > 0:
 		state.retryAt = now.Add(e.Err.RetryAfter)
 	case e.Verdict == core.NotRun && e.Err.Code == core.CodeOverloaded && e.Attempt.Call.Request.IsModelCall():
-		state.retryAt = now.Add(refusalHold)
+		state.refused(now)
 	}
 	return suspected || e.Crashed
 }
 
+// refused holds the server. Refusals of requests that were sent before the
+// hold began do not lengthen it.
+func (s *serverHealth) refused(now time.Time) {
+	if now.Before(s.retryAt) {
+		return
+	}
+	s.retryAt = now.Add(min(maxRefusalHold, refusalHold<<min(s.refusals, 8)))
+	s.refusals++
+}
+
 // crashed counts one crash per incarnation, however many attempts report it.
 func (h *health) crashed(state *serverHealth, incarnation string, now time.Time) {
 	if incarnation != "" && state.crashed == incarnation {
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -38,6 +38,7 @@
 	Name     string
 	Version  core.Version
 	Adapters []string
+	Loading  bool // another version is being loaded; requests that have not started are refused
 }
 
 // Load is a backend server's report, which is late.
--- a/internal/daemon/daemonrpc/jobs.go
+++ b/internal/daemon/daemonrpc/questions.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
@@ -32,23 +33,23 @@
 	maxJobMessage = 4 << 20
 )
 
-// JobPeers relays queries about jobs to other daemons, one stream for each.
-type JobPeers struct {
+// PeerClient asks and tells other daemons, on one stream for each question.
+type PeerClient struct {
 	addresses func() []string
 	mu        sync.Mutex
 	sessions  map[string]*yamux.Session
 }
 
-var _ batch.Peers = (*JobPeers)(nil)
+var _ batch.Peers = (*PeerClient)(nil)
 
-// NewJobPeers returns a client without connections. addresses returns the other
+// NewPeerClient returns a client without connections. addresses returns the other
 // daemons as far as known.
-func NewJobPeers(addresses func() []string) *JobPeers {
-	return &JobPeers{addresses: addresses, sessions: map[string]*yamux.Session{}}
+func NewPeerClient(addresses func() []string) *PeerClient {
+	return &PeerClient{addresses: addresses, sessions: map[string]*yamux.Session{}}
 }
 
 // Addresses returns the addresses of the other daemons.
-func (p *JobPeers) Addresses() []string { return p.addresses() }
+func (p *PeerClient) Addresses() []string { return p.addresses() }
 
 func jobSessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
@@ -59,20 +60,34 @@
 }
 
 // Ask sends the query to the daemon at the address and waits for its answer.
-func (p *JobPeers) Ask(ctx context.Context, address string, q batch.Query) (batch.Answer, error) {
+func (p *PeerClient) Ask(ctx context.Context, address string, q batch.Query) (batch.Answer, error) {
 	session, err := p.session(ctx, address)
 	if err != nil {
 		return batch.Answer{}, err
 	}
-	answer, err := askOn(ctx, session, q)
+	question, err := encodeQuestion(q)
 	if err != nil {
-		p.drop(address, session)
+		return batch.Answer{}, fmt.Errorf("encode question: %w", err)
 	}
-	return answer, err
+	answer, err := p.askOn(ctx, address, session, question)
+	if err != nil {
+		return batch.Answer{}, err
+	}
+	return decodeAnswer(answer), nil
+}
+
+// Notify tells the daemon at the address what is known of engines.
+func (p *PeerClient) Notify(ctx context.Context, address string, notices []backend.Notice) error {
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return err
+	}
+	_, err = p.askOn(ctx, address, session, encodeNotices(notices))
+	return err
 }
 
 // Close ends all sessions.
-func (p *JobPeers) Close() {
+func (p *PeerClient) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.sessions {
@@ -81,7 +96,7 @@
 	clear(p.sessions)
 }
 
-func (p *JobPeers) session(ctx context.Context, address string) (*yamux.Session, error) {
+func (p *PeerClient) session(ctx context.Context, address string) (*yamux.Session, error) {
 	p.mu.Lock()
 	known := p.sessions[address]
 	p.mu.Unlock()
@@ -105,7 +120,7 @@
 }
 
 // drop closes a session that has failed. The next query connects anew.
-func (p *JobPeers) drop(address string, session *yamux.Session) {
+func (p *PeerClient) drop(address string, session *yamux.Session) {
 	p.mu.Lock()
 	if p.sessions[address] == session {
 		delete(p.sessions, address)
@@ -114,58 +129,69 @@
 	_ = session.Close()
 }
 
-func askOn(ctx context.Context, session *yamux.Session, q batch.Query) (batch.Answer, error) {
+// askOn asks on a stream of the session, which is dropped when that fails.
+func (p *PeerClient) askOn(ctx context.Context, address string, session *yamux.Session, q *Question) (*JobAnswer, error) {
+	answer, err := exchangeOn(ctx, session, q)
+	if err != nil {
+		p.drop(address, session)
+	}
+	return answer, err
+}
+
+func exchangeOn(ctx context.Context, session *yamux.Session, q *Question) (*JobAnswer, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
-		return batch.Answer{}, fmt.Errorf("open stream: %w", err)
+		return nil, fmt.Errorf("open stream: %w", err)
 	}
 	defer func() { _ = stream.Close() }()
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := stream.SetDeadline(deadline); err != nil {
-			return batch.Answer{}, err
+			return nil, err
 		}
 	}
-	question, err := encodeQuestion(q)
-	if err != nil {
-		return batch.Answer{}, fmt.Errorf("encode question: %w", err)
-	}
-	if _, err := protodelim.MarshalTo(stream, question); err != nil {
-		return batch.Answer{}, fmt.Errorf("send question: %w", err)
+	if _, err := protodelim.MarshalTo(stream, q); err != nil {
+		return nil, fmt.Errorf("send question: %w", err)
 	}
-	var m JobAnswer
-	if err := jobUnmarshal().UnmarshalFrom(bufio.NewReader(stream), &m); err != nil {
-		return batch.Answer{}, fmt.Errorf("read answer: %w", err)
+	m := &JobAnswer{}
+	if err := jobUnmarshal().UnmarshalFrom(bufio.NewReader(stream), m); err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
 	}
-	return decodeAnswer(&m), nil
+	return m, nil
 }
 
 func jobUnmarshal() protodelim.UnmarshalOptions {
 	return protodelim.UnmarshalOptions{MaxSize: maxJobMessage}
 }
 
-// JobServer answers the queries that other daemons relay.
-type JobServer struct {
+// PeerServer takes what other daemons ask and tell.
+type PeerServer struct {
 	listener net.Listener
 	pool     *duty.Pool
-	answer   func(context.Context, batch.Query) batch.Answer
+	handlers PeerHandlers
 	log      *logrus.Entry
 }
 
-// ListenJobs opens the listener. The pool runs one worker for each session and
+// PeerHandlers take what other daemons ask and tell.
+type PeerHandlers struct {
+	Job     func(context.Context, batch.Query) batch.Answer // blocks
+	Notices func([]backend.Notice)                          // must not wait
+}
+
+// ListenPeers opens the listener. The pool runs one worker for each session and
 // one for each query.
-func ListenJobs(address string, pool *duty.Pool, log *logrus.Entry, answer func(context.Context, batch.Query) batch.Answer) (*JobServer, error) {
+func ListenPeers(address string, pool *duty.Pool, log *logrus.Entry, handlers PeerHandlers) (*PeerServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for daemons on %s: %w", address, err)
 	}
-	return &JobServer{listener: listener, pool: pool, answer: answer, log: log}, nil
+	return &PeerServer{listener: listener, pool: pool, handlers: handlers, log: log}, nil
 }
 
 // Address returns the address that the server listens on.
-func (s *JobServer) Address() string { return s.listener.Addr().String() }
+func (s *PeerServer) Address() string { return s.listener.Addr().String() }
 
 // Serve accepts sessions until Shutdown.
-func (s *JobServer) Serve() error {
+func (s *PeerServer) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -179,9 +205,9 @@
 }
 
 // Shutdown closes the listener.
-func (s *JobServer) Shutdown(context.Context) error { return s.listener.Close() }
+func (s *PeerServer) Shutdown(context.Context) error { return s.listener.Close() }
 
-func (s *JobServer) serveSession(conn net.Conn) {
+func (s *PeerServer) serveSession(conn net.Conn) {
 	session, err := yamux.Server(conn, jobSessionConfig())
 	if err != nil {
 		conn.Close()
@@ -203,45 +229,71 @@
 	}
 }
 
-func (s *JobServer) serveStream(stream *yamux.Stream) {
+func (s *PeerServer) serveStream(stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
-	var m JobQuestion
+	var m Question
 	_ = stream.SetReadDeadline(time.Now().Add(jobAnswerTimeout))
 	if err := jobUnmarshal().UnmarshalFrom(bufio.NewReader(stream), &m); err != nil {
 		s.log.WithError(err).Debug("question of a daemon could not be read")
 		return
 	}
-	q, err := decodeQuestion(&m)
+	answer, err := s.handle(&m)
 	if err != nil {
 		s.log.WithError(err).Warn("question of a daemon could not be decoded")
 		return
 	}
-	a := s.answer(context.Background(), q)
 	_ = stream.SetWriteDeadline(time.Now().Add(jobAnswerTimeout))
-	if _, err := protodelim.MarshalTo(stream, encodeAnswer(a)); err != nil {
+	if _, err := protodelim.MarshalTo(stream, answer); err != nil {
 		s.log.WithError(err).Debug("answer to a daemon could not be sent")
 	}
 }
 
-func encodeQuestion(q batch.Query) (*JobQuestion, error) {
+func (s *PeerServer) handle(m *Question) (*JobAnswer, error) {
+	if n := m.GetNotices(); n != nil {
+		s.handlers.Notices(decodeNotices(n))
+		return &JobAnswer{}, nil
+	}
+	q, err := decodeQuestion(m.GetJob())
+	if err != nil {
+		return nil, err
+	}
+	return encodeAnswer(s.handlers.Job(context.Background(), q)), nil
+}
+
+func encodeQuestion(q batch.Query) (*Question, error) {
 	m := &JobQuestion{
 		Kind: int32(q.Kind), Job: string(q.ID), After: int64(q.After), WaitMs: q.Wait.Milliseconds(), Item: string(q.Item),
 		Delegated: q.Delegated,
 	}
-	if q.Job == nil {
-		return m, nil
-	}
 	var err error
-	m.Submitted, err = json.Marshal(q.Job)
-	return m, err
+	if q.Job != nil {
+		m.Submitted, err = json.Marshal(q.Job)
+	}
+	return &Question{Kind: &Question_Job{Job: m}}, err
+}
+
+func encodeNotices(notices []backend.Notice) *Question {
+	m := &ServerNotices{}
+	for _, n := range notices {
+		m.Notices = append(m.Notices, &ServerNotice{Server: string(n.Server), Model: n.Model, Version: int64(n.Version), Loading: n.Loading})
+	}
+	return &Question{Kind: &Question_Notices{Notices: m}}
+}
+
+func decodeNotices(m *ServerNotices) []backend.Notice {
+	notices := make([]backend.Notice, 0, len(m.Notices))
+	for _, n := range m.Notices {
+		notices = append(notices, backend.Notice{Server: core.ServerID(n.Server), Model: n.Model, Version: core.Version(n.Version), Loading: n.Loading})
+	}
+	return notices
 }
 
 func decodeQuestion(m *JobQuestion) (batch.Query, error) {
 	q := batch.Query{
-		Kind: batch.QueryKind(m.Kind), ID: batch.JobID(m.Job), After: int(m.After),
-		Wait: time.Duration(m.WaitMs) * time.Millisecond, Item: batch.ItemID(m.Item), Delegated: m.Delegated,
+		Kind: batch.QueryKind(m.GetKind()), ID: batch.JobID(m.GetJob()), After: int(m.GetAfter()),
+		Wait: time.Duration(m.GetWaitMs()) * time.Millisecond, Item: batch.ItemID(m.GetItem()), Delegated: m.GetDelegated(),
 	}
-	if len(m.Submitted) == 0 {
+	if len(m.GetSubmitted()) == 0 {
 		return q, nil
 	}
 	q.Job = &batch.Job{}
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -46,8 +46,9 @@
 	dispatch  *backend.Dispatch
 	directory *backend.Directory
 	keeper    *batch.Keeper
-	peers     *daemonrpc.JobPeers
+	peers     *daemonrpc.PeerClient
 	roster    *roster
+	notices   *notices
 	orders    *orderParts
 	callers   *transport.Server
 	readiness *transport.Server
@@ -60,9 +61,9 @@
 		return nil, err
 	}
 	d := &frontDaemon{base: b, routes: &caller.RouteTable{}, roster: &roster{}}
-	d.peers = daemonrpc.NewJobPeers(d.roster.others)
+	d.peers = daemonrpc.NewPeerClient(d.roster.others)
 	for _, step := range []func() error{
-		d.buildStore, d.buildRoster, d.buildBackend, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
+		d.buildStore, d.buildRoster, d.buildBackend, d.buildNotices, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
 	} {
 		if err := step(); err != nil {
 			return nil, err
@@ -98,12 +99,25 @@
 	}
 	d.dispatch = backend.NewDispatch(d.clock, d.random(), adapter.NewExchanger(), exchanges)
 	d.dispatch.SetDataCentre(d.set.DataCentre)
+	d.dispatch.SetOnAttemptEnd(d.logAttempt)
 	d.directory = backend.NewDirectory(d.clock, d.log, d.setServers)
 	d.loops = append(d.loops, d.dispatch.Loop(), d.directory.Loop())
 	d.follow(adapter.KindServers, platform.WatcherOptions{Pace: serverPace, OnStore: d.storeAnswered}, d.handleServers)
 	return nil
 }
 
+// logAttempt logs an attempt that failed, on the dispatch duty's goroutine.
+func (d *frontDaemon) logAttempt(e backend.AttemptEnd) {
+	if e.Err == nil {
+		return
+	}
+	r := e.Attempt.Call.Request
+	d.log.WithError(e.Err).WithFields(logrus.Fields{
+		"request": r.Forward.ID, "attempt": e.Attempt.Number, "service": r.Service, "model": r.Model,
+		"backend_server": e.Attempt.Server, "verdict": e.Verdict, "events": len(e.Tokens), "ms": e.Duration.Milliseconds(),
+	}).Info("attempt failed")
+}
+
 // storeAnswered runs on the watch's goroutine.
 func (d *frontDaemon) storeAnswered(err error) {
 	d.directory.SetStore(err == nil || errors.Is(err, platform.ErrCompacted))
@@ -186,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := daemonrpc.ListenJobs(d.set.PeerAddress, pool, d.log, desk.Relayed)
+	jobs, err := daemonrpc.ListenPeers(d.set.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{Job: desk.Relayed, Notices: d.directory.Note})
 	if err != nil {
 		return err
 	}
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -56,7 +56,8 @@
 	}
 	o.rollout = weights.NewRollout(clock, d.log, adapter.NewOrders(d.set.Host, clock), o.named, pool, limits)
 	o.lessor = platform.NewLessor(clock, d.store, d.runName(), d.random())
-	o.versions = d.follow(adapter.KindVersions, platform.WatcherOptions{Inactive: true}, func(s platform.Snapshot) { d.handleVersions(o.named, s) })
+	o.rollout.SetOnWorker(d.notices.add)
+	o.versions = d.follow(adapter.KindVersions, platform.WatcherOptions{Inactive: true}, func(s platform.Snapshot) { d.handleVersions(o, s) })
 	d.loops = append(d.loops, o.rollout.Loop(), o.lessor.Loop())
 	o.lessor.Acquire(ordersLease, platform.LeaseOptions{Duration: ordersLeaseTime, Listener: func(e platform.LeaseEvent) { d.handleLease(o, e) }})
 	d.orders = o
@@ -88,7 +89,7 @@
 	o.lessor.Release(ordersLease)
 }
 
-func (d *frontDaemon) handleVersions(named *namedVersions, s platform.Snapshot) {
+func (d *frontDaemon) handleVersions(o *orderParts, s platform.Snapshot) {
 	for _, object := range s.Objects {
 		if object.Deleted {
 			continue
@@ -99,7 +100,8 @@
 			continue
 		}
 		d.log.WithFields(logrus.Fields{"model": v.Model, "version": v.Version}).Info("version named")
-		named.set(v)
+		o.named.set(v)
+		o.rollout.SetLatest(v.Model, v.Version)
 	}
 }
 
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -96,6 +96,7 @@
 	holding    Holding
 	heldSince  time.Time // first moment of the holding's fencing number
 	listeners  []func(model string, v core.Version)
+	onWorker   func(WorkerNotice)
 
 	failures uint64
 	repairs  uint64
@@ -129,6 +130,30 @@
 	return r
 }
 
+// WorkerNotice says that a load has started or ended.
+type WorkerNotice struct {
+	Worker  core.ServerID
+	Model   string
+	Version core.Version // that the worker holds; 0 if it is not known
+	Loading bool
+}
+
+// SetOnWorker sets a function that is told when a load starts and ends. It must
+// not wait, and it is set before the duty starts.
+func (r *Rollout) SetOnWorker(f func(WorkerNotice)) { r.onWorker = f }
+
+// SetLatest takes the newest version of a model as soon as it is known, ahead
+// of the next question to the weight store.
+func (r *Rollout) SetLatest(model string, v core.Version) {
+	r.latest.TryPut(latestResult{model: model, version: v})
+}
+
+func (r *Rollout) notify(n WorkerNotice) {
+	if r.onWorker != nil {
+		r.onWorker(n)
+	}
+}
+
 // Loop returns the duty's loop.
 func (r *Rollout) Loop() *duty.Loop { return r.loop }
 
@@ -305,6 +330,7 @@
 	}
 	w.State = StateLoading
 	r.inProgress[o.Worker] = o
+	r.notify(WorkerNotice{Worker: o.Worker, Model: worker.Model, Loading: true})
 }
 
 // carryOut runs on the pool. It checks the lease again right before the order
@@ -328,6 +354,7 @@
 		r.log.WithError(e.err).WithField("backend_server", e.order.Worker).Warn("order to load a version failed")
 	}
 	if w := r.workers[e.order.Worker]; w != nil {
+		r.notify(WorkerNotice{Worker: e.order.Worker, Model: w.Model, Version: e.held})
 		w.State = StateUnknown
 		w.loadEnded = r.loop.Clock().Now()
 		if e.held.Known() {
