Load engines that are too old first, pause after failed orders, follow the versions at a takeover

Cause: an engine that was gone or unreachable kept its order and blocked the others for up to 10 s; a new holder of the lease assigned engines anew; engines two versions behind waited for their turn one at a time. Change: Limits.UsefulLag and StoreShare, pauses after failed orders, SetEngines forgets at once, the assignment follows how far each engine is behind.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -124,6 +124,7 @@
 			note.loadingUntil = now.Add(loadingTime)
 		}
 		d.notes[key] = note
+		d.log.WithFields(logrus.Fields{"backend_server": n.Server, "model": n.Model, "version": note.version, "loading": n.Loading}).Info("engine noticed")
 	}
 	d.publish()
 }
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -24,6 +24,9 @@
 	ordersLeaseTime = 3 * time.Second
 	// orderWorkers bounds the orders in progress.
 	orderWorkers = 64
+	// loadShare is the share of the engines that loads at once. The weight store
+	// slows down beyond about a quarter of the engines.
+	loadShare = 0.25
 	// takeoverMargin is added to the time that must lie between the orders of
 	// two holders.
 	takeoverMargin = 400 * time.Millisecond
@@ -41,6 +44,7 @@
 	named    *namedVersions
 	assigner *weights.Assigner // used on the directory's goroutine
 	stopping atomic.Bool
+	held     atomic.Bool
 }
 
 func (d *frontDaemon) buildOrders() error {
@@ -51,7 +55,8 @@
 	clock := duty.NewBootClock()
 	o := &orderParts{named: &namedVersions{}, assigner: weights.NewAssigner()}
 	limits := weights.Limits{
-		StoreFetches: orderWorkers, MinReady: weights.DefaultLimits().MinReady,
+		StoreShare: loadShare, MinReady: weights.DefaultLimits().MinReady,
+		UsefulLag:    1,
 		TakeoverWait: max(0, d.set.Bounds.LeaseTurn-platform.LapseGap(ordersLeaseTime)) + takeoverMargin,
 	}
 	o.rollout = weights.NewRollout(clock, d.log, adapter.NewOrders(d.set.Host, clock), o.named, pool, limits)
@@ -77,6 +82,7 @@
 	}
 	if e.Kind != platform.LeaseRenewed {
 		d.log.WithFields(logrus.Fields{"lease": e.Holding.Name, "event": e.Kind.String(), "fence": e.Holding.Fence, "holder": e.Holder}).Info("lease changed")
+		o.held.Store(e.Kind == platform.LeaseGained)
 		o.versions.SetActive(e.Kind == platform.LeaseGained)
 	}
 }
@@ -111,6 +117,10 @@
 	if routes == nil {
 		return
 	}
+	if !o.held.Load() {
+		// The assignment of another holder shows in the versions alone.
+		o.assigner = weights.NewAssigner()
+	}
 	now := time.Now()
 	var reports []weights.Report
 	for name, service := range routes.Services {
@@ -126,7 +136,7 @@
 			}})
 		}
 	}
-	o.rollout.SetReports(reports)
+	o.rollout.SetEngines(reports)
 }
 
 func enginesOf(servers []backend.Server, service string) []weights.Engine {
--- a/internal/weights/assign.go
+++ b/internal/weights/assign.go
@@ -41,12 +41,13 @@
 		}
 		return strings.Compare(string(x.ID), string(y.ID))
 	})
+	newest := newestVersions(engines)
 	s := newSplit(models)
 	var free []Engine
 	for _, e := range engines {
 		model := a.models[e.ID]
 		if !slices.Contains(models, model) {
-			model = newestModel(e, models)
+			model = freshestModel(e, models, newest)
 		}
 		if model == "" || !s.hasRoom(model, len(engines)) {
 			free = append(free, e)
@@ -63,20 +64,29 @@
 	return s.assigned
 }
 
-// newestModel returns the model of which the engine holds a newer version than
-// of all others, or "".
-func newestModel(e Engine, models []string) string {
-	best, highest, tie := "", core.Version(0), false
-	for _, m := range models {
-		switch v := e.Versions[m]; {
-		case v > highest:
-			best, highest, tie = m, v, false
-		case v == highest:
-			tie = true
+// newestVersions returns the newest version of each model that an engine holds.
+func newestVersions(engines []Engine) map[string]core.Version {
+	newest := map[string]core.Version{}
+	for _, e := range engines {
+		for m, v := range e.Versions {
+			newest[m] = max(newest[m], v)
 		}
 	}
-	if tie {
-		return ""
+	return newest
+}
+
+// freshestModel returns the model with which the engine is the least behind
+// the newest version, or "" when there are several.
+func freshestModel(e Engine, models []string, newest map[string]core.Version) string {
+	best, least := "", core.Version(-1)
+	for _, m := range models {
+		lag := newest[m] - e.Versions[m]
+		switch {
+		case least < 0 || lag < least:
+			best, least = m, lag
+		case lag == least:
+			best = ""
+		}
 	}
 	return best
 }
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -40,6 +40,29 @@
 	// TakeoverWait is the time from a new owner's first moment until it orders
 	// engines that do not check fencing numbers; 0 is MaxOrderTime.
 	TakeoverWait time.Duration
+	// StoreShare, if set, is the share of all workers that may load from the
+	// weight store at once, in place of StoreFetches; two always may.
+	StoreShare float64
+	// UsefulLag, if set, is how many versions behind the target a worker still
+	// serves new work. The load of one further behind costs nothing.
+	UsefulLag core.Version
+}
+
+// minStoreFetches is the least number of loads that StoreShare allows.
+const minStoreFetches = 2
+
+// fetches returns the loads from the weight store that may run at once.
+func (l Limits) fetches(workers int) int {
+	if l.StoreShare > 0 {
+		return max(minStoreFetches, int(l.StoreShare*float64(workers)))
+	}
+	return l.StoreFetches
+}
+
+// isUseful reports whether a worker that serves its version may get new work
+// once the target is asked for.
+func (l Limits) isUseful(w Worker, target core.Version) bool {
+	return w.State == StateReady && (l.UsefulLag == 0 || w.Version+l.UsefulLag >= target)
 }
 
 // DefaultLimits leaves three quarters of the workers ready. With a load time of
@@ -70,12 +93,12 @@
 	bySource := countLoads(inProgress)
 	sources := freeSources(workers, bySource, target, l.CopiesPerSource)
 	storeFree := l.StoreFetches - bySource[""]
-	down := unavailable(workers)
+	down := unavailable(workers, target, l)
 	allowed := allowedDown(len(workers), l.MinReady)
 
 	var orders []Order
 	for _, w := range behind(workers, target) {
-		takesDown := w.State == StateReady
+		takesDown := l.isUseful(w, target)
 		if takesDown && down >= allowed {
 			continue
 		}
@@ -119,10 +142,12 @@
 	return free
 }
 
-func unavailable(workers []Worker) int {
+// unavailable counts the workers that load or whose version is not known. With
+// a useful lag, those that have nothing to serve are not missed.
+func unavailable(workers []Worker, target core.Version, l Limits) int {
 	n := 0
 	for _, w := range workers {
-		if w.State != StateReady {
+		if w.State != StateReady && (l.UsefulLag == 0 || w.Version+l.UsefulLag >= target) {
 			n++
 		}
 	}
--- a/internal/weights/plan_test.go
+++ b/internal/weights/plan_test.go
@@ -68,7 +68,7 @@
 }
 
 func checkLimits(workers []Worker, inProgress []Order, byID map[core.ServerID]*Worker, target core.Version, l Limits) error {
-	if down, allowed := unavailable(workers), allowedDown(len(workers), l.MinReady); down > allowed {
+	if down, allowed := unavailable(workers, target, l), allowedDown(len(workers), l.MinReady); down > allowed {
 		return fmt.Errorf("%d workers are down, allowed %d", down, allowed)
 	}
 	for source, n := range countLoads(inProgress) {
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -25,6 +25,10 @@
 	// staleAfter is how long a worker may go without a report before its
 	// version counts as unknown.
 	staleAfter = 10 * time.Second
+	// firstOrderPause and maxOrderPause bound the pause after failed orders to
+	// a worker, which doubles with each. Meanwhile the other workers go first.
+	firstOrderPause = time.Second
+	maxOrderPause   = 8 * time.Second
 )
 
 // Orderer gives orders to engines. Its methods block.
@@ -72,6 +76,15 @@
 	// loadEnded is when the last order to the worker ended. A report from
 	// before that says nothing about what the worker holds now.
 	loadEnded time.Time
+	failures  int       // orders that failed in a row
+	notUntil  time.Time // of the next order, after a failure
+}
+
+// reportList is what the engines say of themselves. A complete list names all
+// engines there are.
+type reportList struct {
+	reports  []Report
+	complete bool
 }
 
 // Rollout is the duty that brings new versions to the workers of a data centre.
@@ -84,7 +97,7 @@
 	pool    *duty.Pool
 	limits  Limits
 
-	reports  *ring.Ring[[]Report]
+	reports  *ring.Ring[reportList]
 	holdings *ring.Ring[Holding]
 	ends     *ring.Ring[orderEnd]
 	latest   *ring.Ring[latestResult]
@@ -112,7 +125,7 @@
 		store:      s,
 		pool:       pool,
 		limits:     l,
-		reports:    ring.New[[]Report]("weights.reports", 16),
+		reports:    ring.New[reportList]("weights.reports", 16),
 		holdings:   ring.New[Holding]("weights.holdings", 16),
 		ends:       ring.New[orderEnd]("weights.ends", ringCapacity),
 		latest:     ring.New[latestResult]("weights.latest", ringCapacity),
@@ -158,7 +171,13 @@
 func (r *Rollout) Loop() *duty.Loop { return r.loop }
 
 // SetReports takes what the engines of the data centre say of themselves.
-func (r *Rollout) SetReports(reports []Report) { r.reports.PutLatest(reports) }
+func (r *Rollout) SetReports(reports []Report) { r.reports.PutLatest(reportList{reports: reports}) }
+
+// SetEngines takes what all engines that there are say of themselves. Others
+// are forgotten at once.
+func (r *Rollout) SetEngines(reports []Report) {
+	r.reports.PutLatest(reportList{reports: reports, complete: true})
+}
 
 // SetHolding takes the lease of this daemon; the zero Holding says that it has none.
 func (r *Rollout) SetHolding(h Holding) { r.holdings.PutLatest(h) }
@@ -173,8 +192,11 @@
 
 // handleReports takes over what the engines hold. A worker is ready again only
 // by a report from after its last order ended.
-func (r *Rollout) handleReports(reports []Report) {
-	for _, report := range reports {
+func (r *Rollout) handleReports(list reportList) {
+	if list.complete {
+		r.dropUnlisted(list.reports)
+	}
+	for _, report := range list.reports {
 		w := r.workers[report.Worker.ID]
 		if w == nil {
 			w = &workerState{}
@@ -221,6 +243,20 @@
 	}
 }
 
+// dropUnlisted forgets workers that are gone. An order in progress to one ends
+// by itself.
+func (r *Rollout) dropUnlisted(reports []Report) {
+	listed := make(map[core.ServerID]bool, len(reports))
+	for _, report := range reports {
+		listed[report.Worker.ID] = true
+	}
+	for id := range r.workers {
+		if !listed[id] {
+			delete(r.workers, id)
+		}
+	}
+}
+
 func (r *Rollout) models() []string {
 	seen := map[string]bool{}
 	var models []string
@@ -268,7 +304,13 @@
 		return
 	}
 	for model, target := range r.targets {
-		for _, o := range Plan(r.workersOf(model), r.ordersOf(model), target, r.limits) {
+		orders := r.ordersOf(model)
+		limits := r.limits
+		limits.StoreFetches = limits.fetches(len(r.workers))
+		if limits.StoreShare > 0 {
+			limits.StoreFetches -= len(r.inProgress) - len(orders)
+		}
+		for _, o := range Plan(r.workersOf(model), orders, target, limits) {
 			r.start(o)
 		}
 	}
@@ -276,9 +318,10 @@
 
 // workersOf returns the model's workers that may be ordered now.
 func (r *Rollout) workersOf(model string) []Worker {
+	now := r.loop.Clock().Now()
 	var list []Worker
 	for _, w := range r.workers {
-		if w.Model != model || !r.mayOrder(w) {
+		if w.Model != model || !r.mayOrder(w) || now.Before(w.notUntil) {
 			continue
 		}
 		worker := w.Worker
@@ -357,9 +400,20 @@
 		r.notify(WorkerNotice{Worker: e.order.Worker, Model: w.Model, Version: e.held})
 		w.State = StateUnknown
 		w.loadEnded = r.loop.Clock().Now()
+		w.orderEnded(e.err, w.loadEnded)
 		if e.held.Known() {
 			w.State, w.Version, w.reported = StateReady, e.held, w.loadEnded
 		}
 	}
 	r.order()
 }
+
+// orderEnded sets the pause after a failed order.
+func (w *workerState) orderEnded(err error, now time.Time) {
+	if err == nil {
+		w.failures, w.notUntil = 0, time.Time{}
+		return
+	}
+	w.notUntil = now.Add(min(maxOrderPause, firstOrderPause<<min(w.failures, 8)))
+	w.failures++
+}
--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -203,7 +203,7 @@
 	b := newBench(t, 4, false)
 	b.hold(5)
 	b.until("version 2 on every worker", b.allAt(2))
-	b.until("all ready", func() bool { return unavailable(b.rollout.workersOf("wear")) == 0 })
+	b.until("all ready", func() bool { return unavailable(b.rollout.workersOf("wear"), 2, b.rollout.limits) == 0 })
 	b.engines.mu.Lock()
 	b.engines.workers["w001"].Version = 1
 	b.engines.mu.Unlock()
