--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -83,6 +83,7 @@
 			e.items[item.ID] = &itemRun{item: item}
 		}
 	}
+	e.order = launchOrder(e.job.Items)
 	e.unlisted = len(e.items)
 	e.cutOff = false
 	k.adoptHandover(e)
@@ -90,6 +91,18 @@
 	k.launchWaiting(e)
 }
 
+// launchOrder puts the items first that are expected to take longest, since a
+// step waits for the last item of its groups.
+func launchOrder(items []Item) []ItemID {
+	sorted := slices.Clone(items)
+	slices.SortStableFunc(sorted, func(a, b Item) int { return b.LengthHint - a.LengthHint })
+	order := make([]ItemID, 0, len(sorted))
+	for i := range sorted {
+		order = append(order, sorted[i].ID)
+	}
+	return order
+}
+
 // adoptHandover lists the results that the former owner could not list.
 func (k *Keeper) adoptHandover(e *entry) {
 	for _, result := range e.handover {
@@ -106,8 +119,8 @@
 	rules, ok := k.routes.JobRules(e.job.Host, e.job.Target)
 	now := k.now()
 	expired := ok && rules.GiveUpAfter > 0 && now.After(e.job.AcceptedAt.Add(rules.GiveUpAfter))
-	for i := range e.job.Items {
-		r := e.items[e.job.Items[i].ID]
+	for _, id := range e.order {
+		r := e.items[id]
 		if r == nil || r.finished {
 			continue
 		}
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -95,6 +95,7 @@
 	checking     bool       // the state is being read
 
 	items    map[ItemID]*itemRun
+	order    []ItemID // in which items are launched
 	listed   []Result
 	parts    int // objects of results
 	pending  []Result
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -36,8 +36,10 @@
 	Body      []byte        `json:"body"`
 	Model     string        `json:"model"`
 	MaxTokens int           `json:"maxTokens"` // of the output
-	Group     string        `json:"group"`
-	Reward    *Reward       `json:"reward,omitempty"`
+	// LengthHint is the caller's guess of the output tokens; 0 is none.
+	LengthHint int     `json:"lengthHint,omitempty"`
+	Group      string  `json:"group"`
+	Reward     *Reward `json:"reward,omitempty"`
 }
 
 // Job is a batch job as it was accepted. It does not change.
