Log through a ring of its own, and serve metrics with latency summaries

Cause: log lines were written by those who log, and the platform roles had no metrics. Change: settings.LogRing drops and counts lines without room; /metrics on the readiness address with counters and quantiles.

--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -14,6 +14,7 @@
 	"github.com/berylfall/berylfall/internal/daemon/daemonrpc"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/settings"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
 	"github.com/berylfall/berylfall/internal/transport"
 	adapter "github.com/berylfall/berylfall/platform"
@@ -52,6 +53,7 @@
 	orders    *orderParts
 	callers   *transport.Server
 	readiness *transport.Server
+	metrics   *settings.Metrics
 	stopping  atomic.Bool
 }
 
@@ -62,6 +64,7 @@
 	}
 	d := &frontDaemon{base: b, routes: &caller.RouteTable{}, roster: &roster{}}
 	d.peers = daemonrpc.NewPeerClient(d.roster.others)
+	d.metrics = settings.NewMetrics(func() []*duty.Loop { return d.runner.Loops() })
 	for _, step := range []func() error{
 		d.buildStore, d.buildRoster, d.buildBackend, d.buildNotices, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
 	} {
@@ -106,18 +109,6 @@
 	return nil
 }
 
-// logAttempt logs an attempt that failed, on the dispatch duty's goroutine.
-func (d *frontDaemon) logAttempt(e backend.AttemptEnd) {
-	if e.Err == nil {
-		return
-	}
-	r := e.Attempt.Call.Request
-	d.log.WithError(e.Err).WithFields(logrus.Fields{
-		"request": r.Forward.ID, "attempt": e.Attempt.Number, "service": r.Service, "model": r.Model,
-		"backend_server": e.Attempt.Server, "verdict": e.Verdict, "events": len(e.Tokens), "ms": e.Duration.Milliseconds(),
-	}).Info("attempt failed")
-}
-
 // storeAnswered runs on the watch's goroutine.
 func (d *frontDaemon) storeAnswered(err error) {
 	d.directory.SetStore(err == nil || errors.Is(err, platform.ErrCompacted))
@@ -186,7 +177,7 @@
 
 func (d *frontDaemon) buildListeners() error {
 	desk := batch.NewDesk(d.keeper, d.peers, d.log)
-	front := &adapter.Front{Routes: d.routes, Calls: d.dispatch, Jobs: desk, Log: d.log, Ready: d.isReady}
+	front := &adapter.Front{Routes: d.routes, Calls: d.dispatch, Jobs: desk, Log: d.log, Ready: d.isReady, OnEnd: d.countRequest, Metrics: d.writeMetrics}
 	var err error
 	if d.callers, err = transport.Listen(d.set.Callers, transport.ServerOptions{MaxBody: maxBody}); err != nil {
 		return err
--- a/internal/server/hosted/main.go
+++ b/internal/server/hosted/main.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/settings"
 	"github.com/berylfall/berylfall/internal/transport"
 	"github.com/berylfall/berylfall/platform"
 )
@@ -37,7 +38,19 @@
 		debug.SetMemoryLimit(int64(heapShare * float64(set.Memory)))
 	}
 	debug.SetGCPercent(collectorPercent)
-	log := o.newLogger()
+	runner, err := duty.NewRunner(dutyCapacity)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "berylfalld:", err)
+		return exitFailure
+	}
+	lines := settings.NewLogRing(duty.SystemClock{}, os.Stdout)
+	if err := runner.Start(lines.Loop()); err != nil {
+		fmt.Fprintln(os.Stderr, "berylfalld:", err)
+		return exitFailure
+	}
+	// The log ends last, with the lines of all other duties.
+	defer runner.Stop(context.Background())
+	log := o.newLogger(lines)
 	transport.UseLogger(log)
 	entry := log.WithFields(logrus.Fields{"host": set.Host, "data_centre": set.DataCentre})
 	if err := run(o, set, entry); err != nil {
--- /dev/null
+++ b/internal/server/hosted/observe.go
@@ -0,0 +1,49 @@
+package hosted
+
+import (
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/settings"
+)
+
+// logAttempt counts an attempt and logs it when it has failed. It runs on the
+// dispatch duty's goroutine.
+func (d *frontDaemon) logAttempt(e backend.AttemptEnd) {
+	r := e.Attempt.Call.Request
+	service := settings.Label{Name: "service", Value: r.Service}
+	d.metrics.Observe("attempt_seconds", e.Duration, service)
+	d.metrics.Count("attempts_total", service, settings.Label{Name: "verdict", Value: e.Verdict.String()})
+	if e.Err == nil {
+		return
+	}
+	d.metrics.Count("attempt_failures_total", service, settings.Label{Name: "code", Value: string(e.Err.Code)})
+	d.log.WithError(e.Err).WithFields(logrus.Fields{
+		"request": r.Forward.ID, "attempt": e.Attempt.Number, "service": r.Service, "model": r.Model,
+		"backend_server": e.Attempt.Server, "verdict": e.Verdict, "events": len(e.Tokens), "ms": e.Duration.Milliseconds(),
+	}).Info("attempt failed")
+}
+
+// countRequest counts a request that has ended, on its handler's goroutine.
+func (d *frontDaemon) countRequest(route string, status int, verdict core.Verdict, took time.Duration) {
+	byRoute := settings.Label{Name: "route", Value: route}
+	d.metrics.Observe("request_seconds", took, byRoute)
+	d.metrics.Count("requests_total", byRoute,
+		settings.Label{Name: "status", Value: strconv.Itoa(status)}, settings.Label{Name: "verdict", Value: verdict.String()})
+}
+
+func (d *frontDaemon) writeMetrics(out io.Writer) error {
+	s := d.store.Stats()
+	for name, value := range map[string]int64{
+		"store_calls_total": s.Calls, "store_refused_total": s.Refused, "store_failed_total": s.Failed,
+		"store_lost_answers_total": s.Lost, "store_unknown_total": s.Unknown, "store_waiting": s.Waiting,
+	} {
+		d.metrics.Set(name, float64(value))
+	}
+	return d.metrics.WriteText(out)
+}
--- a/internal/server/hosted/options.go
+++ b/internal/server/hosted/options.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -50,10 +51,10 @@
 	return o, nil
 }
 
-// newLogger writes JSON lines to standard output.
-func (o *options) newLogger() *logrus.Logger {
+// newLogger writes JSON lines to out.
+func (o *options) newLogger(out io.Writer) *logrus.Logger {
 	log := logrus.New()
-	log.SetOutput(os.Stdout)
+	log.SetOutput(out)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	if level, err := logrus.ParseLevel(o.LogLevel); err == nil {
 		log.SetLevel(level)
--- /dev/null
+++ b/internal/settings/logring_test.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/berylfall/berylfall/internal/duty"
+)
+
+// Guards against lines that are lost or reordered while there is room, and
+// against a writer that waits for a slow output.
+func TestLogRingKeepsOrderAndCountsDrops(t *testing.T) {
+	clock := duty.NewManualClock(time.Unix(0, 0))
+	var out bytes.Buffer
+	l := NewLogRing(clock, &out)
+	const lines = logRing + 100
+	for i := range lines {
+		if n, err := fmt.Fprintf(l, "line %d\n", i); err != nil || n == 0 {
+			t.Fatalf("write returned %d, %v", n, err)
+		}
+	}
+	l.loop.Step()
+	clock.Advance(logReport)
+	l.loop.Step()
+	got := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(got) != logRing+1 || got[0] != "line 0" || got[logRing-1] != fmt.Sprintf("line %d", logRing-1) {
+		t.Fatalf("%d lines, first %q", len(got), got[0])
+	}
+	if want := `"lines":100`; !strings.Contains(got[logRing], want) {
+		t.Errorf("report %q lacks %s", got[logRing], want)
+	}
+}
--- a/internal/settings/metrics.go
+++ b/internal/settings/metrics.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"sort"
 	"strings"
+	"time"
 
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
@@ -44,6 +45,23 @@
 	metrics.GetOrRegisterGaugeFloat64(key(name, labels), m.registry).Update(value)
 }
 
+// Samples that a histogram keeps, weighted towards the last five minutes.
+const (
+	histogramSamples = 1028
+	histogramAlpha   = 0.015
+)
+
+// quantiles that a histogram is written with.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Observe adds a value to a histogram.
+func (m *Metrics) Observe(name string, value time.Duration, labels ...Label) {
+	h := m.registry.GetOrRegister(key(name, labels), func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSamples, histogramAlpha))
+	})
+	h.(metrics.Histogram).Update(value.Microseconds())
+}
+
 // The registry knows names only, so labels are part of the name, separated by
 // characters that no label value may hold.
 const (
@@ -103,9 +121,23 @@
 	return nil
 }
 
+// summaryOf converts a histogram of microseconds to seconds.
+func summaryOf(h metrics.Histogram) *dto.Summary {
+	count, sum := uint64(h.Count()), float64(h.Sum())/1e6
+	s := &dto.Summary{SampleCount: &count, SampleSum: &sum}
+	for i, value := range h.Percentiles(quantiles) {
+		seconds := value / 1e6
+		s.Quantile = append(s.Quantile, &dto.Quantile{Quantile: &quantiles[i], Value: &seconds})
+	}
+	return s
+}
+
 func addMetric(families map[string]*dto.MetricFamily, name string, metric any) {
 	var value float64
+	var summary *dto.Summary
 	switch v := metric.(type) {
+	case metrics.Histogram:
+		summary = summaryOf(v.Snapshot())
 	case metrics.Counter:
 		value = float64(v.Count())
 	case metrics.GaugeFloat64:
@@ -120,7 +152,10 @@
 		sample.Label = append(sample.Label, &dto.LabelPair{Name: &label, Value: &text})
 	}
 	kind := dto.MetricType_GAUGE
-	if strings.HasSuffix(parts[0], "_total") {
+	if summary != nil {
+		kind = dto.MetricType_SUMMARY
+		sample.Summary = summary
+	} else if strings.HasSuffix(parts[0], "_total") {
 		kind = dto.MetricType_COUNTER
 		sample.Counter = &dto.Counter{Value: &value}
 	} else {
