Order engines in two groups under leases of their own

Change: two groups of engines by a hash of their id, each with a lease of 2 s; candidates by rendezvous rank, of which two follow the lease closely.

--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -80,6 +80,9 @@
 	Duration time.Duration // 0 takes DefaultLeaseDuration; less than MinLeaseDuration is raised to it
 	// Listener is called on the lessor's goroutine and must not wait.
 	Listener func(LeaseEvent)
+	// PollEvery returns how often a contender reads the lease; nil is a third of
+	// the duration. It is called on the lessor's goroutine.
+	PollEvery func() time.Duration
 }
 
 // leaseRecord is the value of a lease object.
@@ -112,6 +115,7 @@
 	name     string
 	duration time.Duration
 	listener func(LeaseEvent)
+	poll     func() time.Duration
 	wanted   bool // acquire it; otherwise only observe
 	leaving  bool // release it, then forget it
 
@@ -147,6 +151,14 @@
 	return s.seenAt.Add(duration + duration/driftDivisor)
 }
 
+// pollPeriod is how often a contender reads the lease.
+func (s *leaseState) pollPeriod() time.Duration {
+	if s.poll != nil {
+		return s.poll()
+	}
+	return s.duration / pollDivisor
+}
+
 // LapseGap is the least time between the last use of a lease that lapses and
 // its next holder.
 func LapseGap(duration time.Duration) time.Duration {
--- a/internal/platform/lessor.go
+++ b/internal/platform/lessor.go
@@ -200,7 +200,7 @@
 	if r.options.Duration <= 0 {
 		s.duration = DefaultLeaseDuration
 	}
-	s.listener = r.options.Listener
+	s.listener, s.poll = r.options.Listener, r.options.PollEvery
 	s.wanted = r.kind == requestAcquire
 	s.leaving = false
 	l.step(s)
@@ -265,7 +265,7 @@
 }
 
 func (l *Lessor) readOrClaim(s *leaseState, now time.Time) {
-	pollAt := s.readAt.Add(s.duration / pollDivisor)
+	pollAt := s.readAt.Add(s.pollPeriod())
 	if !s.known || !now.Before(pollAt) {
 		l.send(s, leaseDone{op: leaseRead}, Op{Kind: OpGet, Key: LeasePrefix + s.name})
 		return
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/caller"
 	"github.com/berylfall/berylfall/internal/core"
+	rendezvous "github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/weights"
@@ -18,32 +21,46 @@
 )
 
 const (
-	// ordersLease is held by the daemon that gives orders to the engines.
-	ordersLease = "orders"
-	// ordersLeaseTime is how long that daemon's death holds up new versions.
-	ordersLeaseTime = 3 * time.Second
+	// orderGroups is the number of groups of engines. Each group has its own
+	// lease, so that the loss of one daemon holds up the new versions of one
+	// group only. An engine never changes its group.
+	orderGroups = 2
+	// ordersLeaseTime is how long the death of a holder goes unnoticed.
+	ordersLeaseTime = 2 * time.Second
+	// contenders are the daemons that follow a lease closely; the others read it
+	// each idlePoll, in case all of these are lost.
+	contenders = 2
+	idlePoll   = 4 * time.Second
+	// candidateDelay lets the daemons that rank first for a lease take it first.
+	candidateDelay = time.Second
 	// orderWorkers bounds the orders in progress.
 	orderWorkers = 64
-	// loadShare is the share of the engines that loads at once. The weight store
-	// slows down beyond about a quarter of the engines.
+	// loadShare is the share of a group's engines that loads at once. The weight
+	// store slows down beyond about a quarter of the engines.
 	loadShare = 0.25
 	// takeoverMargin is added to the time that must lie between the orders of
 	// two holders.
-	takeoverMargin = 400 * time.Millisecond
+	takeoverMargin = 300 * time.Millisecond
 )
 
-// releaseWait lies between the last order and the release of the lease, so that
-// a release leaves as much time as a lapse.
+// releaseWait lies between the last order and the release of a lease, so that a
+// release leaves as much time as a lapse.
 var releaseWait = platform.LapseGap(ordersLeaseTime)
 
 // orderParts bring named versions to the engines.
 type orderParts struct {
 	lessor   *platform.Lessor
-	rollout  *weights.Rollout
+	groups   [orderGroups]*orderGroup
 	versions *platform.Watcher
 	named    *namedVersions
-	assigner *weights.Assigner // used on the directory's goroutine
 	stopping atomic.Bool
+}
+
+// orderGroup orders the engines of one group while this daemon holds its lease.
+type orderGroup struct {
+	lease    string
+	rollout  *weights.Rollout
+	assigner *weights.Assigner // used on the directory's goroutine
 	held     atomic.Bool
 }
 
@@ -53,46 +70,90 @@
 		return err
 	}
 	clock := duty.NewBootClock()
-	o := &orderParts{named: &namedVersions{}, assigner: weights.NewAssigner()}
+	o := &orderParts{named: &namedVersions{}, lessor: platform.NewLessor(clock, d.store, d.runName(), d.random())}
 	limits := weights.Limits{
-		StoreShare: loadShare, MinReady: weights.DefaultLimits().MinReady,
-		UsefulLag:    1,
+		StoreShare: loadShare, MinReady: weights.DefaultLimits().MinReady, UsefulLag: 1,
 		TakeoverWait: max(0, d.set.Bounds.LeaseTurn-platform.LapseGap(ordersLeaseTime)) + takeoverMargin,
 	}
-	o.rollout = weights.NewRollout(clock, d.log, adapter.NewOrders(d.set.Host, clock), o.named, pool, limits)
-	o.lessor = platform.NewLessor(clock, d.store, d.runName(), d.random())
-	o.rollout.SetOnWorker(d.notices.add)
+	orders := adapter.NewOrders(d.set.Host, clock)
+	d.loops = append(d.loops, o.lessor.Loop())
+	for i := range o.groups {
+		g := &orderGroup{lease: fmt.Sprintf("orders-%d", i), assigner: weights.NewAssigner()}
+		g.rollout = weights.NewRollout(clock, d.log, orders, o.named, pool, limits)
+		g.rollout.SetOnWorker(d.notices.add)
+		o.groups[i] = g
+		d.loops = append(d.loops, g.rollout.Loop())
+		d.compete(o, g)
+	}
 	o.versions = d.follow(adapter.KindVersions, platform.WatcherOptions{Inactive: true}, func(s platform.Snapshot) { d.handleVersions(o, s) })
-	d.loops = append(d.loops, o.rollout.Loop(), o.lessor.Loop())
-	o.lessor.Acquire(ordersLease, platform.LeaseOptions{Duration: ordersLeaseTime, Listener: func(e platform.LeaseEvent) { d.handleLease(o, e) }})
 	d.orders = o
 	return nil
 }
 
+// compete makes this daemon a candidate for the group's lease, the later the
+// lower it ranks for it.
+func (d *frontDaemon) compete(o *orderParts, g *orderGroup) {
+	options := platform.LeaseOptions{
+		Duration:  ordersLeaseTime,
+		Listener:  func(e platform.LeaseEvent) { d.handleLease(o, g, e) },
+		PollEvery: func() time.Duration { return d.pollPeriod(g) },
+	}
+	o.lessor.Loop().After(candidateDelay, func() {
+		o.lessor.Loop().After(time.Duration(d.rank(g))*candidateDelay, func() {
+			if !o.stopping.Load() && !o.lessor.Acquire(g.lease, options) {
+				d.log.WithField("lease", g.lease).Error("daemon is no candidate: the ring of the lessor is full")
+			}
+		})
+	})
+}
+
+// rank is this daemon's place among the candidates for the group's lease.
+func (d *frontDaemon) rank(g *orderGroup) int {
+	others := d.roster.others()
+	ranked := rendezvous.Rank(g.lease, append(slices.Clone(others), d.set.PeerAddress), len(others)+1)
+	return slices.Index(ranked, d.set.PeerAddress)
+}
+
+func (d *frontDaemon) pollPeriod(g *orderGroup) time.Duration {
+	if d.rank(g) < contenders {
+		return ordersLeaseTime / 3
+	}
+	return idlePoll
+}
+
 // handleLease runs on the lessor's goroutine.
-func (d *frontDaemon) handleLease(o *orderParts, e platform.LeaseEvent) {
+func (d *frontDaemon) handleLease(o *orderParts, g *orderGroup, e platform.LeaseEvent) {
 	switch e.Kind {
 	case platform.LeaseGained, platform.LeaseRenewed:
 		if o.stopping.Load() {
 			return
 		}
-		o.rollout.SetHolding(weights.Holding{Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline})
+		g.rollout.SetHolding(weights.Holding{Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline})
 	case platform.LeaseLost:
-		o.rollout.SetHolding(weights.Holding{})
+		g.rollout.SetHolding(weights.Holding{})
 	}
-	if e.Kind != platform.LeaseRenewed {
-		d.log.WithFields(logrus.Fields{"lease": e.Holding.Name, "event": e.Kind.String(), "fence": e.Holding.Fence, "holder": e.Holder}).Info("lease changed")
-		o.held.Store(e.Kind == platform.LeaseGained)
-		o.versions.SetActive(e.Kind == platform.LeaseGained)
+	if e.Kind == platform.LeaseRenewed {
+		return
 	}
+	d.log.WithFields(logrus.Fields{"lease": e.Holding.Name, "event": e.Kind.String(), "fence": e.Holding.Fence, "holder": e.Holder}).Info("lease changed")
+	g.held.Store(e.Kind == platform.LeaseGained)
+	o.versions.SetActive(o.holdsAny())
+}
+
+func (o *orderParts) holdsAny() bool {
+	return slices.ContainsFunc(o.groups[:], func(g *orderGroup) bool { return g.held.Load() })
 }
 
-// release gives the lease up at a planned stop, some time after the last order.
+// release gives the leases up at a planned stop, some time after the last order.
 func (o *orderParts) release(ctx context.Context) {
 	o.stopping.Store(true)
-	o.rollout.SetHolding(weights.Holding{})
+	for _, g := range o.groups {
+		g.rollout.SetHolding(weights.Holding{})
+	}
 	_ = duty.Sleep(ctx, releaseWait)
-	o.lessor.Release(ordersLease)
+	for _, g := range o.groups {
+		o.lessor.Release(g.lease)
+	}
 }
 
 func (d *frontDaemon) handleVersions(o *orderParts, s platform.Snapshot) {
@@ -107,42 +168,54 @@
 		}
 		d.log.WithFields(logrus.Fields{"model": v.Model, "version": v.Version}).Info("version named")
 		o.named.set(v)
-		o.rollout.SetLatest(v.Model, v.Version)
+		for _, g := range o.groups {
+			g.rollout.SetLatest(v.Model, v.Version)
+		}
 	}
 }
 
-// setServers tells the roll-out what the engines hold. It runs on the
+// setServers tells the roll-outs what the engines hold. It runs on the
 // directory's goroutine.
 func (o *orderParts) setServers(servers []backend.Server, routes *caller.RouteSet) {
 	if routes == nil {
 		return
 	}
-	if !o.held.Load() {
-		// The assignment of another holder shows in the versions alone.
-		o.assigner = weights.NewAssigner()
-	}
 	now := time.Now()
-	var reports []weights.Report
-	for name, service := range routes.Services {
-		if len(service.Models) == 0 {
-			continue
+	for i, g := range o.groups {
+		if !g.held.Load() {
+			// The assignment of another holder shows in the versions alone.
+			g.assigner = weights.NewAssigner()
 		}
-		engines := enginesOf(servers, name)
-		models := o.assigner.Assign(engines, service.Models)
-		for _, e := range engines {
-			model := models[e.ID]
-			reports = append(reports, weights.Report{At: now, Worker: weights.Worker{
-				ID: e.ID, Address: e.Address, Service: name, Model: model, Version: e.Versions[model],
-			}})
+		var reports []weights.Report
+		for name, service := range routes.Services {
+			if len(service.Models) > 0 {
+				reports = append(reports, g.reports(enginesOf(servers, name, i), service, now)...)
+			}
 		}
+		g.rollout.SetEngines(reports)
 	}
-	o.rollout.SetEngines(reports)
 }
 
-func enginesOf(servers []backend.Server, service string) []weights.Engine {
+func (g *orderGroup) reports(engines []weights.Engine, service caller.Service, now time.Time) []weights.Report {
+	reports := make([]weights.Report, 0, len(engines))
+	models := g.assigner.Assign(engines, service.Models)
+	for _, e := range engines {
+		model := models[e.ID]
+		reports = append(reports, weights.Report{At: now, Worker: weights.Worker{
+			ID: e.ID, Address: e.Address, Service: service.Name, Model: model, Version: e.Versions[model],
+		}})
+	}
+	return reports
+}
+
+// groupOf returns the group that orders the engine.
+func groupOf(id core.ServerID) int { return int(xxhash.Sum64String(string(id)) % orderGroups) }
+
+// enginesOf returns the engines of a service that belong to the group.
+func enginesOf(servers []backend.Server, service string, group int) []weights.Engine {
 	var engines []weights.Engine
 	for _, s := range servers {
-		if s.Description.Service != service || s.Leaving {
+		if s.Description.Service != service || s.Leaving || groupOf(s.ID) != group {
 			continue
 		}
 		e := weights.Engine{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Service: service, Versions: map[string]core.Version{}}
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -4,6 +4,7 @@
 package weights
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -41,20 +42,17 @@
 	// engines that do not check fencing numbers; 0 is MaxOrderTime.
 	TakeoverWait time.Duration
 	// StoreShare, if set, is the share of all workers that may load from the
-	// weight store at once, in place of StoreFetches; two always may.
+	// weight store at once, in place of StoreFetches; one always may.
 	StoreShare float64
 	// UsefulLag, if set, is how many versions behind the target a worker still
 	// serves new work. The load of one further behind costs nothing.
 	UsefulLag core.Version
 }
 
-// minStoreFetches is the least number of loads that StoreShare allows.
-const minStoreFetches = 2
-
 // fetches returns the loads from the weight store that may run at once.
 func (l Limits) fetches(workers int) int {
 	if l.StoreShare > 0 {
-		return max(minStoreFetches, int(l.StoreShare*float64(workers)))
+		return max(1, int(math.Round(l.StoreShare*float64(workers))))
 	}
 	return l.StoreFetches
 }
