Announce owners of jobs, write results by whole groups, follow leases less often

Change: owners are told to all daemons; results wait up to 0.8 s while no group is whole; leases of 3 s, polled each 1.5 s by two candidates and each 8 s by others; changes of servers collect for 0.4 of the drain time.

--- a/internal/daemon/daemonrpc/questions.go
+++ b/internal/daemon/daemonrpc/questions.go
@@ -76,13 +76,13 @@
 	return decodeAnswer(answer), nil
 }
 
-// Notify tells the daemon at the address what is known of engines.
-func (p *PeerClient) Notify(ctx context.Context, address string, notices []backend.Notice) error {
+// Notify tells the daemon at the address.
+func (p *PeerClient) Notify(ctx context.Context, address string, n Notices) error {
 	session, err := p.session(ctx, address)
 	if err != nil {
 		return err
 	}
-	_, err = p.askOn(ctx, address, session, encodeNotices(notices))
+	_, err = p.askOn(ctx, address, session, encodeNotices(n))
 	return err
 }
 
@@ -175,6 +175,13 @@
 type PeerHandlers struct {
 	Job     func(context.Context, batch.Query) batch.Answer // blocks
 	Notices func([]backend.Notice)                          // must not wait
+	Owners  func([]batch.Ownership)                         // must not wait
+}
+
+// Notices are what a daemon tells others because it knows it first.
+type Notices struct {
+	Engines []backend.Notice
+	Owners  []batch.Ownership
 }
 
 // ListenPeers opens the listener. The pool runs one worker for each session and
@@ -250,7 +257,9 @@
 
 func (s *PeerServer) handle(m *Question) (*JobAnswer, error) {
 	if n := m.GetNotices(); n != nil {
-		s.handlers.Notices(decodeNotices(n))
+		notices := decodeNotices(n)
+		s.handlers.Notices(notices.Engines)
+		s.handlers.Owners(notices.Owners)
 		return &JobAnswer{}, nil
 	}
 	q, err := decodeQuestion(m.GetJob())
@@ -272,20 +281,26 @@
 	return &Question{Kind: &Question_Job{Job: m}}, err
 }
 
-func encodeNotices(notices []backend.Notice) *Question {
-	m := &ServerNotices{}
-	for _, n := range notices {
-		m.Notices = append(m.Notices, &ServerNotice{Server: string(n.Server), Model: n.Model, Version: int64(n.Version), Loading: n.Loading})
+func encodeNotices(n Notices) *Question {
+	m := &NoticeList{}
+	for _, e := range n.Engines {
+		m.Engines = append(m.Engines, &ServerNotice{Server: string(e.Server), Model: e.Model, Version: int64(e.Version), Loading: e.Loading})
+	}
+	for _, o := range n.Owners {
+		m.Owners = append(m.Owners, &JobOwner{Job: string(o.Job), Address: o.Owner.Address, Run: o.Owner.Run})
 	}
 	return &Question{Kind: &Question_Notices{Notices: m}}
 }
 
-func decodeNotices(m *ServerNotices) []backend.Notice {
-	notices := make([]backend.Notice, 0, len(m.Notices))
-	for _, n := range m.Notices {
-		notices = append(notices, backend.Notice{Server: core.ServerID(n.Server), Model: n.Model, Version: core.Version(n.Version), Loading: n.Loading})
+func decodeNotices(m *NoticeList) Notices {
+	var n Notices
+	for _, e := range m.Engines {
+		n.Engines = append(n.Engines, backend.Notice{Server: core.ServerID(e.Server), Model: e.Model, Version: core.Version(e.Version), Loading: e.Loading})
+	}
+	for _, o := range m.Owners {
+		n.Owners = append(n.Owners, batch.Ownership{Job: batch.JobID(o.Job), Owner: batch.Owner{Address: o.Address, Run: o.Run}})
 	}
-	return notices
+	return n
 }
 
 func decodeQuestion(m *JobQuestion) (batch.Query, error) {
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -24,9 +24,11 @@
 	exchangeWorkers  = 4096
 	collectorWorkers = 4096
 	peerWorkers      = 512
-	// serverPace lets changes of servers collect; it is far below the time in
-	// which a leaving server must get no new work.
-	serverPace = 300 * time.Millisecond
+	// pacePart is the part of the time in which a leaving server must get no new
+	// work for which changes of servers may collect.
+	pacePart = 0.4
+	// rosterPace lets changes of daemons collect.
+	rosterPace = time.Second
 	// maxBody bounds the body of a request; the configuration's own limit is lower.
 	maxBody = 40 << 20
 	// storeCallTimeout is far above the time of an answer from a slow store and
@@ -105,7 +107,7 @@
 	d.dispatch.SetOnAttemptEnd(d.logAttempt)
 	d.directory = backend.NewDirectory(d.clock, d.log, d.setServers)
 	d.loops = append(d.loops, d.dispatch.Loop(), d.directory.Loop())
-	d.follow(adapter.KindServers, platform.WatcherOptions{Pace: serverPace, OnStore: d.storeAnswered}, d.handleServers)
+	d.follow(adapter.KindServers, platform.WatcherOptions{Pace: time.Duration(pacePart * float64(d.set.Bounds.Drain)), OnStore: d.storeAnswered}, d.handleServers)
 	return nil
 }
 
@@ -148,8 +150,8 @@
 	}
 	d.keeper = batch.NewKeeper(batch.Options{
 		Clock: d.clock, Log: d.log, Store: d.store, Calls: d.dispatch, Pool: collectors,
-		Routes: jobRoutes{table: d.routes},
-		Self:   batch.Owner{Address: d.set.PeerAddress, Run: d.runName()},
+		Routes: jobRoutes{table: d.routes}, OnOwner: d.notices.announce,
+		Self: batch.Owner{Address: d.set.PeerAddress, Run: d.runName()},
 	})
 	d.loops = append(d.loops, d.keeper.Loop())
 	return nil
@@ -191,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := daemonrpc.ListenPeers(d.set.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{Job: desk.Relayed, Notices: d.directory.Note})
+	jobs, err := daemonrpc.ListenPeers(d.set.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{Job: desk.Relayed, Notices: d.directory.Note, Owners: d.keeper.Learn})
 	if err != nil {
 		return err
 	}
--- a/internal/server/hosted/notices.go
+++ b/internal/server/hosted/notices.go
@@ -7,8 +7,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/daemon/daemonrpc"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/ring"
+	"github.com/berylfall/berylfall/internal/trainer/batch"
 	"github.com/berylfall/berylfall/internal/weights"
 )
 
@@ -16,22 +18,23 @@
 	noticeRing = 1024
 	// noticeDelay lets notices collect, so that one message carries several.
 	noticeDelay = 10 * time.Millisecond
-	// noticeTimeout bounds one message. An engine's own entry says the same
-	// about two seconds later.
+	// noticeTimeout bounds one message. The store says the same, later.
 	noticeTimeout = time.Second
 )
 
-// notices is the duty that tells all daemons what this one, which orders the
-// engines, knows of them.
+// notices is the duty that tells all daemons what this one knows first: the
+// engines that it orders and the jobs that it owns.
 type notices struct {
 	loop    *duty.Loop
 	log     *logrus.Entry
-	in      *ring.Ring[backend.Notice]
+	engines *ring.Ring[backend.Notice]
+	owners  *ring.Ring[batch.Ownership]
 	pool    *duty.Pool
 	local   func([]backend.Notice)
 	others  func() []string
-	send    func(ctx context.Context, address string, n []backend.Notice) error
-	pending []backend.Notice
+	send    func(ctx context.Context, address string, n daemonrpc.Notices) error
+	pending daemonrpc.Notices
+	due     bool
 }
 
 func (d *frontDaemon) buildNotices() error {
@@ -40,10 +43,13 @@
 		return err
 	}
 	n := &notices{
-		loop: duty.New("notices", d.clock), log: d.log, in: ring.New[backend.Notice]("notices.in", noticeRing),
-		pool: pool, local: d.directory.Note, others: d.roster.others, send: d.peers.Notify,
+		loop: duty.New("notices", d.clock), log: d.log,
+		engines: ring.New[backend.Notice]("notices.engines", noticeRing),
+		owners:  ring.New[batch.Ownership]("notices.owners", noticeRing),
+		pool:    pool, local: d.directory.Note, others: d.roster.others, send: d.peers.Notify,
 	}
-	duty.On(n.loop, n.in, n.handle)
+	duty.On(n.loop, n.engines, n.handleEngine)
+	duty.On(n.loop, n.owners, n.handleOwner)
 	d.notices = n
 	d.loops = append(d.loops, n.loop)
 	return nil
@@ -51,34 +57,53 @@
 
 // add takes a notice of the roll-out. It never waits.
 func (n *notices) add(w weights.WorkerNotice) {
-	if !n.in.TryPut(backend.Notice{Server: w.Worker, Model: w.Model, Version: w.Version, Loading: w.Loading}) {
+	if !n.engines.TryPut(backend.Notice{Server: w.Worker, Model: w.Model, Version: w.Version, Loading: w.Loading}) {
 		n.log.WithField("backend_server", w.Worker).Warn("notice about an engine is dropped")
 	}
 }
 
-func (n *notices) handle(notice backend.Notice) {
-	n.pending = append(n.pending, notice)
-	if len(n.pending) == 1 {
+// announce takes a job that this daemon owns now. It never waits.
+func (n *notices) announce(o batch.Ownership) {
+	if !n.owners.TryPut(o) {
+		n.log.WithField("job", o.Job).Warn("notice about a job is dropped")
+	}
+}
+
+func (n *notices) handleEngine(notice backend.Notice) {
+	n.pending.Engines = append(n.pending.Engines, notice)
+	n.flushSoon()
+}
+
+func (n *notices) handleOwner(o batch.Ownership) {
+	n.pending.Owners = append(n.pending.Owners, o)
+	n.flushSoon()
+}
+
+func (n *notices) flushSoon() {
+	if !n.due {
+		n.due = true
 		n.loop.After(noticeDelay, n.flush)
 	}
 }
 
 func (n *notices) flush() {
 	list := n.pending
-	n.pending = nil
-	n.local(list)
+	n.pending, n.due = daemonrpc.Notices{}, false
+	if len(list.Engines) > 0 {
+		n.local(list.Engines)
+	}
 	for _, address := range n.others() {
 		if !n.pool.TryGo(func() { n.tell(address, list) }) {
-			n.log.WithField("daemon", address).Warn("no worker is free to tell a daemon about engines")
+			n.log.WithField("daemon", address).Warn("no worker is free to tell a daemon")
 		}
 	}
 }
 
 // tell runs on the pool.
-func (n *notices) tell(address string, list []backend.Notice) {
+func (n *notices) tell(address string, list daemonrpc.Notices) {
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
 	if err := n.send(ctx, address, list); err != nil {
-		n.log.WithError(err).WithField("daemon", address).Debug("daemon could not be told about engines")
+		n.log.WithError(err).WithField("daemon", address).Debug("daemon could not be told")
 	}
 }
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -26,11 +26,11 @@
 	// group only. An engine never changes its group.
 	orderGroups = 2
 	// ordersLeaseTime is how long the death of a holder goes unnoticed.
-	ordersLeaseTime = 2 * time.Second
+	ordersLeaseTime = 3 * time.Second
 	// contenders are the daemons that follow a lease closely; the others read it
 	// each idlePoll, in case all of these are lost.
 	contenders = 2
-	idlePoll   = 4 * time.Second
+	idlePoll   = 8 * time.Second
 	// candidateDelay lets the daemons that rank first for a lease take it first.
 	candidateDelay = time.Second
 	// orderWorkers bounds the orders in progress.
@@ -116,7 +116,7 @@
 
 func (d *frontDaemon) pollPeriod(g *orderGroup) time.Duration {
 	if d.rank(g) < contenders {
-		return ordersLeaseTime / 3
+		return ordersLeaseTime / 2
 	}
 	return idlePoll
 }
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -71,6 +71,9 @@
 func (k *Keeper) open(e *entry) {
 	e.phase = phaseOwned
 	e.usedAt = k.now()
+	if k.onOwner != nil {
+		k.onOwner(Ownership{Job: e.id, Owner: k.self})
+	}
 	done := map[ItemID]bool{}
 	for _, r := range e.listed {
 		done[r.Item] = true
@@ -84,6 +87,10 @@
 		}
 	}
 	e.order = launchOrder(e.job.Items)
+	e.groups = map[string]int{}
+	for _, r := range e.items {
+		e.groups[r.item.Group]++
+	}
 	e.unlisted = len(e.items)
 	e.cutOff = false
 	k.adoptHandover(e)
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -31,9 +31,11 @@
 	// tickPeriod is how often waiting items, checks of ownership and forgotten
 	// jobs are looked at.
 	tickPeriod = 200 * time.Millisecond
-	// listDelay lets results collect before they are written, so that a job
-	// costs few calls of the store.
-	listDelay = 250 * time.Millisecond
+	// listDelay lets results collect before they are written once a group is
+	// whole, and slowListDelay while none is: a trainer waits for groups, and
+	// each write is a call of the store.
+	listDelay     = 250 * time.Millisecond
+	slowListDelay = 800 * time.Millisecond
 	// unreadCheck is how long an owner goes without a question about an open
 	// job before it reads in the store whether it still owns it.
 	unreadCheck = 1200 * time.Millisecond
@@ -97,13 +99,15 @@
 	items    map[ItemID]*itemRun
 	order    []ItemID // in which items are launched
 	listed   []Result
-	parts    int // objects of results
+	parts    int            // objects of results
+	groups   map[string]int // items of each group without a result
 	pending  []Result
-	handover []Result // of the former owner
-	cutOff   bool     // the last write of results did not reach the store
-	writing  int      // results in the write in progress
-	listDue  bool
-	unlisted int // items without a listed or pending result
+	wholes   int       // groups that the pending results complete
+	handover []Result  // of the former owner
+	cutOff   bool      // the last write of results did not reach the store
+	writing  int       // results in the write in progress
+	listAt   time.Time // of the next write; zero if none is planned
+	unlisted int       // items without a listed or pending result
 }
 
 // Keeper is the duty that keeps batch jobs.
@@ -115,11 +119,14 @@
 	pool   Pool
 	routes Routes
 	self   Owner
+	// onOwner is told of each job that this daemon owns now.
+	onOwner func(Ownership)
 
 	queries *duty.AskRing[Query, Answer]
 	counts  *duty.AskRing[struct{}, int]
 	results *ring.Ring[func()]
 	ends    *ring.Ring[itemEnd]
+	owners  *ring.Ring[[]Ownership]
 
 	jobs     map[JobID]*entry
 	released bool
@@ -134,6 +141,9 @@
 	Pool   Pool
 	Routes Routes
 	Self   Owner
+	// OnOwner is told of each job that the daemon becomes the owner of, on the
+	// duty's goroutine. It must not wait.
+	OnOwner func(Ownership)
 }
 
 // NewKeeper returns the duty.
@@ -146,6 +156,8 @@
 		pool:    o.Pool,
 		routes:  o.Routes,
 		self:    o.Self,
+		onOwner: o.OnOwner,
+		owners:  ring.New[[]Ownership]("jobs.owners", queryCapacity),
 		queries: duty.NewAskRing[Query, Answer]("jobs.queries", queryCapacity),
 		counts:  duty.NewAskRing[struct{}, int]("jobs.counts", queryCapacity),
 		results: ring.New[func()]("jobs.results", resultCapacity),
@@ -155,6 +167,7 @@
 	duty.On(k.loop, k.results, func(f func()) { f() })
 	duty.On(k.loop, k.ends, k.handleItemEnd)
 	duty.OnAsk(k.loop, k.queries, k.handleQuery)
+	duty.On(k.loop, k.owners, k.handleOwners)
 	duty.OnAsk(k.loop, k.counts, func(a duty.Ask[struct{}, int]) { a.Reply(k.openJobs()) })
 	k.loop.Every(tickPeriod, k.tick)
 	return k
@@ -163,6 +176,22 @@
 // Loop returns the duty's loop.
 func (k *Keeper) Loop() *duty.Loop { return k.loop }
 
+// Learn takes who owns jobs, as other daemons tell. It never waits; what is
+// dropped is read in the store when it is asked for.
+func (k *Keeper) Learn(list []Ownership) { k.owners.PutLatest(list) }
+
+func (k *Keeper) handleOwners(list []Ownership) {
+	for _, o := range list {
+		e := k.jobs[o.Job]
+		switch {
+		case e == nil && len(k.jobs) < maxJobs:
+			k.jobs[o.Job] = &entry{id: o.Job, phase: phaseElsewhere, state: state{Owner: o.Owner}, usedAt: k.now()}
+		case e != nil && e.phase == phaseElsewhere:
+			e.state.Owner = o.Owner
+		}
+	}
+}
+
 func (k *Keeper) now() time.Time { return k.loop.Clock().Now() }
 
 // Release gives all jobs up, so that other daemons go on with them. Any
--- a/internal/trainer/batch/results.go
+++ b/internal/trainer/batch/results.go
@@ -21,6 +21,10 @@
 	item.stop()
 	e.unlisted--
 	e.pending = append(e.pending, result)
+	e.groups[item.item.Group]--
+	if e.groups[item.item.Group] == 0 {
+		e.wholes++
+	}
 	k.listSoon(e)
 }
 
@@ -31,13 +35,23 @@
 		k.list(e)
 		return
 	}
-	if len(e.pending) == 0 || e.listDue {
+	if len(e.pending) == 0 {
 		return
 	}
-	e.listDue = true
-	k.loop.After(listDelay, func() {
-		e.listDue = false
-		k.list(e)
+	delay := slowListDelay
+	if e.wholes > 0 {
+		delay = listDelay
+	}
+	due := k.now().Add(delay)
+	if !e.listAt.IsZero() && !due.Before(e.listAt) {
+		return
+	}
+	e.listAt = due
+	k.loop.After(delay, func() {
+		if e.listAt.Equal(due) {
+			e.listAt = time.Time{}
+			k.list(e)
+		}
 	})
 }
 
@@ -82,6 +96,7 @@
 	case r.Err == nil:
 		e.cutOff, e.confirmedAt = false, asked
 		e.pending = append(e.pending[:0:0], e.pending[written:]...)
+		e.wholes = 0
 		e.appendPart(part)
 		k.log.WithFields(logrus.Fields{"job": e.id, "from": part.From, "results": len(part.Results), "left": e.unlisted}).Info("results listed")
 		k.wakeReaders(e)
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -62,6 +62,12 @@
 	Run     string `json:"run"`     // differs for each start of the daemon
 }
 
+// Ownership tells who owns a job.
+type Ownership struct {
+	Job   JobID
+	Owner Owner
+}
+
 // state is the part of a job that changes: who owns it and whether it has ended.
 type state struct {
 	Owner Owner `json:"owner"`
