--- a/internal/server/hosted/main.go
+++ b/internal/server/hosted/main.go
@@ -20,7 +20,7 @@
 	// stay under; stacks of the system and arrived bytes take the rest.
 	heapShare = 0.6
 	// collectorPercent trades processor time for memory.
-	collectorPercent = 50
+	collectorPercent = 20
 )
 
 // Main runs a daemon on the platform until SIGTERM and returns its exit code.
