Reclaim the leases of an earlier run on the same host

Change: LeaseOptions.IsEarlierRun, Holding.Continued; a restarted daemon takes its lease and orders at once. Tests of the lessor, the roll-out and the assignment.

--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -73,6 +73,8 @@
 	Kind    LeaseEventKind
 	Holding Holding // of this daemon; for LeaseObserved only Name and Fence are set
 	Holder  string  // who holds the lease as far as known; empty after a release
+	// Before is who held it before, for LeaseGained.
+	Before string
 }
 
 // LeaseOptions says how a lease is held.
@@ -83,6 +85,9 @@
 	// PollEvery returns how often a contender reads the lease; nil is a third of
 	// the duration. It is called on the lessor's goroutine.
 	PollEvery func() time.Duration
+	// IsEarlierRun reports whether a holder is an earlier run of this daemon
+	// that has ended for sure. Its lease is taken without waiting. Nil is never.
+	IsEarlierRun func(holder string) bool
 }
 
 // leaseRecord is the value of a lease object.
@@ -116,8 +121,10 @@
 	duration time.Duration
 	listener func(LeaseEvent)
 	poll     func() time.Duration
-	wanted   bool // acquire it; otherwise only observe
-	leaving  bool // release it, then forget it
+	earlier  func(holder string) bool
+	before   string // holder that the acquisition in progress replaces
+	wanted   bool   // acquire it; otherwise only observe
+	leaving  bool   // release it, then forget it
 
 	// Last state read or written.
 	known   bool
@@ -144,7 +151,7 @@
 	// The holder's name is unique to this run of the daemon, and s.held is
 	// false: whatever this daemon wrote before, nothing here uses it.
 	own := s.record.Holder == self
-	if free || own {
+	if free || own || (s.earlier != nil && s.earlier(s.record.Holder)) {
 		return s.seenAt
 	}
 	duration := max(s.duration, time.Duration(s.record.DurationMs)*time.Millisecond)
--- a/internal/platform/lessor.go
+++ b/internal/platform/lessor.go
@@ -200,7 +200,7 @@
 	if r.options.Duration <= 0 {
 		s.duration = DefaultLeaseDuration
 	}
-	s.listener, s.poll = r.options.Listener, r.options.PollEvery
+	s.listener, s.poll, s.earlier = r.options.Listener, r.options.PollEvery, r.options.IsEarlierRun
 	s.wanted = r.kind == requestAcquire
 	s.leaving = false
 	l.step(s)
@@ -272,6 +272,7 @@
 	}
 	claimAt := s.claimableAt(l.self)
 	if s.wanted && !now.Before(claimAt) {
+		s.before = s.record.Holder
 		l.write(s, leaseAcquire, leaseRecord{
 			Holder:     l.self,
 			Fence:      s.record.Fence + 1,
@@ -474,7 +475,7 @@
 		s.held = true
 		l.counters.gained.Inc(1)
 		l.counters.held.Inc(1)
-		l.notify(s.listener, LeaseEvent{Kind: LeaseGained, Holding: granted, Holder: l.self})
+		l.notify(s.listener, LeaseEvent{Kind: LeaseGained, Holding: granted, Holder: l.self, Before: s.before})
 	case s.held:
 		// A renewal whose holding was lost meanwhile does not bring it back,
 		// since its users were told to stop.
--- a/internal/platform/lessor_test.go
+++ b/internal/platform/lessor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 )
@@ -93,6 +94,29 @@
 	}
 }
 
+// Guards against a restarted daemon that waits for the lease of its own earlier
+// run, and against one that takes the lease of another daemon at once.
+func TestLessorReclaimsFromEarlierRun(t *testing.T) {
+	api := newFakeAPI()
+	a := newContender(api, "host/1", 1)
+	a.acquire()
+	run(time.Second, a)
+	again, other := newContender(api, "host/2", 2), newContender(api, "other/1", 3)
+	isEarlier := func(prefix string) func(string) bool {
+		return func(holder string) bool { return strings.HasPrefix(holder, prefix) }
+	}
+	other.lessor.Acquire("x", LeaseOptions{Duration: testLease, Listener: other.listen, IsEarlierRun: isEarlier("other/")})
+	run(testLease/4, other)
+	again.lessor.Acquire("x", LeaseOptions{Duration: testLease, Listener: again.listen, IsEarlierRun: isEarlier("host/")})
+	run(testLease/4, again, other)
+	if !again.valid() || other.valid() || again.holding.Fence != 2 {
+		t.Fatalf("the restarted daemon holds %+v, the other one %+v", again.holding, other.holding)
+	}
+	if e := again.events[len(again.events)-1]; e.Before != "host/1" && again.events[0].Before != "host/1" {
+		t.Errorf("the holder before is %q", e.Before)
+	}
+}
+
 // Guards against a takeover before the duration and the drift margin have
 // passed, and against one that never comes.
 func TestLessorTakesOverOnlyAfterDurationAndMargin(t *testing.T) {
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -90,23 +91,34 @@
 	return nil
 }
 
-// compete makes this daemon a candidate for the group's lease, the later the
-// lower it ranks for it.
+// compete makes this daemon a candidate for the group's lease. When the whole
+// system starts, it does so the later the lower it ranks.
 func (d *frontDaemon) compete(o *orderParts, g *orderGroup) {
 	options := platform.LeaseOptions{
 		Duration:  ordersLeaseTime,
 		Listener:  func(e platform.LeaseEvent) { d.handleLease(o, g, e) },
 		PollEvery: func() time.Duration { return d.pollPeriod(g) },
+		// The platform starts a process on a host only after the one before has ended.
+		IsEarlierRun: d.isEarlierRun,
+	}
+	acquire := func() {
+		if !o.stopping.Load() && !o.lessor.Acquire(g.lease, options) {
+			d.log.WithField("lease", g.lease).Error("daemon is no candidate: the ring of the lessor is full")
+		}
+	}
+	if !d.set.Bootstrap {
+		acquire()
+		return
 	}
 	o.lessor.Loop().After(candidateDelay, func() {
-		o.lessor.Loop().After(time.Duration(d.rank(g))*candidateDelay, func() {
-			if !o.stopping.Load() && !o.lessor.Acquire(g.lease, options) {
-				d.log.WithField("lease", g.lease).Error("daemon is no candidate: the ring of the lessor is full")
-			}
-		})
+		o.lessor.Loop().After(time.Duration(d.rank(g))*candidateDelay, acquire)
 	})
 }
 
+func (d *frontDaemon) isEarlierRun(holder string) bool {
+	return strings.HasPrefix(holder, d.set.Host+"/")
+}
+
 // rank is this daemon's place among the candidates for the group's lease.
 func (d *frontDaemon) rank(g *orderGroup) int {
 	others := d.roster.others()
@@ -128,7 +140,10 @@
 		if o.stopping.Load() {
 			return
 		}
-		g.rollout.SetHolding(weights.Holding{Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline})
+		g.rollout.SetHolding(weights.Holding{
+			Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline,
+			Continued: e.Kind == platform.LeaseGained && d.isEarlierRun(e.Before),
+		})
 	case platform.LeaseLost:
 		g.rollout.SetHolding(weights.Holding{})
 	}
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -55,6 +55,9 @@
 type Holding struct {
 	Fence      int64
 	ValidUntil time.Time // on this host's monotonic clock
+	// Continued means that the holder before was an earlier run on this host,
+	// so that no other host's order can be on its way.
+	Continued bool
 }
 
 type orderEnd struct {
@@ -185,6 +188,9 @@
 func (r *Rollout) handleHolding(h Holding) {
 	if h.Fence != r.holding.Fence {
 		r.heldSince = r.loop.Clock().Now()
+		if h.Continued {
+			r.heldSince = r.heldSince.Add(-r.takeoverWait())
+		}
 	}
 	r.holding = h
 	r.order()
--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -213,3 +213,45 @@
 		t.Errorf("repairs = %d, want 1", b.rollout.repairs)
 	}
 }
+
+// Guards against a restarted owner that waits for orders of another host, of
+// which there are none.
+func TestContinuedHoldingOrdersAtOnce(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.rollout.SetHolding(Holding{Fence: 5, ValidUntil: b.clock.Now().Add(time.Hour), Continued: true})
+	for range 4 {
+		b.step()
+	}
+	if len(b.engines.orders()) == 0 {
+		t.Error("no order was sent within 4 steps")
+	}
+}
+
+// Guards against an engine that is gone or unreachable and keeps the others
+// from their orders.
+func TestFailedOrderDoesNotBlockOthers(t *testing.T) {
+	b := newBench(t, 4, true)
+	b.engines.mu.Lock()
+	b.engines.fail["w000"] = true
+	b.engines.mu.Unlock()
+	b.hold(5)
+	b.until("version 2 on the others", func() bool {
+		b.engines.mu.Lock()
+		defer b.engines.mu.Unlock()
+		return b.engines.workers["w001"].Version == 2 && b.engines.workers["w002"].Version == 2 && b.engines.workers["w003"].Version == 2
+	})
+}
+
+// Guards against engines that are forgotten late once the list no longer names them.
+func TestUnlistedEnginesAreForgotten(t *testing.T) {
+	b := newBench(t, 1, true)
+	report := func(id core.ServerID) Report {
+		return Report{At: b.clock.Now(), Worker: Worker{ID: id, Model: "wear", Version: 1}}
+	}
+	b.rollout.SetEngines([]Report{report("a"), report("b")})
+	b.rollout.SetEngines([]Report{report("b")})
+	b.rollout.Loop().Step()
+	if b.rollout.workers["a"] != nil || b.rollout.workers["b"] == nil {
+		t.Errorf("known workers %v", b.rollout.workers)
+	}
+}
