--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -106,6 +106,9 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return r, fmt.Errorf("decode lease object %s: %w", o.Key, err)
 	}
+	if r.Fence <= 0 {
+		return r, fmt.Errorf("lease object %s has the fencing number %d; it is above 0 in every lease", o.Key, r.Fence)
+	}
 	return r, nil
 }
 
