--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -143,7 +143,7 @@
 // start begins the next attempt of the call, lets it wait, or ends it.
 func (d *Dispatch) start(s *callState) {
 	if err := s.call.Context.Err(); err != nil {
-		d.fail(s, ContextError(err, s.verdict, "before an attempt"), "")
+		d.fail(s, ContextError(err, s.verdict, "before an attempt"))
 		return
 	}
 	if d.refuseConvicted(s) {
@@ -154,11 +154,11 @@
 	case chosen == nil && missing == "":
 		d.waitForServer(s)
 	case chosen == nil:
-		d.fail(s, &core.Error{Code: core.CodeNoCapability, Reason: "no backend server has the " + missing + " that the request needs"}, "")
+		d.fail(s, &core.Error{Code: core.CodeNoCapability, Reason: "no backend server has the " + missing + " that the request needs"})
 	case d.startAttempt(s, chosen):
 		d.watchAttempt(s, chosen)
 	default:
-		d.fail(s, &core.Error{Code: core.CodeOverloaded, Reason: "no worker is free for the request", RetryAfter: overloadedWait}, "")
+		d.fail(s, &core.Error{Code: core.CodeOverloaded, Reason: "no worker is free for the request", RetryAfter: overloadedWait})
 	}
 }
 
@@ -194,9 +194,9 @@
 }
 
 // fail ends the call with an error that carries the verdict of all its attempts.
-func (d *Dispatch) fail(s *callState, err *core.Error, server core.ServerID) {
+func (d *Dispatch) fail(s *callState, err *core.Error) {
 	err.Verdict = s.verdict
-	d.finish(s, core.End{Verdict: s.verdict, Err: err, Server: server})
+	d.finish(s, core.End{Verdict: s.verdict, Err: err})
 }
 
 // failWith ends the call with the failure of its last attempt, and with the
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -1,5 +1,8 @@
 package core
 
+// OperationForward names the forwarding of a message to a plain service.
+const OperationForward = "forward"
+
 // Header is one header line of a forwarded message.
 type Header struct {
 	Name, Value string
--- a/internal/lint/lint.go
+++ b/internal/lint/lint.go
@@ -1,6 +1,7 @@
-// Package lint checks the two rules on the shape of the code that no general
-// linter knows: threads are started and joined only by the duty and ring
-// packages, and decision packages do not import encodings.
+// Package lint checks the rules on the shape of the code that no general linter
+// knows: threads are started and joined only by the duty and ring packages,
+// decision packages do not import encodings, and only the adapter knows the
+// names of the users' platform.
 package lint
 
 import (
@@ -40,6 +41,7 @@
 	"internal/caller",
 	"internal/backend",
 	"internal/trainer",
+	"internal/trainer/batch",
 	"internal/scorer",
 	"internal/weights",
 	"internal/platform",
@@ -47,6 +49,19 @@
 	"internal/operator",
 }
 
+// adapterPackage is the only one that knows the names of the users' platform.
+const adapterPackage = "platform"
+
+// platformNames are names of headers, paths, fields and variables of the users'
+// platform.
+var platformNames = []string{
+	"Attempt-Id", "Deadline-Ms", "Expect-Instance", "Server-Stamp", "Instance-Load", "Instance-Id", "Not-Executed",
+	"Weight-Versions", "Token-Count", "Prompt-Prefix", "Length-Hint", "Wait-Ms", "Kv-From", "Kv-Fetch", "Kv-Backup",
+	"/api/lots", "/api/items", "/api/objects", "/api/order", "/api/report", "/api/readyz", "/api/kv",
+	"fencingToken", "fencingEnforced", "maxQueueS", "resultDueMs", "pathPrefix", "targetLatencyMs", "storeRevision",
+	"coldRemainingMs", "desiredCount", "BERYLFALL_SETTINGS",
+}
+
 // transportLibraries belong to encodings and the composition.
 var transportLibraries = []string{
 	"net/http",
@@ -119,6 +134,9 @@
 	if !contains(threadPackages, dir) {
 		checkThreads(file, report)
 	}
+	if dir != adapterPackage && dir != "internal/lint" {
+		checkPlatformNames(file, report)
+	}
 	return findings, nil
 }
 
@@ -157,6 +175,22 @@
 	})
 }
 
+// checkPlatformNames looks for names at the start of texts and field tags.
+func checkPlatformNames(file *ast.File, report func(token.Pos, string)) {
+	ast.Inspect(file, func(n ast.Node) bool {
+		literal, ok := n.(*ast.BasicLit)
+		if !ok || literal.Kind != token.STRING {
+			return true
+		}
+		for _, name := range platformNames {
+			if strings.Contains(literal.Value, `"`+name) {
+				report(literal.Pos(), "name of the users' platform outside the adapter: "+name)
+			}
+		}
+		return true
+	})
+}
+
 func contains(list []string, s string) bool {
 	for _, item := range list {
 		if item == s {
--- a/internal/lint/lint_test.go
+++ b/internal/lint/lint_test.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// Guards against names of the users' platform that spread into the product.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	root := t.TempDir()
+	text := "package x\n\nconst a = \"Attempt-Id\"\n\ntype m struct {\n\tF int `json:\"fencingToken\"`\n}\n\nconst own = \"Berylfall-Deadline-Ms\"\n"
+	write(t, root, "internal/caller/a.go", text)
+	write(t, root, "platform/a.go", text)
+	findings, err := Check(root)
+	if err != nil || len(findings) != 2 {
+		t.Errorf("findings %v, %v, want 2 in internal/caller", findings, err)
+	}
+}
+
 func write(t *testing.T, root, name, content string) {
 	t.Helper()
 	path := filepath.Join(root, name)
--- a/internal/settings/metrics.go
+++ b/internal/settings/metrics.go
@@ -152,13 +152,14 @@
 		sample.Label = append(sample.Label, &dto.LabelPair{Name: &label, Value: &text})
 	}
 	kind := dto.MetricType_GAUGE
-	if summary != nil {
+	switch {
+	case summary != nil:
 		kind = dto.MetricType_SUMMARY
 		sample.Summary = summary
-	} else if strings.HasSuffix(parts[0], "_total") {
+	case strings.HasSuffix(parts[0], "_total"):
 		kind = dto.MetricType_COUNTER
 		sample.Counter = &dto.Counter{Value: &value}
-	} else {
+	default:
 		sample.Gauge = &dto.Gauge{Value: &value}
 	}
 	family := families[parts[0]]
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -38,7 +38,6 @@
 	pieces         []string  // their data
 	versions       []core.Version
 	failures       int // answers with statusFailed
-	impossible     int // answers with statusImpossible
 	rewardFailures int
 }
 
@@ -186,7 +185,7 @@
 	}
 	request := &core.Request{
 		Service:     rules.Service,
-		Operation:   "forward",
+		Operation:   core.OperationForward,
 		Class:       core.ClassBackground,
 		Repeatable:  true,
 		Body:        reward.Body,
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -410,8 +411,7 @@
 }
 
 func (k *Keeper) reply(e *entry, a Answer) {
-	waiting := append(e.waiting, e.readers...)
-	waiting = append(waiting, e.takeUnconfirmed()...)
+	waiting := slices.Concat(e.waiting, e.readers, e.takeUnconfirmed())
 	e.waiting, e.readers = nil, nil
 	for _, w := range waiting {
 		w.ask.Reply(a)
--- a/internal/trainer/batch/world_test.go
+++ b/internal/trainer/batch/world_test.go
@@ -155,7 +155,7 @@
 type callSink struct{ *node }
 
 func (s callSink) Submit(c *core.Call) bool {
-	s.node.calls = append(s.node.calls, c)
+	s.calls = append(s.calls, c)
 	return true
 }
 
