--- a/internal/backend/quarantine.go
+++ b/internal/backend/quarantine.go
@@ -56,6 +56,6 @@
 	}
 	d.fail(s, &core.Error{
 		Code: core.CodeQuarantined, Reason: "requests with this content crashed several backend servers", RetryAfter: remaining,
-	}, "")
+	})
 	return true
 }
