Find silent outages of the store, and keep items until an engine has room

Change: a probe asks for a stale object each second, a tenth of a call; after an outage all watches list anew. No engine gets more than 1.25 items a slot; the others wait at the daemon.

--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -25,6 +25,9 @@
 	// maxCalls bounds the calls in progress. The ring of cancels has the same
 	// capacity, so a cancel is never refused.
 	maxCalls = 2 * MaxAttemptsInProgress
+	// roomPerEnd is the number of waiting calls that try again when an attempt
+	// has ended: one for its slot, and one in case the first cannot use it.
+	roomPerEnd = 2
 )
 
 // callState is a call in progress.
@@ -177,7 +180,9 @@
 	}
 	if roomForSuspects {
 		d.unpark()
+		return
 	}
+	d.unparkSome(roomPerEnd)
 }
 
 func (d *Dispatch) advance(s *callState, e AttemptEnd) {
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -19,6 +19,10 @@
 	// scanLimit is the number of servers up to which a scan costs no more than
 	// the draws.
 	scanLimit = 16
+	// rolloutDepth is the work per slot of an engine beyond which no item of a
+	// step is sent to it. Items wait here in place of the engine's queue, so
+	// that they can go to the engine that has room first.
+	rolloutDepth = 1.25
 	// firstTokenPart divides the duration of whole model calls for the first
 	// estimate of the time to the first token. A low estimate is corrected in
 	// a few calls, a high one in thousands.
@@ -300,6 +304,9 @@
 	if !rt.accepts(rt.request, c, rt.at) {
 		return false
 	}
+	if rt.request.Class == core.ClassRollout && !c.hasRoom() {
+		return false
+	}
 	if rt.tried.excludes(c.Server.ID, rt.permission) {
 		return false
 	}
@@ -319,6 +326,13 @@
 	return weight >= 1 || rt.random.Float64() < weight
 }
 
+// hasRoom reports whether an item of a step may be sent to the engine. An
+// engine without work of this daemon always has room, since what is known of
+// the others' work may be old.
+func (c *Candidate) hasRoom() bool {
+	return c.Outstanding == 0 || c.depth() < rolloutDepth
+}
+
 // hasRoom reports whether the request's service can take extra work.
 func (rt *router) hasRoom(r *core.Request) bool {
 	g := rt.groups[r.Service]
--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -353,3 +353,45 @@
 		}
 	}
 }
+
+// Guards against the items of a step that wait in the queue of one engine while
+// another one gets room, and against items that wait for ever.
+func TestItemsWaitForRoom(t *testing.T) {
+	b := newBench(t, 2, answered)
+	c := &Candidate{}
+	c.Server.Description.Slots = 4
+	for c.Outstanding = range 5 {
+		if !c.hasRoom() {
+			t.Errorf("no room with %d of 4 slots in use", c.Outstanding)
+		}
+	}
+	c.Outstanding = 5
+	if c.hasRoom() {
+		t.Error("room with 5 items on 4 slots")
+	}
+	c.Outstanding, c.load.others = 0, 100
+	if !c.hasRoom() {
+		t.Error("an engine without own work is closed by what is known of others")
+	}
+	const items = 40
+	var calls []*core.Call
+	for i := range items {
+		call := core.NewCall(context.Background(), &core.Request{
+			ID: core.RequestID(fmt.Sprint("i", i)), Service: "desk", Operation: "look",
+			Fingerprint: uint64(i + 1), Repeatable: true, Class: core.ClassRollout,
+		})
+		b.dispatch.Submit(call)
+		b.dispatch.loop.Step()
+		calls = append(calls, call)
+	}
+	if sent := b.dispatch.running; sent >= items {
+		t.Fatalf("all %d items were sent at once", sent)
+	}
+	b.run()
+	b.advance(time.Second)
+	for i, call := range calls {
+		if end(call) == nil {
+			t.Fatalf("item %d of %d never ended", i, items)
+		}
+	}
+}
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -70,6 +70,9 @@
 	d.router.refresh()
 	d.health.forget(func(id core.ServerID) bool { return d.table[id] != nil })
 	d.slotsChanged()
+	if changed {
+		d.unpark()
+	}
 }
 
 // update takes the newest state of a server and reports whether the classes of
@@ -120,6 +123,7 @@
 
 func (d *Dispatch) routingTick() {
 	d.router.refresh()
+	d.unpark()
 	if d.deliverWork == nil {
 		return
 	}
--- a/internal/backend/waiting.go
+++ b/internal/backend/waiting.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// unparkSome lets the calls that have been parked longest try again.
+func (d *Dispatch) unparkSome(n int) {
+	n = min(n, len(d.parked))
+	some := d.parked[:n:n]
+	d.parked = d.parked[n:]
+	for _, s := range some {
+		d.resume(s, s.waits)
+	}
+}
+
 // unpark lets the parked calls try again.
 func (d *Dispatch) unpark() {
 	parked := d.parked
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -96,6 +96,7 @@
 	deliver  func(Snapshot)
 	results  *ring.Ring[watchResult]
 	switches *ring.Ring[bool]
+	relists  *ring.Ring[struct{}]
 	counters watcherCounters
 
 	revision int64
@@ -131,6 +132,7 @@
 		deliver:  deliver,
 		results:  ring.New[watchResult]("watch.results", watchRing),
 		switches: ring.New[bool]("watch.switches", 1),
+		relists:  ring.New[struct{}]("watch.relists", 1),
 		counters: watcherCounters{
 			lists: metrics.NewCounter(), watches: metrics.NewCounter(),
 			replaced: metrics.NewCounter(), failed: metrics.NewCounter(), revision: metrics.NewGauge(),
@@ -142,6 +144,7 @@
 	}
 	duty.On(w.loop, w.results, w.handleResult)
 	duty.On(w.loop, w.switches, w.handleSwitch)
+	duty.On(w.loop, w.relists, func(struct{}) { w.relist() })
 	w.loop.After(0, w.next)
 	w.loop.OnStop(func() { w.cancel() })
 	return w
@@ -154,6 +157,15 @@
 // that starts again continues after the last revision that it has seen.
 func (w *Watcher) SetActive(active bool) { w.switches.PutLatest(active) }
 
+// Relist abandons the call in progress and lists anew. Any goroutine may call it.
+func (w *Watcher) Relist() { w.relists.PutLatest(struct{}{}) }
+
+func (w *Watcher) relist() {
+	w.listed = false
+	w.abandon()
+	w.next()
+}
+
 // Stats returns the counters. Any goroutine may call it.
 func (w *Watcher) Stats() WatcherStats {
 	c := w.counters
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -212,3 +212,30 @@
 		t.Fatal("an inactive poller polls")
 	}
 }
+
+// Guards against changes that are never heard of since a watch was sent to a
+// store that was silent, or since the history went right after a failed watch.
+func TestWatcherListsAnew(t *testing.T) {
+	rig := newWatchRig()
+	rig.put("c/a")
+	rig.turn()
+	rig.api.watch = func(after int64) (Listing, error) { return Listing{Revision: after}, nil } // deaf
+	rig.put("c/b")
+	rig.turn()
+	before := rig.watcher.Stats().Lists
+	rig.watcher.Relist()
+	rig.turn()
+	if s := rig.last(t); !s.Full || len(s.Objects) != 2 || rig.watcher.Stats().Lists != before+1 {
+		t.Fatalf("after Relist the newest snapshot is %+v", s)
+	}
+	rig.watcher.options.ListAfterFailure = true
+	rig.api.watch = func(int64) (Listing, error) { return Listing{}, ErrUnavailable }
+	rig.put("c/c")
+	for range 3 {
+		rig.clock.Advance(watchRetryLongest)
+		rig.turn()
+	}
+	if s := rig.last(t); !s.Full || len(s.Objects) != 3 {
+		t.Fatalf("after a failed watch the newest snapshot is %+v", s)
+	}
+}
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -38,6 +38,8 @@
 	loops  []*duty.Loop
 	api    *adapter.Store
 	watch  *duty.Pool
+	// watchers are made anew after an outage of the store.
+	watchers []*platform.Watcher
 }
 
 func newBase(set *adapter.Settings, log *logrus.Entry) (*base, error) {
@@ -79,10 +81,25 @@
 		}
 	}
 	w := platform.NewWatcher(b.clock, b.api, b.watch, kind+"/", deliver, o)
+	b.watchers = append(b.watchers, w)
 	b.loops = append(b.loops, w.Loop())
 	return w
 }
 
+// probeStore adds the duty that has all watches made anew after an outage.
+func (b *base) probeStore() {
+	p := platform.NewProbe(b.clock, b.api, b.watch, func(up bool) {
+		b.log.WithField("up", up).Warn("store answers changed")
+		if !up {
+			return
+		}
+		for _, w := range b.watchers {
+			w.Relist()
+		}
+	})
+	b.loops = append(b.loops, p.Loop())
+}
+
 // startDuties runs the duties after all callbacks between them have been set.
 func (b *base) startDuties() error {
 	for _, loop := range b.loops {
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -159,6 +159,7 @@
 
 func (d *frontDaemon) buildConfig() error {
 	d.follow(adapter.KindConfig, platform.WatcherOptions{}, d.handleConfig)
+	d.probeStore()
 	return nil
 }
 
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -92,6 +92,9 @@
 	log, err := os.Create(ts.MkAbs(name + ".log"))
 	ts.Check(err)
 	cmd.Stdout, cmd.Stderr = log, log
+	// In the group of a test run without a living parent, a stopped process gets
+	// SIGHUP from the system and ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	ts.Check(cmd.Start())
 	p := &process{cmd: cmd}
 	p.done.Go(func() {
