--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -142,7 +142,11 @@
 }
 
 func (k *Keeper) giveUp(e *entry, r *itemRun, reason string) {
-	k.log.WithFields(logrus.Fields{"job": e.id, "request": r.item.ID, "reason": reason, "events": len(r.events)}).Warn("item given up")
+	fields := logrus.Fields{"job": e.id, "request": r.item.ID, "reason": reason, "events": len(r.events), "failures": r.failures}
+	if r.item.Reward != nil {
+		fields["reward_request"], fields["reward_failures"] = r.item.Reward.ID, r.rewardFailures
+	}
+	k.log.WithFields(fields).Warn("item given up")
 	k.addResult(e, Result{Item: r.item.ID})
 }
 
