--- a/internal/backend/backendhttp/conn_test.go
+++ b/internal/backend/backendhttp/conn_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/transport"
 )
@@ -42,7 +43,7 @@
 		if !errors.Is(err, errWrite) {
 			t.Fatalf("room for %d bytes: send returned %v", room, err)
 		}
-		if got := classifyBroken(context.Background(), c.Written, err).Verdict; got != want {
+		if got := backend.BrokenError(context.Background(), c.Written, err).Verdict; got != want {
 			t.Errorf("room for %d bytes: verdict %v, want %v", room, got, want)
 		}
 	}
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -68,11 +68,11 @@
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	if err := encode(a, req); err != nil {
-		return failed(core.NotRunError(core.CodeInvalid, "request cannot be encoded: %v", err))
+		return backend.Failed(core.NotRunError(core.CodeInvalid, "request cannot be encoded: %v", err))
 	}
 	connection, err := c.connect(a)
 	if err != nil {
-		end := failed(classifyDial(a.Context, err))
+		end := backend.Failed(backend.DialError(a.Context, err))
 		end.Unreachable = a.Context.Err() == nil
 		return end
 	}
@@ -160,7 +160,7 @@
 // brokenStream ends an attempt whose stream stopped early. The engine's status
 // tells a lost last event from a lost answer.
 func (c *Client) brokenStream(s *stream, connection *transport.Conn, err error) backend.AttemptEnd {
-	end := failed(classifyBroken(s.attempt.Context, connection.Written, err))
+	end := backend.Failed(backend.BrokenError(s.attempt.Context, connection.Written, err))
 	end.Tokens = s.tokens
 	if errors.Is(err, errNotWanted) && s.attempt.Context.Err() == nil {
 		end.Err = core.MayHaveRunError(core.CodeCancelled, "another attempt answers the request")
@@ -203,7 +203,7 @@
 		return c.checkCall(a, periods)
 	}
 	if err := connection.RoundTrip(req, resp); err != nil {
-		end = failed(classifyBroken(a.Context, connection.Written, err))
+		end = backend.Failed(backend.BrokenError(a.Context, connection.Written, err))
 		if connection.Written > 0 && a.Context.Err() == nil {
 			c.inspect(&end, a)
 		}
@@ -240,7 +240,7 @@
 	if a.Call.Request.IsModelCall() {
 		readErr = connection.ReceiveBody(resp)
 	}
-	return failed(classifyRefusal(transport.NewResponseError(resp))), readErr == nil && !resp.ConnectionClose()
+	return backend.Failed(classifyRefusal(transport.NewResponseError(resp))), readErr == nil && !resp.ConnectionClose()
 }
 
 // decode reads the answer to a probe into out unless out is nil.
--- a/internal/backend/backendhttp/verdict.go
+++ b/internal/backend/backendhttp/verdict.go
@@ -1,43 +1,14 @@
 package backendhttp
 
 import (
-	"context"
 	"errors"
 	"strconv"
 	"time"
 
-	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
-// failed returns the end of an attempt without a whole answer.
-func failed(e *core.Error) backend.AttemptEnd {
-	return backend.AttemptEnd{Verdict: e.Verdict, Err: e}
-}
-
-// classifyDial gives the verdict of an attempt that got no connection.
-func classifyDial(ctx context.Context, err error) *core.Error {
-	if cause := ctx.Err(); cause != nil {
-		return backend.ContextError(cause, core.NotRun, "before a connection was open")
-	}
-	return core.NotRunError(core.CodeBroken, "no connection to the backend server: %v", err)
-}
-
-// classifyBroken gives the verdict of an attempt that ended without an answer.
-// Only a request of which no byte was sent is proven not run: a server may
-// start on a part of a request, and a reset does not tell what the server read.
-func classifyBroken(ctx context.Context, written int, err error) *core.Error {
-	verdict, when := core.MayHaveRun, "after a part of the request was sent"
-	if written == 0 {
-		verdict, when = core.NotRun, "before the first byte was sent"
-	}
-	if cause := ctx.Err(); cause != nil {
-		return backend.ContextError(cause, verdict, when)
-	}
-	return &core.Error{Code: core.CodeBroken, Verdict: verdict, Reason: "the connection failed " + when, Err: err}
-}
-
 // classifyRefusal gives the verdict of an error answer. Only the header proves
 // that the server did not start the request.
 func classifyRefusal(e *transport.ResponseError) *core.Error {
--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -40,11 +40,9 @@
 
 // Service is a service as the configuration describes it.
 type Service struct {
-	Name           string
-	MaxConnections int // of one server
-	Slots          int // requests that an engine runs at once; 0 for a plain service
-	CacheTokens    int // tokens that fit an engine's memory
-	Models         []string
+	Name   string
+	Slots  int // requests that an engine runs at once; 0 for a plain service
+	Models []string
 }
 
 // RouteSet is one version of the routing configuration. It does not change.
@@ -78,9 +76,6 @@
 	return best
 }
 
-// HasHost reports whether any route has the host.
-func (s *RouteSet) HasHost(host string) bool { return len(s.byHost[host]) > 0 }
-
 // Choose returns a service of the route by weight; draw is in [0, 1).
 func (r *Route) Choose(draw float64) string {
 	total := 0.0
--- a/internal/trainer/batch/keeper_test.go
+++ b/internal/trainer/batch/keeper_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// Guards against a reader that waits for a cut off owner which has no result to
+// write and so never noticed the cut.
+func TestIdleCutOffOwnerIsReplaced(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	owner, other := w.nodes[0], w.nodes[1]
+	w.fail = func(*core.Call) int { return 503 } // nothing ends yet
+	w.ask(owner, submit("a", 4))
+	owner.cut = true
+	for range 50 {
+		w.step()
+	}
+	a := w.ask(owner, Query{Kind: QueryRead, ID: "a", Relayed: true})
+	if a.Status != StatusUnavailable || !a.CutOff {
+		t.Fatalf("the cut off owner answers %v, cut off %v", a.Status, a.CutOff)
+	}
+	w.fail = func(*core.Call) int { return 0 }
+	if got := w.readAll(other, "a", 4); len(got) != 4 || other.keeper.openJobs() != 1 {
+		t.Errorf("%d results, %d jobs at the reader's daemon", len(got), other.keeper.openJobs())
+	}
+}
+
 // Guards against items that run on after the end of their job, also at an
 // owner that did not get the end itself.
 func TestEndStopsTheOwner(t *testing.T) {
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -162,7 +162,8 @@
 			// The store is away: the job goes on, since its results can still
 			// be listed only once.
 			k.log.WithError(err).WithField("job", e.id).Debug("ownership could not be checked")
-			e.replyUnconfirmed(Answer{Status: StatusUnavailable, CutOff: e.cutOff, Handover: e.pending})
+			e.cutOff = true
+			e.replyUnconfirmed(Answer{Status: StatusUnavailable, CutOff: true, Handover: e.pending})
 			return
 		}
 		k.ownerChecked(e, asked)
@@ -179,7 +180,7 @@
 		k.closeJob(e, phaseElsewhere)
 		k.settleWaiting(e)
 	default:
-		e.confirmedAt = asked
+		e.confirmedAt, e.cutOff = asked, false
 		for _, q := range e.takeUnconfirmed() {
 			q.ask.Reply(e.read(q.ask.Query.After))
 		}
