--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -93,6 +93,7 @@
 	CallTimeout   time.Duration // for one call
 	SettleTimeout time.Duration // for settling a lost answer; after it the outcome is unknown
 	Random        *rand.Rand    // for jitter
+	RetryLongest  time.Duration // longest pause between calls while the store does not answer
 }
 
 func (o StoreOptions) withDefaults() StoreOptions {
@@ -114,6 +115,9 @@
 	if o.SettleTimeout <= 0 {
 		o.SettleTimeout = defaultSettleTimeout
 	}
+	if o.RetryLongest <= 0 {
+		o.RetryLongest = storeRetryLongest
+	}
 	return o
 }
 
@@ -221,7 +225,7 @@
 		ops:     ring.New[Op]("store.ops", storeRingCapacity),
 		results: ring.New[storeDone]("store.results", storeRingCapacity),
 		keys:    map[string][]*task{},
-		retry:   newRetryDelay(storeRetryFirst, storeRetryLongest, o.Random),
+		retry:   newRetryDelay(storeRetryFirst, o.RetryLongest, o.Random),
 		counters: storeCounters{
 			calls: metrics.NewCounter(), refused: metrics.NewCounter(), failed: metrics.NewCounter(),
 			lost: metrics.NewCounter(), unknown: metrics.NewCounter(), unsettled: metrics.NewCounter(),
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -86,8 +86,9 @@
 	return w
 }
 
-// probeStore adds the duty that has all watches made anew after an outage.
-func (b *base) probeStore() {
+// probeStore adds the duty that has all watches made anew after an outage, and
+// calls onUp then.
+func (b *base) probeStore(onUp func()) {
 	p := platform.NewProbe(b.clock, b.api, b.watch, func(up bool) {
 		b.log.WithField("up", up).Warn("store answers changed")
 		if !up {
@@ -96,6 +97,7 @@
 		for _, w := range b.watchers {
 			w.Relist()
 		}
+		onUp()
 	})
 	b.loops = append(b.loops, p.Loop())
 }
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -86,8 +86,8 @@
 		Budget: platform.NewBudget(platform.BudgetOptions{
 			ReadsPerSecond: d.set.Store.ReadsPerSecond / budgetDivisor, WritesPerSecond: d.set.Store.WritesPerSecond / budgetDivisor,
 		}),
-		CallTimeout: storeCallTimeout,
-		Random:      d.random(),
+		CallTimeout: storeCallTimeout, RetryLongest: watchRetry,
+		Random: d.random(),
 	})
 	d.loops = append(d.loops, d.store.Loop())
 	return nil
@@ -159,7 +159,7 @@
 
 func (d *frontDaemon) buildConfig() error {
 	d.follow(adapter.KindConfig, platform.WatcherOptions{}, d.handleConfig)
-	d.probeStore()
+	d.probeStore(d.keeper.Recheck)
 	return nil
 }
 
--- a/internal/server/hosted/store.go
+++ b/internal/server/hosted/store.go
@@ -26,7 +26,7 @@
 	}
 	d := &storeDaemon{base: b}
 	b.follow(adapter.KindRetirements, platform.WatcherOptions{}, d.handleRetirements)
-	b.probeStore()
+	b.probeStore(func() {})
 	return d, b.startDuties()
 }
 
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -199,6 +199,16 @@
 // goroutine may call it.
 func (k *Keeper) Release() { k.results.TryPut(k.release) }
 
+// Recheck has the ownership of all jobs checked, since the store answers again
+// and a job may have ended or been taken over meanwhile. Any goroutine may call it.
+func (k *Keeper) Recheck() {
+	k.results.TryPut(func() {
+		for _, e := range k.jobs {
+			k.checkOwner(e)
+		}
+	})
+}
+
 // submit sends an operation to the store; reply runs on the duty's goroutine.
 func (k *Keeper) submit(op platform.Op, reply func(platform.Result)) {
 	op.Timeout, op.FailFast = storeTimeout, true
--- a/internal/trainer/batch/keeper_test.go
+++ b/internal/trainer/batch/keeper_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// Guards against items of a job that has ended while its owner had no store.
+func TestRecheckStopsEndedJobs(t *testing.T) {
+	w := newWorld(t, 2, 9)
+	owner, other := w.nodes[0], w.nodes[1]
+	w.fail = func(*core.Call) int { return 503 }
+	w.ask(owner, submit("a", 4))
+	owner.cut = true
+	w.ask(other, Query{Kind: QueryRead, ID: "a"})
+	if a := w.ask(other, Query{Kind: QueryEnd, ID: "a", Reload: true, Replace: owner.keeper.self}); a.Status != StatusOK {
+		t.Fatalf("end answered %v", a.Status)
+	}
+	owner.cut = false
+	owner.keeper.Recheck()
+	for range 3 {
+		w.step()
+	}
+	if owner.keeper.openJobs() != 0 {
+		t.Error("the owner runs the items of an ended job after a recheck")
+	}
+}
+
 // Guards against items that are given up before they failed often enough, and
 // against items that run for ever.
 func TestItemsAreGivenUp(t *testing.T) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -84,12 +84,13 @@
 	// Closing is the only way to end a blocked read at once.
 	stopClosing := context.AfterFunc(ctx, func() { c.Close() })
 	err = c.RoundTrip(req, resp)
+	sent = c.Written > 0
 	if !stopClosing() || err != nil || resp.ConnectionClose() || c.Len() > 0 {
 		c.Close()
 	} else {
 		p.Put(c)
 	}
-	return c.Written > 0, err
+	return sent, err
 }
 
 // take removes the connection that was used last.
