--- a/internal/server/hosted/options.go
+++ b/internal/server/hosted/options.go
@@ -34,7 +34,6 @@
 type options struct {
 	Role     string `long:"role" env:"BERYLFALL_ROLE" default:"front" choice:"front" choice:"store" description:"what this daemon does"`
 	LogLevel string `long:"log-level" env:"BERYLFALL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe level that is logged"`
-	Metrics  string `long:"metrics-address" env:"BERYLFALL_METRICS_ADDRESS" description:"IP address and port of the metrics; empty serves none"`
 }
 
 func parseOptions(args []string) (*options, error) {
