Put the target into the fingerprint, share the deadline's context

Change: ComputeFingerprint covers the target of a forwarded message; Request.WithDeadline; addVersions. Items with equal bodies and different paths are told apart now; nothing else behaves differently.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"time"
@@ -97,6 +98,15 @@
 		s.FrequencyPenalty == nil && s.PresencePenalty == nil
 }
 
+// WithDeadline returns a context that ends with parent, at the request's
+// deadline if it has one, or when cancel is called.
+func (r *Request) WithDeadline(parent context.Context) (ctx context.Context, cancel context.CancelFunc) {
+	if r.Deadline.IsZero() {
+		return context.WithCancel(parent)
+	}
+	return context.WithDeadline(parent, r.Deadline)
+}
+
 // IsModelCall reports whether the request goes to an engine.
 func (r *Request) IsModelCall() bool { return r.Operation == "" }
 
@@ -113,6 +123,9 @@
 	for _, part := range []string{string(r.Customer), r.Service, r.Operation, r.Model, r.Adapter, r.Prompt, string(r.Body)} {
 		write(part)
 	}
+	if r.Forward != nil {
+		write(r.Forward.Target)
+	}
 	binary.LittleEndian.PutUint64(length[:], uint64(r.MaxTokens))
 	_, _ = h.Write(length[:])
 	if !r.Sampling.IsZero() {
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -205,10 +205,7 @@
 	r.run++
 	request.ID = core.RequestID(string(e.id) + "/" + string(r.item.ID) + "/" + strconv.Itoa(r.run))
 	request.Fingerprint = request.ComputeFingerprint()
-	ctx, cancel := context.WithCancel(context.Background())
-	if !request.Deadline.IsZero() {
-		ctx, cancel = context.WithDeadline(context.Background(), request.Deadline)
-	}
+	ctx, cancel := request.WithDeadline(context.Background())
 	c := collector{
 		call: core.NewCall(ctx, request), single: singleVersion, oldest: request.MinVersion, stop: cancel,
 		end: itemEnd{job: e.id, item: r.item.ID, run: r.run, reward: r.text != nil},
@@ -265,9 +262,17 @@
 	c.seen = chunk.Version
 	c.end.events = append(c.end.events, chunk.Tokens...)
 	c.end.pieces = append(c.end.pieces, chunk.Text)
-	if !slices.Contains(c.end.versions, chunk.Version) {
-		c.end.versions = append(c.end.versions, chunk.Version)
+	c.end.versions = addVersions(c.end.versions, chunk.Version)
+}
+
+// addVersions adds the versions that the list lacks.
+func addVersions(list []core.Version, versions ...core.Version) []core.Version {
+	for _, v := range versions {
+		if !slices.Contains(list, v) {
+			list = append(list, v)
+		}
 	}
+	return list
 }
 
 func (k *Keeper) handleItemEnd(end itemEnd) {
@@ -304,11 +309,7 @@
 	}
 	r.events = append(r.events, end.events...)
 	r.pieces = append(r.pieces, end.pieces...)
-	for _, v := range end.versions {
-		if !slices.Contains(r.versions, v) {
-			r.versions = append(r.versions, v)
-		}
-	}
+	r.versions = addVersions(r.versions, end.versions...)
 	log := k.log.WithFields(logrus.Fields{"job": e.id, "request": r.item.ID, "run": r.run, "backend_server": end.end.Server, "events": len(r.events)})
 	switch {
 	case end.end.Err != nil:
