Stand-ins of the users' platform; refuse ambiguous framing

Cause: make demo did not play the users' platform, and the tests had a stand-in of their own that neither orders nor resumes. A test of malformed input over the new stand-ins failed: a request with both a length and chunks, or with two lengths, was answered 200, and a second request hidden behind it reached a server (3 runs seen at the stand-in, none allowed). Change: platform/standin holds the store, engines, plain servers and a client; make demo and the tests of the composition use them. Servers refuse a request whose end can be read in two ways with 400 and close the connection. Tests for malformed input, foreign objects, named versions and settings that cannot be used, the latter as a scenario with exit codes and messages. Before: TestFrontRefusesMalformedInput fails in two cases.

--- a/internal/lint/lint.go
+++ b/internal/lint/lint.go
@@ -49,8 +49,8 @@
 	"internal/operator",
 }
 
-// adapterPackage is the only one that knows the names of the users' platform.
-const adapterPackage = "platform"
+// adapterPackages are the only ones that know the names of the users' platform.
+var adapterPackages = []string{"platform", "platform/standin"}
 
 // platformNames are names of headers, paths, fields and variables of the users'
 // platform.
@@ -134,7 +134,7 @@
 	if !contains(threadPackages, dir) {
 		checkThreads(file, report)
 	}
-	if dir != adapterPackage && dir != "internal/lint" {
+	if !contains(adapterPackages, dir) && dir != "internal/lint" {
 		checkPlatformNames(file, report)
 	}
 	return findings, nil
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -59,7 +59,8 @@
 	stopping  atomic.Bool
 }
 
-func buildFront(set *adapter.Settings, log *logrus.Entry) (daemon, error) {
+// StartFront starts a daemon that serves callers and trainers.
+func StartFront(set *adapter.Settings, log *logrus.Entry) (Daemon, error) {
 	b, err := newBase(set, log)
 	if err != nil {
 		return nil, err
@@ -219,9 +220,9 @@
 	return !d.stopping.Load() && d.routes.Current() != nil
 }
 
-// stop ends the daemon within the grace of ctx. Open connections are served to
+// Stop ends the daemon within the grace of ctx. Open connections are served to
 // the end; jobs run on until the reserve, then other daemons take them.
-func (d *frontDaemon) stop(ctx context.Context) {
+func (d *frontDaemon) Stop(ctx context.Context) {
 	d.stopping.Store(true)
 	d.callers.Drain()
 	d.orders.release(ctx)
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -1,208 +1,98 @@
 package hosted
 
 import (
-	"bytes"
+	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strconv"
+	"reflect"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/transport"
 	adapter "github.com/berylfall/berylfall/platform"
+	"github.com/berylfall/berylfall/platform/standin"
 )
 
 // patience bounds the waits of a test; events end them sooner.
-const patience = 30 * time.Second
+const patience = 10 * time.Second
 
-type object struct {
-	Metadata struct {
-		Name     string `json:"name"`
-		Revision int64  `json:"revision"`
-	} `json:"metadata"`
-	Spec json.RawMessage `json:"spec"`
-}
-
-// objectStore is a stand-in of the platform's store.
-type objectStore struct {
-	mu       sync.Mutex
-	revision int64
-	objects  map[string]object // by kind/name
-	changed  chan struct{}     // closed at each change
-}
-
-func newObjectStore() *objectStore {
-	return &objectStore{revision: 1, objects: map[string]object{}, changed: make(chan struct{})}
-}
-
-func (s *objectStore) put(kind, name, spec string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	var o object
-	o.Metadata.Name, o.Metadata.Revision, o.Spec = name, s.revision, json.RawMessage(spec)
-	s.objects[kind+"/"+name] = o
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
+var deployment = standin.Deployment{Host: "h", Engines: "model", Plain: "desk", Model: "m", Slots: 4}
 
-func (s *objectStore) get(key string) (object, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, ok := s.objects[key]
-	return o, ok
+// fleet is daemons over the stand-ins of the platform.
+type fleet struct {
+	store   *standin.Store
+	engines []*standin.Server
+	plain   *standin.Server
+	daemons []*frontDaemon
+	callers []string
+	log     *lockedBuffer
 }
 
-func (s *objectStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
-	switch {
-	case r.Method == http.MethodGet && name != "":
-		o, ok := s.get(kind + "/" + name)
-		reply(w, ok, o)
-	case r.Method == http.MethodGet && r.URL.Query().Get("watch") != "":
-		s.watch(w, r, kind)
-	case r.Method == http.MethodGet:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		items := s.since(kind, 0, r.URL.Query().Get("after"))
-		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": false, "storeRevision": s.revision})
-	default:
-		s.write(w, r, kind, name)
+// newFleet starts daemons with two engines and a plain server.
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	runner, err := duty.NewRunner(16)
+	if err != nil {
+		t.Fatal(err)
 	}
-}
-
-func reply(w http.ResponseWriter, ok bool, o object) {
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
+	t.Cleanup(func() { runner.Stop(ctx) })
+	f := &fleet{log: &lockedBuffer{}}
+	if f.store, err = standin.StartStore("127.0.0.1:0", duty.SystemClock{}, runner); err != nil {
+		t.Fatal(err)
 	}
-	_ = json.NewEncoder(w).Encode(o)
-}
-
-func (s *objectStore) since(kind string, revision int64, after string) []object {
-	items := []object{}
-	for key, o := range s.objects {
-		if strings.HasPrefix(key, kind+"/") && o.Metadata.Revision > revision && o.Metadata.Name > after {
-			items = append(items, o)
-		}
+	if err := deployment.Configure(f.store, 3); err != nil {
+		t.Fatal(err)
 	}
-	return items
-}
-
-func (s *objectStore) watch(w http.ResponseWriter, r *http.Request, kind string) {
-	revision, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
-	for {
-		s.mu.Lock()
-		items, changed, now := s.since(kind, revision, ""), s.changed, s.revision
-		s.mu.Unlock()
-		if len(items) > 0 {
-			events := []map[string]any{}
-			for _, o := range items {
-				events = append(events, map[string]any{"object": o, "deleted": false})
-			}
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "storeRevision": now})
-			return
-		}
-		select {
-		case <-changed:
-		case <-r.Context().Done():
-			return
+	server := func(o standin.ServerOptions) *standin.Server {
+		o.DataCentre, o.Slots, o.LoadTime = "a", deployment.Slots, 50*time.Millisecond
+		s, err := standin.StartServer(ctx, "127.0.0.1:0", duty.SystemClock{}, runner, f.store, o)
+		if err != nil {
+			t.Fatal(err)
 		}
+		return s
 	}
-}
-
-func (s *objectStore) write(w http.ResponseWriter, r *http.Request, kind, name string) {
-	var o object
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if name == "" {
-		name = o.Metadata.Name
-	}
-	before, exists := s.get(kind + "/" + name)
-	conflict := exists && (r.Method == http.MethodPost || (o.Metadata.Revision != 0 && o.Metadata.Revision != before.Metadata.Revision))
-	if conflict {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	s.put(kind, name, string(o.Spec))
-	after, _ := s.get(kind + "/" + name)
-	_ = json.NewEncoder(w).Encode(after)
-}
-
-// serve answers as an engine on /gen/ and as a plain service elsewhere.
-func serve(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Server-Stamp", "stamp-"+id)
-	if !strings.HasPrefix(r.URL.Path, "/gen/") {
-		body, _ := io.ReadAll(r.Body)
-		_, _ = fmt.Fprintf(w, "answer to %s", body)
-		return
-	}
-	w.Header().Set("Weight-Versions", "1")
-	for i := 1; i <= 3; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", i, id, i)
-		w.(http.Flusher).Flush()
-	}
-}
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	f.plain = server(standin.ServerOptions{ID: "desk-1", Service: "desk"})
+	for i := range 2 {
+		f.engines = append(f.engines, server(standin.ServerOptions{ID: fmt.Sprintf("engine-%d", i), Service: "model", Models: []string{"m"}}))
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// startFronts starts daemons over one store with one server of two services.
-func startFronts(t *testing.T, n int) (daemons []*frontDaemon, callers []string) {
-	t.Helper()
-	store := newObjectStore()
-	server := httptest.NewServer(http.HandlerFunc(serve))
-	storeServer := httptest.NewServer(store)
-	t.Cleanup(func() {
-		server.CloseClientConnections()
-		storeServer.CloseClientConnections()
-	})
-	address := strings.TrimPrefix(server.URL, "http://")
-	store.put("config", "main", `{"version":3,"routes":[{"name":"p","host":"h","pathPrefix":"/plain/","type":"safe","timeoutMs":5000,"service":"desk","maxAttempts":2},
-	 {"name":"g","host":"h","pathPrefix":"/gen/","type":"rollout","service":"model","maxAttempts":3,"maxQueueS":30}],
-	 "services":[{"name":"desk"},{"name":"model","engine":{"slots":4,"models":[{"name":"m"}]}}],"limits":{"maxBodyBytes":100000}}`)
-	store.put("servers", "i-1", fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a","slots":4,"state":"ready"}`, address))
-	store.put("servers", "i-2", fmt.Sprintf(`{"service":"model","address":%q,"zone":"a","slots":4,"state":"ready","models":[{"name":"m","version":1}]}`, address))
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(f.log)
+	log.SetFormatter(&logrus.JSONFormatter{})
 	for i := range n {
+		addresses, err := transport.FreeAddresses("127.0.0.1", 3)
+		if err != nil {
+			t.Fatal(err)
+		}
 		set := &adapter.Settings{
-			Host: fmt.Sprintf("front-%d", i), DataCentre: "a", PeerAddress: freeAddress(t), Callers: freeAddress(t), Readiness: freeAddress(t),
-			Store:  adapter.StoreSettings{Address: strings.TrimPrefix(storeServer.URL, "http://"), WritesPerSecond: 400, ReadsPerSecond: 2000},
+			Host: fmt.Sprintf("front-%d", i), DataCentre: "a", PeerAddress: addresses[0], Callers: addresses[1], Readiness: addresses[2],
+			Store:  adapter.StoreSettings{Address: f.store.Address(), WritesPerSecond: 400, ReadsPerSecond: 2000},
 			Bounds: adapter.Bounds{StopGrace: 8 * time.Second, LeaseTurn: 3 * time.Second, Drain: 2 * time.Second},
 		}
-		d, err := buildFront(set, logrus.NewEntry(log))
+		d, err := StartFront(set, logrus.NewEntry(log))
 		if err != nil {
 			t.Fatal(err)
 		}
-		daemons = append(daemons, d.(*frontDaemon))
-		callers = append(callers, set.Callers)
+		f.daemons = append(f.daemons, d.(*frontDaemon))
+		f.callers = append(f.callers, set.Callers)
 	}
-	for _, d := range daemons {
+	for _, d := range f.daemons {
 		waitFor(t, "a configuration", d.isReady)
 	}
-	return daemons, callers
+	return f
 }
 
+func (f *fleet) client() *standin.Client { return standin.NewClient(deployment, f.callers) }
+
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -213,74 +103,212 @@
 	t.Fatalf("no %s within %v", what, patience)
 }
 
-// send makes one request and returns its status and body.
-func send(t *testing.T, method, address, path, id, body string) (int, string) {
+// awaitServed waits until plain requests are answered in full.
+func (f *fleet) awaitServed(t *testing.T, ctx context.Context, c *standin.Client) {
 	t.Helper()
+	n := 0
+	waitFor(t, "answer", func() bool {
+		n++
+		id := fmt.Sprintf("first-%d", n)
+		a, err := c.Plain(ctx, id, []byte("x"))
+		return err == nil && a.Status == http.StatusOK && string(a.Body) == "answer to x" && a.Signature == standin.Signature(id)
+	})
+}
+
+// Guards against a path from a caller or trainer to a server and back that
+// breaks anywhere between the adapter and the duties.
+func TestFrontServesRequestsAndJobs(t *testing.T) {
+	f := newFleet(t, 2)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewBufferString(body))
-	if err != nil {
+	c := f.client()
+	f.awaitServed(t, ctx, c)
+	job := standin.JobSpec{ID: "j1", MinVersion: 1, Groups: 2, GroupSize: 2, Events: 5}
+	if err := c.Submit(ctx, job); err != nil {
 		t.Fatal(err)
 	}
-	r.Host = "h"
-	r.Header.Set("Attempt-Id", id)
-	r.Header.Set("Deadline-Ms", "5000")
-	resp, err := http.DefaultClient.Do(r)
+	results, err := c.ReadAll(ctx, "j1")
 	if err != nil {
-		return 0, err.Error()
+		t.Fatal(err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(resp.Body)
+	checkResults(t, job, results)
+	again, err := c.ReadAll(ctx, "j1") // at the other daemon
+	if err != nil || !reflect.DeepEqual(again, results) {
+		t.Errorf("another read gives %v, %v in place of %v", again, err, results)
+	}
+	if err := c.End(ctx, "j1"); err != nil {
+		t.Error(err)
+	}
+	if a, err := c.Send(ctx, http.MethodGet, "/api/lots/none?after=0", "r", nil); err != nil || a.Status != http.StatusNotFound {
+		t.Errorf("an unknown job: %d, %v", a.Status, err)
+	}
+	f.stop(t)
+}
+
+func (f *fleet) stop(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	for _, d := range f.daemons {
+		d.stopping.Store(true)
+		if d.isReady() {
+			t.Error("a daemon that stops is ready")
+		}
+		d.runner.Stop(ctx)
+	}
+}
+
+// checkResults fails unless each item of the job has its whole text once.
+func checkResults(t *testing.T, job standin.JobSpec, results []standin.Result) {
+	t.Helper()
+	seen := map[string]bool{}
+	for _, r := range results {
+		if seen[r.ID] || r.State != "done" || r.Text != standin.Text(r.ID, job.Events) || r.Score != standin.Signature("r-"+r.ID) {
+			t.Errorf("result %+v", r)
+		}
+		seen[r.ID] = true
+	}
+	for _, id := range job.Items() {
+		if !seen[id] {
+			t.Errorf("item %s has no result", id)
+		}
+	}
+}
+
+// Guards against a named version that does not reach the engines, and against
+// items that run under an older one than their job allows.
+func TestFrontBringsNamedVersions(t *testing.T) {
+	f := newFleet(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.client()
+	f.awaitServed(t, ctx, c)
+	if err := deployment.NameVersion(f.store, 2); err != nil {
+		t.Fatal(err)
+	}
+	job := standin.JobSpec{ID: "j2", Step: 2, MinVersion: 2, Groups: 1, GroupSize: 4, Events: 3}
+	if err := c.Submit(ctx, job); err != nil {
+		t.Fatal(err)
+	}
+	results, err := c.ReadAll(ctx, "j2")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resp.StatusCode, string(text)
+	checkResults(t, job, results)
+	for _, r := range results {
+		if !reflect.DeepEqual(r.Versions, []core.Version{2}) {
+			t.Errorf("versions %v of a result that needs version 2", r.Versions)
+		}
+	}
+	f.stop(t)
 }
 
-// Guards against a path from a caller or trainer to a server and back that
-// breaks anywhere between the adapter and the duties.
-func TestFrontServesRequestsAndJobs(t *testing.T) {
-	daemons, callers := startFronts(t, 2)
-	waitFor(t, "answer", func() bool {
-		status, body := send(t, http.MethodPost, callers[0], "/plain/1", "a1", "x")
-		return status == http.StatusOK && body == "answer to x"
-	})
-	if status, _ := send(t, http.MethodPost, callers[0], "/none/", "a2", "x"); status != http.StatusNotFound {
-		t.Errorf("a path without a route: %d", status)
+// Guards against malformed input that stops a daemon, is passed on to a server,
+// or gets no clear answer.
+func TestFrontRefusesMalformedInput(t *testing.T) {
+	f := newFleet(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.client()
+	f.awaitServed(t, ctx, c)
+	before, err := f.plain.Runs(ctx)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if status, _ := send(t, http.MethodPost, callers[0], "/gen/j", "j0", "{"); status != http.StatusBadRequest {
-		t.Errorf("a malformed job: %d", status)
+	item := `{"id":"a","path":"/batch/1","body":"eA=="}`
+	cases := []struct {
+		what, path string
+		body       []byte
+		status     int
+	}{
+		{"a path without a route", "/none/", nil, http.StatusNotFound},
+		{"a body over the limit", "/plain/1", make([]byte, 100_001), http.StatusRequestEntityTooLarge},
+		{"broken JSON", "/batch/j", []byte(`{"items":[`), http.StatusBadRequest},
+		{"JSON of another type", "/batch/j", []byte(`[1,2]`), http.StatusBadRequest},
+		{"an item without id", "/batch/j", []byte(`{"items":[{"path":"/batch/1"}]}`), http.StatusBadRequest},
+		{"an item listed twice", "/batch/j", []byte(`{"items":[` + item + "," + item + `]}`), http.StatusBadRequest},
+		{"a body that is no base64", "/batch/j", []byte(`{"items":[{"id":"a","body":"%"}]}`), http.StatusBadRequest},
 	}
-	if status, _ := send(t, http.MethodPost, callers[0], "/plain/1", "a3", strings.Repeat("x", 200000)); status != http.StatusRequestEntityTooLarge {
-		t.Errorf("a body over the limit: %d", status)
+	for _, test := range cases {
+		a, err := c.Send(ctx, http.MethodPost, test.path, "bad", test.body)
+		if err != nil || a.Status != test.status {
+			t.Errorf("%s: status %d, %v", test.what, a.Status, err)
+		}
 	}
-	job := `{"step":0,"model":"m","minVersion":1,"desiredCount":1,"items":[{"id":"i1","path":"/gen/1","headers":{},"body":"eA==","group":"g","scorer":{"id":"s1","host":"h","path":"/plain/s","body":"eQ=="}}]}`
-	if status, body := send(t, http.MethodPost, callers[0], "/gen/j", "j1", job); status != http.StatusAccepted {
-		t.Fatalf("job: %d %s", status, body)
+	raw := []struct{ what, text, want string }{
+		{"a header over the limit", "POST /plain/1 HTTP/1.1\r\nHost: h\r\nBig: " + strings.Repeat("x", 1<<20) + "\r\nContent-Length: 0\r\n\r\n", ""},
+		{"a length and chunks at once", "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: smuggled\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /plain/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: smuggled\r\nContent-Length: 0\r\n\r\n", ""},
+		{"two lengths", "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: smuggled\r\nContent-Length: 0\r\nContent-Length: 46\r\n\r\nPOST /plain/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", ""},
+		{"chunks broken off", "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: smuggled\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nshort", ""},
+		{"a body broken off", "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: smuggled\r\nContent-Length: 10\r\n\r\nshort", ""},
+		{"bytes that are no request", "\x00\x01\x02\r\n\r\n", ""},
 	}
-	want := `"results":[{"id":"i1","state":"done","text":"i1.1\ni1.2\ni1.3","versions":[1],"score":"stamp-s1"}]`
-	for _, address := range callers {
-		waitFor(t, "result at "+address, func() bool {
-			status, body := send(t, http.MethodGet, address, "/api/lots/j1?after=0", "r", "")
-			return status == http.StatusOK && strings.Contains(body, want)
-		})
+	for _, test := range raw {
+		if status := sendRaw(t, f.callers[0], test.text); status/100 == 2 {
+			t.Errorf("%s: status %d", test.what, status)
+		}
 	}
-	if status, body := send(t, http.MethodGet, callers[1], "/api/items/j1?id=i1", "r", ""); status != http.StatusOK || body != "x" {
-		t.Errorf("body of an item: %d %q", status, body)
+	runs, err := f.plain.Runs(ctx)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if status, _ := send(t, http.MethodDelete, callers[1], "/api/lots/j1", "r", ""); status != http.StatusOK {
-		t.Errorf("end: %d", status)
+	for _, run := range runs[len(before):] {
+		t.Errorf("malformed input reached a server as request %q", run.Request)
 	}
-	if status, _ := send(t, http.MethodGet, callers[1], "/api/lots/none?after=0", "r", ""); status != http.StatusNotFound {
-		t.Errorf("an unknown job: %d", status)
+	f.awaitServed(t, ctx, c)
+	f.stop(t)
+}
+
+// sendRaw sends bytes, closes its side and returns the status of the first
+// answer; 0 without one.
+func sendRaw(t *testing.T, address, text string) int {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", address, patience)
+	if err != nil {
+		t.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	// The daemon may close the connection before it has read everything.
+	_, _ = io.WriteString(conn, text)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+// Guards against an entry or object by another writer that stops a daemon or
+// takes the place of a sound one.
+func TestFrontIgnoresForeignObjects(t *testing.T) {
+	f := newFleet(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	for _, d := range daemons {
-		d.stopping.Store(true)
-		if d.isReady() {
-			t.Error("a daemon that stops is ready")
+	c := f.client()
+	f.awaitServed(t, ctx, c)
+	for kind, specs := range map[string][]any{
+		adapter.KindServers:  {7, "text", []int{1}, nil, map[string]any{"service": "desk"}, map[string]any{"service": "desk", "address": 5, "state": "ready"}, map[string]any{"service": "desk", "address": "127.0.0.1:1", "state": "lost"}},
+		adapter.KindVersions: {7, map[string]any{"model": "m", "version": "two"}, map[string]any{"version": 9}},
+		adapter.KindConfig:   {"text", map[string]any{"version": "four"}},
+		kindDaemons:          {7, map[string]any{"value": map[string]any{"address": 5}}},
+	} {
+		for i, spec := range specs {
+			if err := f.store.Put(kind, fmt.Sprintf("foreign-%d", i), spec); err != nil {
+				t.Fatal(err)
+			}
 		}
-		d.runner.Stop(ctx)
 	}
+	// The configuration's own object, overwritten by bytes that are no configuration.
+	if err := f.store.Put(adapter.KindConfig, "main", "text"); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "log of the entries", func() bool {
+		return f.log.has("entry names no backend server") && f.log.has("configuration cannot be read")
+	})
+	f.awaitServed(t, ctx, c)
+	f.stop(t)
 }
--- a/internal/server/hosted/main.go
+++ b/internal/server/hosted/main.go
@@ -60,10 +60,10 @@
 	return exitOK
 }
 
-// daemon is a composed daemon.
-type daemon interface {
-	// stop ends the daemon; ctx bounds the wait for work in progress.
-	stop(ctx context.Context)
+// Daemon is a running daemon.
+type Daemon interface {
+	// Stop ends the daemon; ctx bounds the wait for work in progress.
+	Stop(ctx context.Context)
 }
 
 func run(o *options, set *platform.Settings, log *logrus.Entry) error {
@@ -83,7 +83,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), set.Bounds.StopGrace)
 	defer cancel()
-	d.stop(ctx)
+	d.Stop(ctx)
 	log.Info("daemon stopped")
 	return nil
 }
@@ -99,9 +99,9 @@
 	log.WithField("changed", *next != *set).Info("settings read again")
 }
 
-func build(o *options, set *platform.Settings, log *logrus.Entry) (daemon, error) {
+func build(o *options, set *platform.Settings, log *logrus.Entry) (Daemon, error) {
 	if o.Role == roleStore {
-		return buildStore(set, log)
+		return startStore(set, log)
 	}
-	return buildFront(set, log)
+	return StartFront(set, log)
 }
--- a/internal/server/hosted/store.go
+++ b/internal/server/hosted/store.go
@@ -19,7 +19,7 @@
 	*base
 }
 
-func buildStore(set *adapter.Settings, log *logrus.Entry) (daemon, error) {
+func startStore(set *adapter.Settings, log *logrus.Entry) (Daemon, error) {
 	b, err := newBase(set, log)
 	if err != nil {
 		return nil, err
@@ -30,7 +30,7 @@
 	return d, b.startDuties()
 }
 
-func (d *storeDaemon) stop(ctx context.Context) {
+func (d *storeDaemon) Stop(ctx context.Context) {
 	d.runner.Stop(ctx)
 	d.release()
 }
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -1,5 +1,6 @@
 // Package demo runs a daemon on embedded stand-ins of both deployments and
-// sends it a card lookup, a booking, a model call and a trainer's step.
+// sends it a card lookup, a booking, a model call and a trainer's step. Then it
+// plays the path on the users' platform, over that platform's stand-ins.
 package demo
 
 import (
@@ -71,6 +72,11 @@
 	if err := d.step(ctx); err != nil {
 		return err
 	}
+	rows, err := runHosted(ctx)
+	if err != nil {
+		return fmt.Errorf("on the users' platform: %w", err)
+	}
+	d.rows = append(d.rows, rows...)
 	return d.print(out)
 }
 
--- /dev/null
+++ b/internal/standin/demo/hosted.go
@@ -0,0 +1,142 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/server/hosted"
+	"github.com/berylfall/berylfall/internal/transport"
+	"github.com/berylfall/berylfall/platform"
+	"github.com/berylfall/berylfall/platform/standin"
+)
+
+const (
+	// hostedDuties bounds the duties and listeners of the stand-ins.
+	hostedDuties = 32
+	hostedGroups = 12
+	groupSize    = 8
+)
+
+// hostedDeployment is a small copy of a deployment on the users' platform.
+var hostedDeployment = standin.Deployment{Host: "rollouts.example", Engines: "wear-model", Plain: "card-desk", Model: "wear", Slots: 16}
+
+// runHosted plays the path on the users' platform: a plain request, and a batch
+// job from its submission to its last result under a version that was just named.
+func runHosted(ctx context.Context) ([]row, error) {
+	runner, err := duty.NewRunner(hostedDuties)
+	if err != nil {
+		return nil, err
+	}
+	defer runner.Stop(ctx)
+	store, err := startHostedServers(ctx, runner)
+	if err != nil {
+		return nil, err
+	}
+	front, callers, err := startHostedFront(store)
+	if err != nil {
+		return nil, err
+	}
+	defer front.Stop(ctx)
+	c := standin.NewClient(hostedDeployment, []string{callers})
+	plain, err := hostedRequest(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	job, err := hostedJob(ctx, c, store)
+	return []row{plain, job}, err
+}
+
+// startHostedServers starts the store, four engines and two plain servers.
+func startHostedServers(ctx context.Context, runner *duty.Runner) (*standin.Store, error) {
+	store, err := standin.StartStore("127.0.0.1:0", duty.SystemClock{}, runner)
+	if err != nil {
+		return nil, err
+	}
+	servers := []standin.ServerOptions{
+		{ID: "desk-1", Service: hostedDeployment.Plain, Slots: 6, CallTime: 2 * time.Millisecond},
+		{ID: "desk-2", Service: hostedDeployment.Plain, Slots: 6, CallTime: 2 * time.Millisecond},
+	}
+	for i := range 4 {
+		servers = append(servers, standin.ServerOptions{
+			ID: fmt.Sprintf("engine-%d", i), Service: hostedDeployment.Engines, Slots: hostedDeployment.Slots,
+			Models: []string{hostedDeployment.Model}, EventTime: 2 * time.Millisecond, LoadTime: 200 * time.Millisecond,
+		})
+	}
+	for _, o := range servers {
+		o.DataCentre = "regina"
+		if _, err := standin.StartServer(ctx, "127.0.0.1:0", duty.SystemClock{}, runner, store, o); err != nil {
+			return nil, err
+		}
+	}
+	return store, hostedDeployment.Configure(store, 1)
+}
+
+// startHostedFront starts a daemon and returns the address for callers.
+func startHostedFront(store *standin.Store) (hosted.Daemon, string, error) {
+	addresses, err := transport.FreeAddresses("127.0.0.1", 3)
+	if err != nil {
+		return nil, "", err
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	front, err := hosted.StartFront(&platform.Settings{
+		Host: "front-regina-1", DataCentre: "regina", Callers: addresses[0], Readiness: addresses[1], PeerAddress: addresses[2],
+		Store:  platform.StoreSettings{Address: store.Address(), WritesPerSecond: 400, ReadsPerSecond: 2000},
+		Bounds: platform.Bounds{StopGrace: 8 * time.Second, LeaseTurn: 3 * time.Second, Drain: 2 * time.Second},
+	}, logrus.NewEntry(log))
+	return front, addresses[0], err
+}
+
+// hostedRequest sends a plain request until the daemon knows the configuration
+// and the servers.
+func hostedRequest(ctx context.Context, c *standin.Client) (row, error) {
+	for {
+		started := time.Now()
+		a, err := c.Plain(ctx, "lookup-1", []byte("card 17"))
+		if err == nil && a.Status == http.StatusOK {
+			return row{what: "platform: card lookup", latency: time.Since(started), verdict: core.Ran.String(), result: string(a.Body)}, nil
+		}
+		if err := duty.Sleep(ctx, retryPause); err != nil {
+			return row{}, fmt.Errorf("plain request: %w", err)
+		}
+	}
+}
+
+// hostedJob names a version and has a step's batch job run under it.
+func hostedJob(ctx context.Context, c *standin.Client, store *standin.Store) (row, error) {
+	const version = 2
+	started := time.Now()
+	if err := hostedDeployment.NameVersion(store, version); err != nil {
+		return row{}, err
+	}
+	job := standin.JobSpec{ID: "step-2", Step: version, MinVersion: version, Groups: hostedGroups, GroupSize: groupSize, Events: 8}
+	if err := c.Submit(ctx, job); err != nil {
+		return row{}, fmt.Errorf("submit job: %w", err)
+	}
+	results, err := c.ReadAll(ctx, job.ID)
+	if err != nil {
+		return row{}, fmt.Errorf("read job: %w", err)
+	}
+	took := time.Since(started)
+	if err := c.End(ctx, job.ID); err != nil {
+		return row{}, fmt.Errorf("end job: %w", err)
+	}
+	whole := 0
+	for _, r := range results {
+		if r.Text == standin.Text(r.ID, job.Events) && slices.Equal(r.Versions, []core.Version{version}) && r.Score != "" {
+			whole++
+		}
+	}
+	return row{
+		what: "platform: batch job", latency: took, verdict: core.Ran.String(),
+		result: fmt.Sprintf("%d of %d results whole, scored and of version %d, which was named before", whole, len(job.Items()), version),
+	}, nil
+}
--- /dev/null
+++ b/internal/transport/framing_test.go
@@ -0,0 +1,25 @@
+package transport
+
+import "testing"
+
+// Guards against a second request that is hidden in the body of another because
+// two parties read the first one's end in different ways.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	cases := map[string]bool{
+		"Host: h\r\n\r\n":                                         true,
+		"Host: h\r\nContent-Length: 4\r\n\r\n":                    true,
+		"Transfer-Encoding: Chunked\r\n\r\n":                      true,
+		"X-Content-Length: 4\r\n content-length:1":                false, // a folded line
+		"Content-Length: 4\r\nContent-Length: 4\r\n\r\n":          false,
+		"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n": false,
+		"Transfer-Encoding: gzip, chunked\r\n\r\n":                false,
+		"Transfer-Encoding: identity\r\n\r\n":                     false,
+		"Content-Length : 4\r\n\r\n":                              false,
+		"Transfer-Encoding\t: chunked\r\n\r\n":                    false,
+	}
+	for lines, clear := range cases {
+		if hasClearFraming([]byte(lines)) != clear {
+			t.Errorf("%q: clear %v", lines, !clear)
+		}
+	}
+}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -30,17 +30,18 @@
 
 func commands() map[string]command {
 	return map[string]command{
-		"start":    cmdStart,
-		"signal":   cmdSignal,
-		"ended":    cmdEnded,
-		"logged":   cmdLogged,
-		"http":     cmdHTTP,
-		"httpbg":   cmdHTTPBackground,
-		"httpwait": cmdHTTPWait,
-		"until":    cmdUntil,
-		"refused":  cmdRefused,
-		"runs":     cmdRuns,
-		"crashes":  cmdCrashes,
+		"start":     cmdStart,
+		"signal":    cmdSignal,
+		"ended":     cmdEnded,
+		"logged":    cmdLogged,
+		"http":      cmdHTTP,
+		"httpbg":    cmdHTTPBackground,
+		"httpwait":  cmdHTTPWait,
+		"until":     cmdUntil,
+		"refused":   cmdRefused,
+		"takenport": cmdTakenPort,
+		"runs":      cmdRuns,
+		"crashes":   cmdCrashes,
 	}
 }
 
@@ -352,3 +353,14 @@
 		ts.Fatalf("engines crashed %d times, want 1 to %d", m.Crashes, most)
 	}
 }
+
+// cmdTakenPort writes the host and port of a URL in the place of the word TAKEN
+// in a file: takenport FILE URL
+func cmdTakenPort(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: takenport FILE URL")
+	}
+	address := strings.TrimPrefix(args[1], "http://")
+	content := strings.ReplaceAll(ts.ReadFile(args[0]), "TAKEN", address)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(content), 0o600))
+}
