Read a lease once more before a claim by a slow contender

Cause: a contender that reads a lease each 8 s took its last look for the state after 3.4 s and wrote under the old version. The write failed and a read followed, each 3.4 s, for each daemon and lease. Change: a contender claims only what a read has confirmed since it saw it first. Before: TestLessorSlowContenderDoesNotWrite counts 69 calls and 34 failed writes in ten periods. After: at most 11 calls and none failed; takeovers from a dead holder still come, and those by contenders that read often are as fast.

--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -161,6 +161,13 @@
 	return s.seenAt.Add(duration + duration/driftDivisor)
 }
 
+// isConfirmed reports whether a claim at the time is worth a write. A contender
+// that reads seldom reads once more first: its last look may be older than the
+// holder's last renewals.
+func (s *leaseState) isConfirmed(claimAt time.Time) bool {
+	return !claimAt.After(s.seenAt) || s.readAt.After(s.seenAt)
+}
+
 // pollPeriod is how often a contender reads the lease.
 func (s *leaseState) pollPeriod() time.Duration {
 	if s.poll != nil {
--- a/internal/platform/lessor.go
+++ b/internal/platform/lessor.go
@@ -271,7 +271,8 @@
 		return
 	}
 	claimAt := s.claimableAt(l.self)
-	if s.wanted && !now.Before(claimAt) {
+	claims := s.wanted && s.isConfirmed(claimAt)
+	if claims && !now.Before(claimAt) {
 		s.before = s.record.Holder
 		l.write(s, leaseAcquire, leaseRecord{
 			Holder:     l.self,
@@ -280,7 +281,7 @@
 		})
 		return
 	}
-	if s.wanted && claimAt.Before(pollAt) {
+	if claims && claimAt.Before(pollAt) {
 		l.wakeAt(s, claimAt)
 		return
 	}
--- a/internal/platform/lessor_test.go
+++ b/internal/platform/lessor_test.go
@@ -136,6 +136,29 @@
 	}
 }
 
+// Guards against a contender that reads seldom and writes at the lease of a live
+// holder each time its own knowledge has grown old: such writes grow with the
+// number of daemons. It must still take over from a dead holder.
+func TestLessorSlowContenderDoesNotWrite(t *testing.T) {
+	const slowPoll = 4 * testLease
+	api := newFakeAPI()
+	a, b := newContender(api, "a", 1), newContender(api, "b", 2)
+	a.acquire()
+	run(time.Second, a)
+	b.lessor.Acquire("x", LeaseOptions{Duration: testLease, Listener: b.listen, PollEvery: func() time.Duration { return slowPoll }})
+	run(10*slowPoll, a, b)
+	if calls := b.store.Stats().Calls; calls > 11 {
+		t.Errorf("%d calls in 10 periods", calls)
+	}
+	if s := b.lessor.Stats(); s.Failed > 0 {
+		t.Errorf("%d writes failed", s.Failed)
+	}
+	run(2*slowPoll+testLease, b) // a is dead from here on
+	if !b.valid() || b.holding.Fence != 2 {
+		t.Errorf("not taken over: %+v", b.holding)
+	}
+}
+
 // Guards against a paused holder that still believes in its lease: the clock
 // jumps while nothing of the daemon runs.
 func TestLessorPausedHolder(t *testing.T) {
