Relay the watch of servers among many daemons

Cause: each daemon watches the entries of servers itself. Change: from 16 daemons on, four that rank first for a name watch for all. The others ask one of them for the changes after their revision, which is a revision of the store, so that any call can also go to the store.

--- a/internal/daemon/daemonrpc/questions.go
+++ b/internal/daemon/daemonrpc/questions.go
@@ -18,6 +18,7 @@
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
 )
 
@@ -40,7 +41,10 @@
 	sessions  map[string]*yamux.Session
 }
 
-var _ batch.Peers = (*PeerClient)(nil)
+var (
+	_ batch.Peers         = (*PeerClient)(nil)
+	_ platform.RelayAsker = (*PeerClient)(nil)
+)
 
 // NewPeerClient returns a client without connections. addresses returns the other
 // daemons as far as known.
@@ -86,6 +90,19 @@
 	return err
 }
 
+// AskWatch asks a relay for the changes of servers after the revision.
+func (p *PeerClient) AskWatch(ctx context.Context, address string, after int64) (platform.Listing, error) {
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return platform.Listing{}, err
+	}
+	answer, err := p.askOn(ctx, address, session, &Question{Kind: &Question_Watch{Watch: &WatchQuestion{After: after}}})
+	if err != nil {
+		return platform.Listing{}, err
+	}
+	return decodeWatchAnswer(answer.GetWatch())
+}
+
 // Close ends all sessions.
 func (p *PeerClient) Close() {
 	p.mu.Lock()
@@ -176,6 +193,8 @@
 	Job     func(context.Context, batch.Query) batch.Answer // blocks
 	Notices func([]backend.Notice)                          // must not wait
 	Owners  func([]batch.Ownership)                         // must not wait
+	// Watch answers as a relay. It blocks for a beat of the relay at most.
+	Watch func(ctx context.Context, after int64) (platform.Listing, error)
 }
 
 // Notices are what a daemon tells others because it knows it first.
@@ -262,6 +281,10 @@
 		s.handlers.Owners(notices.Owners)
 		return &JobAnswer{}, nil
 	}
+	if w := m.GetWatch(); w != nil {
+		listing, err := s.handlers.Watch(context.Background(), w.GetAfter())
+		return &JobAnswer{Watch: encodeWatchAnswer(listing, err)}, nil
+	}
 	q, err := decodeQuestion(m.GetJob())
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/daemon/daemonrpc/wirewatch.go
@@ -0,0 +1,27 @@
+package daemonrpc
+
+import "github.com/berylfall/berylfall/internal/platform"
+
+func encodeWatchAnswer(l platform.Listing, err error) *WatchAnswer {
+	if err != nil {
+		return &WatchAnswer{Refused: true}
+	}
+	m := &WatchAnswer{Revision: l.Revision}
+	for _, o := range l.Objects {
+		m.Objects = append(m.Objects, &WatchedObject{Key: o.Key, Version: o.Version, Revision: o.Revision, Deleted: o.Deleted, Value: o.Value})
+	}
+	return m
+}
+
+func decodeWatchAnswer(m *WatchAnswer) (platform.Listing, error) {
+	if m == nil || m.GetRefused() {
+		return platform.Listing{}, platform.ErrNotRelayed
+	}
+	l := platform.Listing{Revision: m.GetRevision()}
+	for _, o := range m.GetObjects() {
+		l.Objects = append(l.Objects, platform.Object{
+			Key: o.GetKey(), Version: o.GetVersion(), Revision: o.GetRevision(), Deleted: o.GetDeleted(), Value: o.GetValue(),
+		})
+	}
+	return l, nil
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -51,9 +51,9 @@
 	ListAfterFailure bool
 	// RetryLongest bounds the pause between failed calls; 0 is the default.
 	RetryLongest time.Duration
-	// Pace is the pause after an answer with changes, in which further changes
-	// collect. It saves calls at the price of delay.
-	Pace time.Duration
+	// Pace returns the pause after an answer with changes, in which further
+	// changes collect. It saves calls at the price of delay. Nil is no pause.
+	Pace func() time.Duration
 	// OnStore is told on the duty's goroutine how each call ended; nil means
 	// that the store answered. It must not wait.
 	OnStore func(err error)
@@ -290,8 +290,8 @@
 	} else {
 		w.publishChanges(r.listing)
 	}
-	if w.options.Pace > 0 && len(r.listing.Objects) > 0 {
-		w.pause(w.options.Pace)
+	if w.options.Pace != nil && len(r.listing.Objects) > 0 {
+		w.pause(w.options.Pace())
 		return
 	}
 	w.next()
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -64,8 +64,13 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), uint64(time.Now().UnixNano())))
 }
 
-// follow adds a duty that watches a kind of objects.
+// follow adds a duty that watches a kind of objects in the store.
 func (b *base) follow(kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
+	return b.followOn(b.api, kind, o, deliver)
+}
+
+// followOn is follow with another way to the store.
+func (b *base) followOn(api platform.ObjectAPI, kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
 	o.Bound, o.RetryLongest, o.ListAfterFailure = watchBound, watchRetry, true
 	o.Random = b.random()
 	told := o.OnStore
@@ -80,7 +85,7 @@
 			told(err)
 		}
 	}
-	w := platform.NewWatcher(b.clock, b.api, b.watch, kind+"/", deliver, o)
+	w := platform.NewWatcher(b.clock, api, b.watch, kind+"/", deliver, o)
 	b.watchers = append(b.watchers, w)
 	b.loops = append(b.loops, w.Loop())
 	return w
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -24,9 +24,6 @@
 	exchangeWorkers  = 4096
 	collectorWorkers = 4096
 	peerWorkers      = 512
-	// pacePart is the part of the time in which a leaving server must get no new
-	// work for which changes of servers may collect.
-	pacePart = 0.4
 	// rosterPace lets changes of daemons collect.
 	rosterPace = time.Second
 	// maxBody bounds the body of a request; the configuration's own limit is lower.
@@ -52,6 +49,7 @@
 	peers     *daemonrpc.PeerClient
 	roster    *roster
 	notices   *notices
+	relay     *platform.Relay
 	orders    *orderParts
 	callers   *transport.Server
 	readiness *transport.Server
@@ -108,7 +106,7 @@
 	d.dispatch.SetOnAttemptEnd(d.logAttempt)
 	d.directory = backend.NewDirectory(d.clock, d.log, d.setServers)
 	d.loops = append(d.loops, d.dispatch.Loop(), d.directory.Loop())
-	d.follow(adapter.KindServers, platform.WatcherOptions{Pace: time.Duration(pacePart * float64(d.set.Bounds.Drain)), OnStore: d.storeAnswered}, d.handleServers)
+	d.followServers()
 	return nil
 }
 
@@ -195,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := daemonrpc.ListenPeers(d.set.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{Job: desk.Relayed, Notices: d.directory.Note, Owners: d.keeper.Learn})
+	jobs, err := daemonrpc.ListenPeers(d.set.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{Job: desk.Relayed, Notices: d.directory.Note, Owners: d.keeper.Learn, Watch: d.relay.Watch})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/server/hosted/relays.go
@@ -0,0 +1,75 @@
+package hosted
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	rendezvous "github.com/berylfall/berylfall/internal/daemon"
+	"github.com/berylfall/berylfall/internal/platform"
+	adapter "github.com/berylfall/berylfall/platform"
+)
+
+const (
+	// relayCount is the number of daemons that watch the servers for all.
+	relayCount = 4
+	// relayedFrom is the least number of daemons for which relays save calls of
+	// the store that are worth a later knowledge of changes.
+	relayedFrom = 4 * relayCount
+	// directPacePart is the part of the time in which a leaving server must get
+	// no new work for which changes of servers may collect on the way from the
+	// store. Through a relay they collect twice, each time for relayedPacePart.
+	directPacePart  = 0.4
+	relayedPacePart = 0.2
+	// relaysRank names the choice of the relays.
+	relaysRank = "relays"
+)
+
+// followServers watches the entries of servers, through relays if there are
+// many daemons.
+func (d *frontDaemon) followServers() {
+	within := d.set.Bounds.Drain
+	d.relay = platform.NewRelay(d.clock, d.api, d.watch, platform.RelayOptions{Within: within, IsActive: d.isRelay})
+	d.loops = append(d.loops, d.relay.Loop())
+	first := int(xxhash.Sum64String(d.set.PeerAddress) % relayCount)
+	api := platform.NewRelayedAPI(d.api, d.clock, d.peers, within, d.relaysToAsk, first, func(address string, err error) {
+		d.log.WithError(err).WithField("daemon", address).Info("relay does not answer; the store is asked itself")
+	})
+	var watcher *platform.Watcher
+	pace := func() time.Duration {
+		if len(d.relays()) > 0 {
+			return time.Duration(relayedPacePart * float64(within))
+		}
+		return time.Duration(directPacePart * float64(within))
+	}
+	watcher = d.followOn(api, adapter.KindServers, platform.WatcherOptions{Pace: pace, OnStore: d.storeAnswered}, func(s platform.Snapshot) {
+		d.handleServers(s)
+		if !d.relay.Deliver(s) {
+			d.log.WithFields(logrus.Fields{"revision": s.Revision}).Error("changes of backend servers are lost: the relay's ring is full")
+			watcher.Relist()
+		}
+	})
+}
+
+// relays returns the daemons that watch the servers for all; none if there are
+// few daemons.
+func (d *frontDaemon) relays() []string {
+	all := append(slices.Clone(d.roster.others()), d.set.PeerAddress)
+	if len(all) < relayedFrom {
+		return nil
+	}
+	return rendezvous.Rank(relaysRank, all, relayCount)
+}
+
+func (d *frontDaemon) isRelay() bool { return slices.Contains(d.relays(), d.set.PeerAddress) }
+
+// relaysToAsk returns the relays, or none if this daemon is one of them.
+func (d *frontDaemon) relaysToAsk() []string {
+	relays := d.relays()
+	if slices.Contains(relays, d.set.PeerAddress) {
+		return nil
+	}
+	return relays
+}
--- a/internal/server/hosted/roster.go
+++ b/internal/server/hosted/roster.go
@@ -40,7 +40,7 @@
 
 func (d *frontDaemon) buildRoster() error {
 	d.roster.byKey = map[string]string{}
-	d.follow(kindDaemons, platform.WatcherOptions{Pace: rosterPace}, d.handleDaemons)
+	d.follow(kindDaemons, platform.WatcherOptions{Pace: func() time.Duration { return rosterPace }}, d.handleDaemons)
 	d.store.Loop().After(0, d.register)
 	return nil
 }
