Split engines among models by the work of their jobs

Cause: engines are split evenly among the models. Change: half of the engines are split evenly, the other half by the recent work of each model, which the notices of owners carry to all daemons. An engine changes its model only when its model has three quarters of an engine too many.

--- a/internal/daemon/daemonrpc/questions.go
+++ b/internal/daemon/daemonrpc/questions.go
@@ -310,7 +310,7 @@
 		m.Engines = append(m.Engines, &ServerNotice{Server: string(e.Server), Model: e.Model, Version: int64(e.Version), Loading: e.Loading})
 	}
 	for _, o := range n.Owners {
-		m.Owners = append(m.Owners, &JobOwner{Job: string(o.Job), Address: o.Owner.Address, Run: o.Owner.Run})
+		m.Owners = append(m.Owners, &JobOwner{Job: string(o.Job), Address: o.Owner.Address, Run: o.Owner.Run, Model: o.Model, Work: o.Work})
 	}
 	return &Question{Kind: &Question_Notices{Notices: m}}
 }
@@ -321,7 +321,9 @@
 		n.Engines = append(n.Engines, backend.Notice{Server: core.ServerID(e.Server), Model: e.Model, Version: core.Version(e.Version), Loading: e.Loading})
 	}
 	for _, o := range m.Owners {
-		n.Owners = append(n.Owners, batch.Ownership{Job: batch.JobID(o.Job), Owner: batch.Owner{Address: o.Address, Run: o.Run}})
+		n.Owners = append(n.Owners, batch.Ownership{
+			Job: batch.JobID(o.Job), Owner: batch.Owner{Address: o.Address, Run: o.Run}, Model: o.Model, Work: o.Work,
+		})
 	}
 	return n
 }
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -118,7 +118,7 @@
 // setServers runs on the directory's goroutine.
 func (d *frontDaemon) setServers(servers []backend.Server) {
 	d.dispatch.SetServers(servers)
-	d.orders.setServers(servers, d.routes.Current())
+	d.orders.setServers(servers, d.routes.Current(), d.notices.recentWork())
 }
 
 // handleServers decodes entries on the watch's goroutine.
@@ -193,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := daemonrpc.ListenPeers(d.set.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{Job: desk.Relayed, Notices: d.directory.Note, Owners: d.keeper.Learn, Watch: d.relay.Watch})
+	jobs, err := daemonrpc.ListenPeers(d.set.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{Job: desk.Relayed, Notices: d.directory.Note, Owners: d.learnOwners, Watch: d.relay.Watch})
 	if err != nil {
 		return err
 	}
@@ -213,6 +213,12 @@
 	return nil
 }
 
+// learnOwners takes the jobs that another daemon owns now, on a pool worker.
+func (d *frontDaemon) learnOwners(list []batch.Ownership) {
+	d.keeper.Learn(list)
+	d.notices.learn(list)
+}
+
 // isReady reports whether the daemon takes new connections and jobs.
 func (d *frontDaemon) isReady() bool {
 	return !d.stopping.Load() && d.routes.Current() != nil
--- a/internal/server/hosted/notices.go
+++ b/internal/server/hosted/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,12 +24,16 @@
 )
 
 // notices is the duty that tells all daemons what this one knows first: the
-// engines that it orders and the jobs that it owns.
+// engines that it orders and the jobs that it owns. It adds up the work of all
+// jobs by model.
 type notices struct {
 	loop    *duty.Loop
 	log     *logrus.Entry
 	engines *ring.Ring[backend.Notice]
 	owners  *ring.Ring[batch.Ownership]
+	learned *ring.Ring[[]batch.Ownership]
+	demand  weights.Demand
+	recent  atomic.Pointer[map[string]float64] // of demand
 	pool    *duty.Pool
 	local   func([]backend.Notice)
 	others  func() []string
@@ -46,10 +51,12 @@
 		loop: duty.New("notices", d.clock), log: d.log,
 		engines: ring.New[backend.Notice]("notices.engines", noticeRing),
 		owners:  ring.New[batch.Ownership]("notices.owners", noticeRing),
+		learned: ring.New[[]batch.Ownership]("notices.learned", noticeRing),
 		pool:    pool, local: d.directory.Note, others: d.roster.others, send: d.peers.Notify,
 	}
 	duty.On(n.loop, n.engines, n.handleEngine)
 	duty.On(n.loop, n.owners, n.handleOwner)
+	duty.On(n.loop, n.learned, func(list []batch.Ownership) { n.count(list...) })
 	d.notices = n
 	d.loops = append(d.loops, n.loop)
 	return nil
@@ -69,12 +76,38 @@
 	}
 }
 
+// learn takes the jobs that other daemons own now. It never waits.
+func (n *notices) learn(list []batch.Ownership) {
+	if !n.learned.TryPut(list) {
+		n.log.WithField("jobs", len(list)).Warn("work of jobs is not counted: the ring of notices is full")
+	}
+}
+
+// count adds the work of jobs to the demand.
+func (n *notices) count(list ...batch.Ownership) {
+	now := n.loop.Clock().Now()
+	for _, o := range list {
+		n.demand.Add(now, o.Model, float64(o.Work))
+	}
+	recent := n.demand.Recent(now)
+	n.recent.Store(&recent)
+}
+
+// recentWork returns the recent work of each model. Any goroutine may call it.
+func (n *notices) recentWork() map[string]float64 {
+	if recent := n.recent.Load(); recent != nil {
+		return *recent
+	}
+	return nil
+}
+
 func (n *notices) handleEngine(notice backend.Notice) {
 	n.pending.Engines = append(n.pending.Engines, notice)
 	n.flushSoon()
 }
 
 func (n *notices) handleOwner(o batch.Ownership) {
+	n.count(o)
 	n.pending.Owners = append(n.pending.Owners, o)
 	n.flushSoon()
 }
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -28,10 +28,13 @@
 	orderGroups = 2
 	// ordersLeaseTime is how long the death of a holder goes unnoticed.
 	ordersLeaseTime = 3 * time.Second
-	// contenders are the daemons that follow a lease closely; the others read it
-	// each idlePoll, in case all of these are lost.
-	contenders = 2
-	idlePoll   = 8 * time.Second
+	// contenders are the daemons that follow a lease closely. The others read it
+	// each idlePoll, in case all of these are lost, and those of a rank beyond
+	// idlePoll/idlePollStep more seldom still, so that the calls of the store
+	// hardly grow with the number of daemons.
+	contenders   = 2
+	idlePoll     = 8 * time.Second
+	idlePollStep = time.Second
 	// candidateDelay lets the daemons that rank first for a lease take it first.
 	candidateDelay = time.Second
 	// orderWorkers bounds the orders in progress.
@@ -127,10 +130,11 @@
 }
 
 func (d *frontDaemon) pollPeriod(g *orderGroup) time.Duration {
-	if d.rank(g) < contenders {
+	rank := d.rank(g)
+	if rank < contenders {
 		return ordersLeaseTime / 2
 	}
-	return idlePoll
+	return max(idlePoll, time.Duration(rank)*idlePollStep)
 }
 
 // handleLease runs on the lessor's goroutine.
@@ -191,7 +195,7 @@
 
 // setServers tells the roll-outs what the engines hold. It runs on the
 // directory's goroutine.
-func (o *orderParts) setServers(servers []backend.Server, routes *caller.RouteSet) {
+func (o *orderParts) setServers(servers []backend.Server, routes *caller.RouteSet, demand map[string]float64) {
 	if routes == nil {
 		return
 	}
@@ -204,16 +208,16 @@
 		var reports []weights.Report
 		for name, service := range routes.Services {
 			if len(service.Models) > 0 {
-				reports = append(reports, g.reports(enginesOf(servers, name, i), service, now)...)
+				reports = append(reports, g.reports(enginesOf(servers, name, i), service, demand, now)...)
 			}
 		}
 		g.rollout.SetEngines(reports)
 	}
 }
 
-func (g *orderGroup) reports(engines []weights.Engine, service caller.Service, now time.Time) []weights.Report {
+func (g *orderGroup) reports(engines []weights.Engine, service caller.Service, demand map[string]float64, now time.Time) []weights.Report {
 	reports := make([]weights.Report, 0, len(engines))
-	models := g.assigner.Assign(engines, service.Models)
+	models := g.assigner.Assign(engines, service.Models, demand)
 	for _, e := range engines {
 		model := models[e.ID]
 		reports = append(reports, weights.Report{At: now, Worker: weights.Worker{
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -70,9 +70,6 @@
 func (k *Keeper) open(e *entry) {
 	e.phase = phaseOwned
 	e.usedAt = k.now()
-	if k.onOwner != nil {
-		k.onOwner(Ownership{Job: e.id, Owner: k.self})
-	}
 	done := map[ItemID]bool{}
 	for _, r := range e.listed {
 		done[r.Item] = true
@@ -92,11 +89,27 @@
 	}
 	e.unlisted = len(e.items)
 	e.cutOff = false
+	if k.onOwner != nil {
+		k.onOwner(Ownership{Job: e.id, Owner: k.self, Model: e.job.Model, Work: e.work()})
+	}
 	k.adoptHandover(e)
 	k.settleWaiting(e)
 	k.launchWaiting(e)
 }
 
+// work returns the output tokens of the items without a result, as guessed.
+func (e *entry) work() int64 {
+	sum := int64(0)
+	for _, r := range e.items {
+		tokens := r.item.LengthHint
+		if tokens <= 0 {
+			tokens = r.item.MaxTokens
+		}
+		sum += int64(tokens)
+	}
+	return sum
+}
+
 // launchOrder puts the items first that are expected to take longest, since a
 // step waits for the last item of its groups.
 func launchOrder(items []Item) []ItemID {
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -62,10 +62,12 @@
 	Run     string `json:"run"`     // differs for each start of the daemon
 }
 
-// Ownership tells who owns a job.
+// Ownership tells who owns a job and how much of it is left.
 type Ownership struct {
 	Job   JobID
 	Owner Owner
+	Model string
+	Work  int64 // output tokens of the items without a result, as guessed
 }
 
 // state is the part of a job that changes: who owns it and whether it has ended.
--- a/internal/weights/assign.go
+++ b/internal/weights/assign.go
@@ -16,10 +16,20 @@
 	Versions   map[string]core.Version // by model
 }
 
+const (
+	// evenPart is the part of the engines that is split evenly whatever the
+	// demand, so that a model whose work is light keeps enough engines to bear
+	// the load of a version and the loss of an engine.
+	evenPart = 0.5
+	// moveMargin is how far a model's engines must be above its share before one
+	// of them changes its model, since that costs a load.
+	moveMargin = 0.75
+)
+
 // Assigner decides which engine is kept at the newest version of which model.
 // Each engine is kept for one model, so that a new version costs as few loads
-// as an even split allows. It remembers its decisions: a change of the engines
-// moves as few of them as possible.
+// as possible. It remembers its decisions: a change of the engines or of the
+// demand moves as few of them as possible.
 type Assigner struct {
 	models map[core.ServerID]string
 }
@@ -28,8 +38,9 @@
 func NewAssigner() *Assigner { return &Assigner{models: map[core.ServerID]string{}} }
 
 // Assign returns the model of each engine of one service. models are the names
-// of the models that trainers name versions of.
-func (a *Assigner) Assign(engines []Engine, models []string) map[core.ServerID]string {
+// of the models that trainers name versions of; demand is the recent work of
+// each, in any unit, and may be nil.
+func (a *Assigner) Assign(engines []Engine, models []string, demand map[string]float64) map[core.ServerID]string {
 	if len(models) == 0 {
 		return nil
 	}
@@ -42,14 +53,14 @@
 		return strings.Compare(string(x.ID), string(y.ID))
 	})
 	newest := newestVersions(engines)
-	s := newSplit(models)
+	s := newSplit(models, shares(models, demand, len(engines)))
 	var free []Engine
 	for _, e := range engines {
 		model := a.models[e.ID]
 		if !slices.Contains(models, model) {
 			model = freshestModel(e, models, newest)
 		}
-		if model == "" || !s.hasRoom(model, len(engines)) {
+		if model == "" || !s.hasRoom(model) {
 			free = append(free, e)
 			continue
 		}
@@ -91,21 +102,39 @@
 	return best
 }
 
+// shares returns how many of n engines each model should have. Their sum is n.
+func shares(models []string, demand map[string]float64, n int) map[string]float64 {
+	sum := 0.0
+	for _, m := range models {
+		sum += demand[m]
+	}
+	list := map[string]float64{}
+	for _, m := range models {
+		even := float64(n) / float64(len(models))
+		list[m] = even
+		if sum > 0 {
+			list[m] = evenPart*even + (1-evenPart)*float64(n)*demand[m]/sum
+		}
+	}
+	return list
+}
+
 // split is an assignment in the making.
 type split struct {
 	models   []string
+	shares   map[string]float64 // engines that a model should have
 	assigned map[core.ServerID]string
 	total    map[string]int
 	local    map[[2]string]int // by model and data centre
 }
 
-func newSplit(models []string) *split {
-	return &split{models: models, assigned: map[core.ServerID]string{}, total: map[string]int{}, local: map[[2]string]int{}}
+func newSplit(models []string, shares map[string]float64) *split {
+	return &split{models: models, shares: shares, assigned: map[core.ServerID]string{}, total: map[string]int{}, local: map[[2]string]int{}}
 }
 
-// hasRoom reports whether the model has fewer than its even share of n engines.
-func (s *split) hasRoom(model string, n int) bool {
-	return s.total[model] < (n+len(s.models)-1)/len(s.models)
+// hasRoom reports whether the model may keep one engine more.
+func (s *split) hasRoom(model string) bool {
+	return float64(s.total[model]+1)-s.shares[model] <= moveMargin
 }
 
 func (s *split) add(e Engine, model string) {
@@ -114,13 +143,14 @@
 	s.local[[2]string{model, e.DataCentre}]++
 }
 
-// least returns the model with the fewest engines, among them the one with the
-// fewest in the data centre.
+// least returns the model that lacks most of its share, among equals the one
+// with the fewest engines in the data centre.
 func (s *split) least(dataCentre string) string {
 	best := s.models[0]
 	for _, m := range s.models[1:] {
+		lack, most := s.shares[m]-float64(s.total[m]), s.shares[best]-float64(s.total[best])
 		here, bestHere := s.local[[2]string{m, dataCentre}], s.local[[2]string{best, dataCentre}]
-		if s.total[m] < s.total[best] || (s.total[m] == s.total[best] && here < bestHere) {
+		if lack > most || (lack == most && here < bestHere) {
 			best = m
 		}
 	}
