Wait for the orders of others also after a restart during the wait

Cause: a daemon that starts again takes the lease on orders of its earlier run at once and orders without a wait. If the earlier run had gained the lease from another host and had not yet waited, its orders came too early after the other host's. Ruled out: the lapse of the lease itself, which was kept. Change: the lease record says whether its holder has waited, over all its runs on the host. Only then does a later run order at once. Test: TestOneHolderAtEachEngine plays 200 seeds of freezes, cuts, restarts, lost answers and late writes with four hosts and checks holders, fencing numbers and turns at each engine.

--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -75,6 +75,9 @@
 	Holder  string  // who holds the lease as far as known; empty after a release
 	// Before is who held it before, for LeaseGained.
 	Before string
+	// Settled says of a lease gained or renewed that this host has held it for
+	// LeaseOptions.SettleAfter, earlier runs included.
+	Settled bool
 }
 
 // LeaseOptions says how a lease is held.
@@ -88,6 +91,9 @@
 	// IsEarlierRun reports whether a holder is an earlier run of this daemon
 	// that has ended for sure. Its lease is taken without waiting. Nil is never.
 	IsEarlierRun func(holder string) bool
+	// SettleAfter is how long a holder waits before it first uses the lease. A
+	// later run on the host goes on at once only if an earlier one had waited.
+	SettleAfter time.Duration
 }
 
 // leaseRecord is the value of a lease object.
@@ -96,6 +102,7 @@
 	Fence      int64  `json:"fence"`
 	DurationMs int64  `json:"durationMs"`
 	Renewals   int64  `json:"renewals"`
+	Settled    bool   `json:"settled,omitempty"` // see LeaseOptions.SettleAfter
 }
 
 func decodeLease(o Object) (leaseRecord, error) {
@@ -125,6 +132,7 @@
 	listener func(LeaseEvent)
 	poll     func() time.Duration
 	earlier  func(holder string) bool
+	settle   time.Duration
 	before   string // holder that the acquisition in progress replaces
 	wanted   bool   // acquire it; otherwise only observe
 	leaving  bool   // release it, then forget it
@@ -138,6 +146,7 @@
 
 	holding Holding // valid while held
 	held    bool
+	heldAt  time.Time // when the holding began
 	renewAt time.Time
 
 	busy    bool // an operation is in progress
--- a/internal/platform/lessor.go
+++ b/internal/platform/lessor.go
@@ -201,6 +201,7 @@
 		s.duration = DefaultLeaseDuration
 	}
 	s.listener, s.poll, s.earlier = r.options.Listener, r.options.PollEvery, r.options.IsEarlierRun
+	s.settle = r.options.SettleAfter
 	s.wanted = r.kind == requestAcquire
 	s.leaving = false
 	l.step(s)
@@ -261,6 +262,7 @@
 	next := s.record
 	next.Renewals++
 	next.DurationMs = s.duration.Milliseconds()
+	next.Settled = next.Settled || now.Sub(s.heldAt) >= s.settle
 	l.write(s, leaseRenew, next)
 }
 
@@ -278,6 +280,7 @@
 			Holder:     l.self,
 			Fence:      s.record.Fence + 1,
 			DurationMs: s.duration.Milliseconds(),
+			Settled:    s.record.Settled && s.earlier != nil && s.earlier(s.record.Holder),
 		})
 		return
 	}
@@ -298,7 +301,7 @@
 	// the lease as soon as the write takes effect.
 	l.lose(s)
 	next := s.record
-	next.Holder = ""
+	next.Holder, next.Settled = "", false
 	l.write(s, leaseRelease, next)
 }
 
@@ -473,17 +476,17 @@
 	case d.op == leaseAcquire:
 		s.retry.reset()
 		s.holding = granted
-		s.held = true
+		s.held, s.heldAt = true, now
 		l.counters.gained.Inc(1)
 		l.counters.held.Inc(1)
-		l.notify(s.listener, LeaseEvent{Kind: LeaseGained, Holding: granted, Holder: l.self, Before: s.before})
+		l.notify(s.listener, LeaseEvent{Kind: LeaseGained, Holding: granted, Holder: l.self, Before: s.before, Settled: s.record.Settled})
 	case s.held:
 		// A renewal whose holding was lost meanwhile does not bring it back,
 		// since its users were told to stop.
 		s.retry.reset()
 		s.holding = granted
 		l.counters.renewed.Inc(1)
-		l.notify(s.listener, LeaseEvent{Kind: LeaseRenewed, Holding: granted, Holder: l.self})
+		l.notify(s.listener, LeaseEvent{Kind: LeaseRenewed, Holding: granted, Holder: l.self, Settled: s.record.Settled})
 	}
 }
 
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -75,10 +75,7 @@
 	}
 	clock := duty.NewBootClock()
 	o := &orderParts{named: &namedVersions{}, lessor: platform.NewLessor(clock, d.store, d.runName(), d.random())}
-	limits := weights.Limits{
-		StoreShare: loadShare, MinReady: weights.DefaultLimits().MinReady, UsefulLag: 1,
-		TakeoverWait: max(0, d.set.Bounds.LeaseTurn-platform.LapseGap(ordersLeaseTime)) + takeoverMargin,
-	}
+	limits := orderLimits(d.set.Bounds.LeaseTurn)
 	orders := adapter.NewOrders(d.set.Host, clock)
 	d.loops = append(d.loops, o.lessor.Loop())
 	for i := range o.groups {
@@ -94,6 +91,26 @@
 	return nil
 }
 
+// orderLimits returns the limits of a roll-out whose engines want the time turn
+// between the orders of two holders.
+func orderLimits(turn time.Duration) weights.Limits {
+	return weights.Limits{
+		StoreShare: loadShare, MinReady: weights.DefaultLimits().MinReady, UsefulLag: 1,
+		TakeoverWait: max(0, turn-platform.LapseGap(ordersLeaseTime)) + takeoverMargin,
+	}
+}
+
+// holdingOf returns the right to order that a lease event gives.
+func holdingOf(e platform.LeaseEvent) weights.Holding {
+	if e.Kind == platform.LeaseLost {
+		return weights.Holding{}
+	}
+	return weights.Holding{
+		Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline,
+		Continued: e.Kind == platform.LeaseGained && e.Settled,
+	}
+}
+
 // compete makes this daemon a candidate for the group's lease. When the whole
 // system starts, it does so the later the lower it ranks.
 func (d *frontDaemon) compete(o *orderParts, g *orderGroup) {
@@ -103,6 +120,7 @@
 		PollEvery: func() time.Duration { return d.pollPeriod(g) },
 		// The platform starts a process on a host only after the one before has ended.
 		IsEarlierRun: d.isEarlierRun,
+		SettleAfter:  orderLimits(d.set.Bounds.LeaseTurn).TakeoverWait,
 	}
 	acquire := func() {
 		if !o.stopping.Load() && !o.lessor.Acquire(g.lease, options) {
@@ -144,12 +162,9 @@
 		if o.stopping.Load() {
 			return
 		}
-		g.rollout.SetHolding(weights.Holding{
-			Fence: e.Holding.Fence, ValidUntil: e.Holding.Deadline,
-			Continued: e.Kind == platform.LeaseGained && d.isEarlierRun(e.Before),
-		})
+		g.rollout.SetHolding(holdingOf(e))
 	case platform.LeaseLost:
-		g.rollout.SetHolding(weights.Holding{})
+		g.rollout.SetHolding(holdingOf(e))
 	}
 	if e.Kind == platform.LeaseRenewed {
 		return
--- /dev/null
+++ b/internal/server/hosted/orders_proof_test.go
@@ -0,0 +1,326 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/weights"
+)
+
+const (
+	orderTurn  = 3 * time.Second        // between the orders of two hosts
+	orderThaw  = 300 * time.Millisecond // after a thaw, in which late orders do not count
+	orderStep  = 20 * time.Millisecond
+	orderHosts = 4
+	orderSeeds = 200
+)
+
+var orderStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// leaseObjects is an object API that holds one object, with lost answers.
+type leaseObjects struct {
+	random  *rand.Rand
+	object  platform.Object
+	stored  bool
+	trouble bool // calls may be lost
+	late    []func()
+}
+
+func (s *leaseObjects) Get(context.Context, string) (platform.Object, error) {
+	if s.trouble && s.random.IntN(3) == 0 {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if !s.stored {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return s.object, nil
+}
+
+func (s *leaseObjects) apply(w platform.Write) (platform.Object, error) {
+	if s.stored != (w.IfVersion != platform.Absent) || (s.stored && w.IfVersion != s.object.Version) {
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.stored = true
+	s.object = platform.Object{Key: w.Key, Version: s.object.Version + 1, Revision: s.object.Revision + 1, Token: w.Token, Value: w.Value}
+	return s.object, nil
+}
+
+func (s *leaseObjects) Put(_ context.Context, w platform.Write) (platform.Object, error) {
+	if s.trouble {
+		switch s.random.IntN(6) {
+		case 0:
+			return platform.Object{}, platform.ErrUnknownOutcome // never arrived
+		case 1:
+			_, _ = s.apply(w)
+			return platform.Object{}, platform.ErrUnknownOutcome // carried out
+		case 2:
+			s.late = append(s.late, func() { _, _ = s.apply(w) })
+			return platform.Object{}, platform.ErrUnknownOutcome // carried out later
+		}
+	}
+	return s.apply(w)
+}
+
+func (s *leaseObjects) List(context.Context, string) (platform.Listing, error) {
+	return platform.Listing{}, platform.ErrUnavailable
+}
+
+func (s *leaseObjects) Delete(context.Context, platform.Write) (platform.Object, error) {
+	return platform.Object{}, platform.ErrRejected
+}
+
+func (s *leaseObjects) Watch(context.Context, string, int64) (platform.Listing, error) {
+	return platform.Listing{}, platform.ErrUnavailable
+}
+
+// cutObjects is the store as one host sees it.
+type cutObjects struct {
+	platform.ObjectAPI
+	cut *bool
+}
+
+func (c cutObjects) Get(ctx context.Context, key string) (platform.Object, error) {
+	if *c.cut {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return c.ObjectAPI.Get(ctx, key)
+}
+
+func (c cutObjects) Put(ctx context.Context, w platform.Write) (platform.Object, error) {
+	if *c.cut {
+		return platform.Object{}, platform.ErrUnknownOutcome
+	}
+	return c.ObjectAPI.Put(ctx, w)
+}
+
+// laterPool keeps work until the next step of its host, so that a freeze may
+// come between a decision and its call.
+type laterPool struct{ work []func() }
+
+func (p *laterPool) TryGo(f func()) bool {
+	p.work = append(p.work, f)
+	return true
+}
+
+func (p *laterPool) run() {
+	work := p.work
+	p.work = nil
+	for _, f := range work {
+		f()
+	}
+}
+
+// sentOrder is an order as it reaches an engine.
+type sentOrder struct {
+	at     time.Time
+	host   int
+	fence  int64
+	thawed bool // its host was frozen shortly before
+}
+
+// orderHost is one host with the duties that order engines.
+type orderHost struct {
+	world    *orderWorld
+	number   int
+	run      int
+	clock    *duty.ManualClock
+	cut      bool
+	frozen   int // steps
+	thawedAt time.Time
+	store    *platform.Store
+	lessor   *platform.Lessor
+	rollout  *weights.Rollout
+	pool     *laterPool
+}
+
+type orderWorld struct {
+	random  *rand.Rand
+	now     time.Time
+	objects *leaseObjects
+	hosts   []*orderHost
+	engines map[core.ServerID]core.Version
+	orders  map[core.ServerID][]sentOrder
+	version core.Version
+}
+
+func (h *orderHost) name() string { return fmt.Sprintf("host-%d", h.number) }
+
+// boot starts the duties of the host anew, as a restart of its process does.
+func (h *orderHost) boot() {
+	w := h.world
+	h.run++
+	h.clock = duty.NewManualClock(w.now)
+	h.pool = &laterPool{}
+	random := rand.New(rand.NewPCG(w.random.Uint64(), 1))
+	h.store = platform.NewStoreWith(h.clock, cutObjects{w.objects, &h.cut}, h.pool, platform.StoreOptions{Random: random})
+	h.lessor = platform.NewLessor(h.clock, h.store, fmt.Sprintf("%s/%d", h.name(), h.run), random)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h.rollout = weights.NewRollout(h.clock, logrus.NewEntry(log), h, h, h.pool, orderLimits(orderTurn))
+	isEarlierRun := func(holder string) bool { return strings.HasPrefix(holder, h.name()+"/") }
+	rollout := h.rollout
+	h.lessor.Acquire("orders", platform.LeaseOptions{
+		Duration: ordersLeaseTime, IsEarlierRun: isEarlierRun, SettleAfter: orderLimits(orderTurn).TakeoverWait,
+		PollEvery: func() time.Duration { return ordersLeaseTime / 2 },
+		Listener: func(e platform.LeaseEvent) {
+			if e.Kind != platform.LeaseObserved {
+				rollout.SetHolding(holdingOf(e))
+			}
+		},
+	})
+}
+
+// Load implements weights.Orderer with the check that the adapter makes.
+func (h *orderHost) Load(_ context.Context, worker weights.Worker, o weights.Order, _ string, fence int64) (core.Version, error) {
+	w := h.world
+	if !h.clock.Now().Before(o.ValidUntil) {
+		return 0, core.NotRunError(core.CodeConflict, "the lease on orders has lapsed")
+	}
+	thawed := !h.thawedAt.IsZero() && w.now.Sub(h.thawedAt) < orderThaw
+	w.orders[worker.ID] = append(w.orders[worker.ID], sentOrder{at: w.now, host: h.number, fence: fence, thawed: thawed})
+	w.engines[worker.ID] = max(w.engines[worker.ID], o.Version)
+	return w.engines[worker.ID], nil
+}
+
+// Latest implements weights.Store.
+func (h *orderHost) Latest(context.Context, string) (core.Version, error) {
+	return h.world.version, nil
+}
+
+func (h *orderHost) step() {
+	h.clock.Advance(orderStep)
+	if h.frozen > 0 {
+		if h.frozen--; h.frozen == 0 {
+			h.thawedAt = h.world.now
+		}
+		return
+	}
+	h.pool.run()
+	for h.store.Loop().Step()+h.lessor.Loop().Step()+h.rollout.Loop().Step() > 0 {
+	}
+}
+
+func (h *orderHost) report() {
+	var reports []weights.Report
+	for id, v := range h.world.engines {
+		reports = append(reports, weights.Report{At: h.clock.Now(), Worker: weights.Worker{ID: id, Service: "s", Model: "m", Version: v}})
+	}
+	h.rollout.SetEngines(reports)
+}
+
+// disturb brings trouble to the store or to a host.
+func (w *orderWorld) disturb() {
+	h := w.hosts[w.random.IntN(len(w.hosts))]
+	switch w.random.IntN(6) {
+	case 0:
+		h.boot()
+	case 1:
+		h.frozen = w.random.IntN(400)
+	case 2, 3:
+		h.cut = !h.cut
+	case 4:
+		w.objects.trouble = !w.objects.trouble
+	case 5:
+		late := w.objects.late
+		w.objects.late = nil
+		for _, apply := range late {
+			apply()
+		}
+	}
+}
+
+func newOrderWorld(seed uint64) *orderWorld {
+	w := &orderWorld{
+		random: rand.New(rand.NewPCG(seed, 7)), now: orderStart, version: 2,
+		engines: map[core.ServerID]core.Version{"e1": 1, "e2": 1}, orders: map[core.ServerID][]sentOrder{},
+	}
+	w.objects = &leaseObjects{random: w.random}
+	for i := range orderHosts {
+		h := &orderHost{world: w, number: i}
+		h.boot()
+		w.hosts = append(w.hosts, h)
+	}
+	return w
+}
+
+func (w *orderWorld) play(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(orderStep) {
+		if w.random.IntN(60) == 0 {
+			w.disturb()
+		}
+		if w.random.IntN(50) == 0 {
+			w.version++
+		}
+		for _, h := range w.hosts {
+			if w.random.IntN(25) == 0 {
+				h.report()
+			}
+			h.step()
+		}
+	}
+}
+
+// check returns the first breach at an engine: two hosts with one fence number,
+// a number that falls, or hosts that take turns too fast.
+func check(orders []sentOrder) string {
+	for i := 1; i < len(orders); i++ {
+		a, b := orders[i-1], orders[i]
+		switch {
+		case b.thawed || a.thawed || a.host == b.host:
+		case b.fence == a.fence:
+			return fmt.Sprintf("hosts %d and %d order under fence %d", a.host, b.host, a.fence)
+		case b.fence < a.fence:
+			return fmt.Sprintf("fence %d of host %d comes after %d of host %d", b.fence, b.host, a.fence, a.host)
+		case b.at.Sub(a.at) < orderTurn:
+			return fmt.Sprintf("host %d orders %v after host %d", b.host, b.at.Sub(a.at), a.host)
+		}
+	}
+	return ""
+}
+
+// Guards against two holders at one engine: through freezes, cuts, restarts,
+// lost answers of the store and writes that are carried out late. It also
+// guards against orders that stop for good.
+func TestOneHolderAtEachEngine(t *testing.T) {
+	for seed := range uint64(orderSeeds) {
+		w := newOrderWorld(seed)
+		w.play(90 * time.Second)
+		for id, orders := range w.orders {
+			if breach := check(orders); breach != "" {
+				t.Fatalf("seed %d, engine %s: %s", seed, id, breach)
+			}
+		}
+		w.objects.trouble = false
+		for _, h := range w.hosts {
+			h.cut, h.frozen = false, 0
+		}
+		before := len(w.orders["e1"])
+		calm := rand.New(rand.NewPCG(seed, 8))
+		w.random = calm
+		for range 1000 {
+			w.now = w.now.Add(orderStep)
+			if calm.IntN(50) == 0 {
+				w.version++
+			}
+			for _, h := range w.hosts {
+				if calm.IntN(25) == 0 {
+					h.report()
+				}
+				h.step()
+			}
+		}
+		if len(w.orders["e1"]) == before {
+			t.Fatalf("seed %d: no order within 20 s of calm", seed)
+		}
+	}
+}
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -8,6 +8,7 @@
 
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/ring"
 )
 
@@ -55,8 +56,8 @@
 type Holding struct {
 	Fence      int64
 	ValidUntil time.Time // on this host's monotonic clock
-	// Continued means that the holder before was an earlier run on this host,
-	// so that no other host's order can be on its way.
+	// Continued means that the holder before was an earlier run on this host
+	// that had waited for the orders of others, so that none can be on its way.
 	Continued bool
 }
 
@@ -97,7 +98,7 @@
 	log     *logrus.Entry
 	orderer Orderer
 	store   Store
-	pool    *duty.Pool
+	pool    platform.Pool
 	limits  Limits
 
 	reports  *ring.Ring[reportList]
@@ -120,7 +121,7 @@
 
 // NewRollout returns the weights duty. listeners are told of each new version
 // and must not wait.
-func NewRollout(clock duty.Clock, log *logrus.Entry, o Orderer, s Store, pool *duty.Pool, l Limits, listeners ...func(string, core.Version)) *Rollout {
+func NewRollout(clock duty.Clock, log *logrus.Entry, o Orderer, s Store, pool platform.Pool, l Limits, listeners ...func(string, core.Version)) *Rollout {
 	r := &Rollout{
 		loop:       duty.New("weights", clock),
 		log:        log,
