Name the model of a load in its end, take engines at their word

An engine changed its model while a load was in progress; the end of the load was then told under the new model, with the version of the old one. All daemons believed it, sent it items that need that version, stopped each when its first event named an older one, and began anew at once, at the same engine. Change: the end of an order carries the model that it was for. An answer that begins under weights older than the request needs is refused at its head, the attempt goes on elsewhere, and the directory takes the version that the engine named itself. A run that was stopped for its version waits before the next. A job above the size of an object of the store is kept in several; it was refused for ever before.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -31,6 +31,9 @@
 	// End is what the caller gets when Err is nil. With an Err it may hold the
 	// server's own failure, which the caller gets when no attempt is left.
 	End core.End
+	// Version is that of the weights under which an engine began its answer; 0
+	// if it is not known.
+	Version core.Version
 	// Load is what the server said of its load with its answer; nil if nothing.
 	Load     *Load
 	Duration time.Duration
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -33,6 +33,9 @@
 	Model   string
 	Version core.Version // 0 if it is not known
 	Loading bool
+	// Observed says that the server's own answer named the version, which
+	// corrects what was told before.
+	Observed bool
 }
 
 // noted is the newest notice of a model at one run of a server.
@@ -118,13 +121,16 @@
 		if note.incarnation != s.Description.Incarnation {
 			note = noted{incarnation: s.Description.Incarnation}
 		}
-		note.version = max(note.version, n.Version)
-		note.loadingUntil = time.Time{}
-		if n.Loading {
-			note.loadingUntil = now.Add(loadingTime)
+		switch {
+		case n.Observed:
+			note.version = n.Version
+		case n.Loading:
+			note.version, note.loadingUntil = max(note.version, n.Version), now.Add(loadingTime)
+		default:
+			note.version, note.loadingUntil = max(note.version, n.Version), time.Time{}
 		}
 		d.notes[key] = note
-		d.log.WithFields(logrus.Fields{"backend_server": n.Server, "model": n.Model, "version": note.version, "loading": n.Loading}).Info("engine noticed")
+		d.log.WithFields(logrus.Fields{"backend_server": n.Server, "model": n.Model, "version": note.version, "loading": n.Loading, "observed": n.Observed}).Info("engine noticed")
 	}
 	d.publish()
 }
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -115,3 +115,17 @@
 		t.Error("a load whose end was not told never ends")
 	}
 }
+
+// Guards against a wrong version that was told once and is believed for the
+// whole run of an engine, although its own answers name another.
+func TestDirectoryTakesTheEnginesOwnWord(t *testing.T) {
+	b := newDirectoryBench()
+	b.change(engine("a", 1))
+	for _, n := range []Notice{{Server: "a", Model: "m", Version: 12}, {Server: "a", Model: "m", Version: 3, Observed: true}} {
+		b.directory.Note([]Notice{n})
+		b.directory.Loop().Step()
+	}
+	if got := b.listed["a"].Description.Models[0].Version; got != 3 {
+		t.Errorf("version %d, the engine says 3", got)
+	}
+}
--- a/internal/server/hosted/observe.go
+++ b/internal/server/hosted/observe.go
@@ -22,6 +22,9 @@
 	if e.Err == nil {
 		return
 	}
+	if r.IsModelCall() && e.Version.Known() && e.Version < r.MinVersion {
+		d.directory.Note([]backend.Notice{{Server: e.Attempt.Server, Model: r.Model, Version: e.Version, Observed: true}})
+	}
 	d.metrics.Count("attempt_failures_total", service, settings.Label{Name: "code", Value: string(e.Err.Code)})
 	d.log.WithError(e.Err).WithFields(logrus.Fields{
 		"request": r.Forward.ID, "attempt": e.Attempt.Number, "service": r.Service, "model": r.Model,
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -318,6 +318,7 @@
 func (k *Keeper) textEnded(e *entry, r *itemRun, end itemEnd) {
 	if end.mixed {
 		r.restart()
+		r.notUntil = k.now().Add(rerunDelay)
 		return
 	}
 	r.events = append(r.events, end.events...)
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -122,6 +123,8 @@
 	self   Owner
 	// onOwner is told of each job that this daemon owns now.
 	onOwner func(Ownership)
+	// objectBytes bounds an object of a job.
+	objectBytes int
 
 	queries *duty.AskRing[Query, Answer]
 	counts  *duty.AskRing[struct{}, int]
@@ -145,10 +148,15 @@
 	// OnOwner is told of each job that the daemon becomes the owner of, on the
 	// duty's goroutine. It must not wait.
 	OnOwner func(Ownership)
+	// ObjectBytes bounds an object of a job; 0 takes the default.
+	ObjectBytes int
 }
 
 // NewKeeper returns the duty.
 func NewKeeper(o Options) *Keeper {
+	if o.ObjectBytes <= 0 {
+		o.ObjectBytes = defaultObjectBytes
+	}
 	k := &Keeper{
 		loop:    duty.New("jobs", o.Clock),
 		log:     o.Log,
@@ -158,6 +166,9 @@
 		routes:  o.Routes,
 		self:    o.Self,
 		onOwner: o.OnOwner,
+
+		objectBytes: o.ObjectBytes,
+
 		owners:  ring.New[[]Ownership]("jobs.owners", queryCapacity),
 		queries: duty.NewAskRing[Query, Answer]("jobs.queries", queryCapacity),
 		counts:  duty.NewAskRing[struct{}, int]("jobs.counts", queryCapacity),
@@ -273,13 +284,26 @@
 	}
 }
 
-// accept writes a new job. Its creation is the acceptance.
+// accept writes a new job. The creation of its object is the acceptance.
 func (k *Keeper) accept(e *entry, job *Job) {
 	e.phase = phaseStoring
 	job.Owner = k.self
 	value, err := json.Marshal(job)
+	switch {
+	case err != nil:
+		k.accepted(e, job, platform.Result{Err: fmt.Errorf("%w: %w", platform.ErrRejected, err)})
+	case len(value) > k.objectBytes:
+		k.storeParts(e, job)
+	default:
+		k.createJob(e, job, job)
+	}
+}
+
+// createJob creates the job's object from its stored form.
+func (k *Keeper) createJob(e *entry, job, stored *Job) {
+	value, err := json.Marshal(stored)
 	if err != nil {
-		k.accepted(e, job, platform.Result{Err: platform.ErrRejected})
+		k.accepted(e, job, platform.Result{Err: fmt.Errorf("%w: %w", platform.ErrRejected, err)})
 		return
 	}
 	op := platform.Op{Kind: platform.OpPut, Key: jobPrefix + string(e.id), Value: value, IfVersion: platform.Absent}
--- a/internal/trainer/batch/keeper_test.go
+++ b/internal/trainer/batch/keeper_test.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
 )
 
 // readAll reads until the job is whole.
@@ -217,6 +219,22 @@
 	}
 }
 
+// Guards against an item that runs again at once, many times a second, at an
+// engine whose version is not the one that it is believed to hold.
+func TestRunUnderAnotherVersionWaits(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	if a := w.ask(w.nodes[0], submit("a", 1)); a.Status != StatusOK {
+		t.Fatal(a.Status)
+	}
+	k := w.nodes[0].keeper
+	r := k.jobs["a"].items["a.0"]
+	run := r.run
+	k.handleItemEnd(itemEnd{job: "a", item: "a.0", run: run, mixed: true})
+	if r.running || r.run != run || !r.notUntil.Equal(k.now().Add(rerunDelay)) {
+		t.Errorf("running %v, run %d after %d, next at %v", r.running, r.run, run, r.notUntil)
+	}
+}
+
 // Guards against a short item that delays a long one.
 func TestLongItemsGoFirst(t *testing.T) {
 	got := launchOrder([]Item{{ID: "a", LengthHint: 5}, {ID: "b", LengthHint: 90}, {ID: "c"}, {ID: "d", LengthHint: 90}})
@@ -232,15 +250,55 @@
 // twice and accepted jobs that are lost, whatever fails.
 func TestChaosKeepsPositions(t *testing.T) {
 	for seed := range uint64(chaosSeeds) {
-		if err := runChaos(t, seed); err != nil {
+		if err := runChaos(t, seed, 0); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// Guards against a job in several objects that is accepted without all of its
+// items, or that is read in parts.
+func TestChaosKeepsLargeJobs(t *testing.T) {
+	const objectBytes = 700 // about four items
+	for seed := range uint64(chaosSeeds) {
+		if err := runChaos(t, seed, objectBytes); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
 		}
 	}
 }
 
-func runChaos(t *testing.T, seed uint64) error {
+// Guards against a job above the size of an object that is refused for ever,
+// and against items that change when they are read from several objects.
+func TestLargeJobIsSplit(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	q := submit("a", 6)
+	for i := range q.Job.Items {
+		q.Job.Items[i].Body = bytes.Repeat([]byte{byte('a' + i)}, 300<<10)
+	}
+	if a := w.ask(w.nodes[0], q); a.Status != StatusOK {
+		t.Fatalf("job of 1.8 MB: %v", a.Status)
+	}
+	for key, o := range w.store.objects {
+		if len(o.Value) >= platform.MaxValueBytes {
+			t.Errorf("object %s has %d bytes", key, len(o.Value))
+		}
+	}
+	w.nodes[0].cut = true
+	w.nodes[0].start()
+	for i := range 6 {
+		a := w.desk(w.nodes[1], Query{Kind: QueryBody, ID: "a", Item: ItemID(fmt.Sprintf("a.%d", i))})
+		if a.Status == StatusOK && !bytes.Equal(a.Body, bytes.Repeat([]byte{byte('a' + i)}, 300<<10)) {
+			t.Errorf("item %d has another body", i)
+		}
+	}
+	if got := w.readAll(w.nodes[1], "a", 6); len(got) != 6 {
+		t.Errorf("%d results", len(got))
+	}
+}
+
+func runChaos(t *testing.T, seed uint64, objectBytes int) error {
 	const items = 12
-	w := newWorld(t, 3, seed)
+	w := newWorldOf(t, 3, seed, objectBytes)
 	w.chaos = 0.25
 	accepted := false
 	for range 20 {
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -28,6 +28,10 @@
 			k.loadFailed(e, err)
 			return
 		}
+		if job.Parts > 0 {
+			k.loadParts(e, job)
+			return
+		}
 		e.job = job
 		k.loadState(e)
 	})
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -54,6 +54,10 @@
 	Items      []Item       `json:"items"`
 	AcceptedAt time.Time    `json:"acceptedAt"`
 	Owner      Owner        `json:"owner"` // that accepted it
+	// Parts is the number of further objects that hold the items, and PartsOf
+	// names them; 0 and "" if the items are in the job's own object.
+	Parts   int    `json:"parts,omitempty"`
+	PartsOf string `json:"partsOf,omitempty"`
 }
 
 // Owner is the run of a daemon that owns a job. The zero Owner is none.
--- a/internal/trainer/batch/world_test.go
+++ b/internal/trainer/batch/world_test.go
@@ -68,24 +68,30 @@
 
 // world is some daemons with one store and one manual clock.
 type world struct {
-	t       *testing.T
-	random  *rand.Rand
-	clock   *duty.ManualClock
-	store   *fakeStore
-	nodes   []*node
-	late    []func() // store operations on their way
-	chaos   float64  // part of the store operations and runs that go wrong
-	rules   Rules
-	reward  RewardRules
-	runs    map[string]int // of each item
-	rewards map[string]int
-	readAt  map[int]time.Time      // of each position, when it was read first
-	fail    func(c *core.Call) int // status of a call; 0 is success
+	t      *testing.T
+	random *rand.Rand
+	clock  *duty.ManualClock
+	store  *fakeStore
+	nodes  []*node
+	late   []func() // store operations on their way
+	// objectBytes bounds an object of a job; 0 is the default.
+	objectBytes int
+	chaos       float64 // part of the store operations and runs that go wrong
+	rules       Rules
+	reward      RewardRules
+	runs        map[string]int // of each item
+	rewards     map[string]int
+	readAt      map[int]time.Time      // of each position, when it was read first
+	fail        func(c *core.Call) int // status of a call; 0 is success
 }
 
-func newWorld(t *testing.T, nodes int, seed uint64) *world {
+func newWorld(t *testing.T, nodes int, seed uint64) *world { return newWorldOf(t, nodes, seed, 0) }
+
+// newWorldOf is newWorld with a bound on the objects of a job.
+func newWorldOf(t *testing.T, nodes int, seed uint64, objectBytes int) *world {
 	w := &world{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), clock: duty.NewManualClock(time.Unix(1e9, 0)),
+		objectBytes: objectBytes,
+		t:           t, random: rand.New(rand.NewPCG(seed, 1)), clock: duty.NewManualClock(time.Unix(1e9, 0)),
 		store: &fakeStore{objects: map[string]platform.Object{}},
 		rules: Rules{Service: "s", MaxAttempts: 3, GiveUpAfter: time.Minute}, reward: RewardRules{Service: "r", MaxAttempts: 2, Timeout: time.Second},
 		runs: map[string]int{}, rewards: map[string]int{}, readAt: map[int]time.Time{}, fail: func(*core.Call) int { return 0 },
@@ -105,7 +111,8 @@
 	log.SetOutput(io.Discard)
 	n.keeper = NewKeeper(Options{
 		Clock: n.world.clock, Log: logrus.NewEntry(log), Store: n, Calls: callSink{n}, Pool: n, Routes: n.world,
-		Self: Owner{Address: n.address, Run: fmt.Sprintf("%s/%d", n.address, n.run)},
+		ObjectBytes: n.world.objectBytes,
+		Self:        Owner{Address: n.address, Run: fmt.Sprintf("%s/%d", n.address, n.run)},
 	})
 }
 
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -63,6 +63,7 @@
 
 type orderEnd struct {
 	order Order
+	model string // that the order was for; the worker's may have changed since
 	held  core.Version
 	err   error
 }
@@ -373,7 +374,7 @@
 	worker, holding, clock := w.Worker, r.holding, r.loop.Clock()
 	started := r.pool.TryGo(func() {
 		held, err := r.carryOut(clock, holding, worker, o, source)
-		r.ends.TryPut(orderEnd{order: o, held: held, err: err})
+		r.ends.TryPut(orderEnd{order: o, model: worker.Model, held: held, err: err})
 	})
 	if !started {
 		return
@@ -404,11 +405,11 @@
 		r.log.WithError(e.err).WithField("backend_server", e.order.Worker).Warn("order to load a version failed")
 	}
 	if w := r.workers[e.order.Worker]; w != nil {
-		r.notify(WorkerNotice{Worker: e.order.Worker, Model: w.Model, Version: e.held})
+		r.notify(WorkerNotice{Worker: e.order.Worker, Model: e.model, Version: e.held})
 		w.State = StateUnknown
 		w.loadEnded = r.loop.Clock().Now()
 		w.orderEnded(e.err, w.loadEnded)
-		if e.held.Known() {
+		if e.held.Known() && w.Model == e.model {
 			w.State, w.Version, w.reported = StateReady, e.held, w.loadEnded
 		}
 	}
--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -255,3 +255,23 @@
 		t.Errorf("known workers %v", b.rollout.workers)
 	}
 }
+
+// Guards against an engine that is said to hold a version of another model,
+// because its model was changed while its load was in progress.
+func TestModelChangesDuringALoad(t *testing.T) {
+	b := newBench(t, 1, true)
+	var notices []WorkerNotice
+	b.rollout.SetOnWorker(func(n WorkerNotice) { notices = append(notices, n) })
+	b.rollout.workers["e"] = &workerState{Worker: Worker{ID: "e", Model: "wear", Version: 1, State: StateLoading}}
+	order := Order{Worker: "e", Version: 12}
+	b.rollout.inProgress["e"] = order
+	b.rollout.SetEngines([]Report{{At: b.clock.Now(), Worker: Worker{ID: "e", Model: "crack", Version: 3}}})
+	b.rollout.ends.TryPut(orderEnd{order: order, model: "wear", held: 12})
+	b.rollout.Loop().Step()
+	if len(notices) != 1 || notices[0].Model != "wear" || notices[0].Version != 12 {
+		t.Errorf("told %+v", notices)
+	}
+	if w := b.rollout.workers["e"]; w.Version == 12 || w.State == StateReady {
+		t.Errorf("the engine counts as %+v", w.Worker)
+	}
+}
