Let runs end before a load where one version makes a sample

Change: engines of services with such routes are ordered to finish their runs first. A daemon that has just started and knows no work yet keeps the split of engines that the versions show.

--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -51,17 +51,27 @@
 	Services map[string]Service
 	MaxBody  int // bytes
 	byHost   map[string][]Route
+	// single are the services of routes on which one weight version makes a
+	// whole sample.
+	single map[string]bool
 }
 
 // NewRouteSet returns the set of the routes.
 func NewRouteSet(version int64, routes []Route, services map[string]Service, maxBody int) *RouteSet {
-	set := &RouteSet{Version: version, Services: services, MaxBody: maxBody, byHost: map[string][]Route{}}
+	set := &RouteSet{Version: version, Services: services, MaxBody: maxBody, byHost: map[string][]Route{}, single: map[string]bool{}}
 	for _, r := range routes {
 		set.byHost[r.Host] = append(set.byHost[r.Host], r)
+		for _, t := range r.Targets {
+			set.single[t.Service] = set.single[t.Service] || r.SingleVersion
+		}
 	}
 	return set
 }
 
+// WantsSingleVersion reports whether samples of the service are made by one
+// weight version each.
+func (s *RouteSet) WantsSingleVersion(service string) bool { return s.single[service] }
+
 // Match returns the route of the host with the longest prefix that begins the
 // path, or nil.
 func (s *RouteSet) Match(host, path string) *Route {
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -223,20 +223,20 @@
 		var reports []weights.Report
 		for name, service := range routes.Services {
 			if len(service.Models) > 0 {
-				reports = append(reports, g.reports(enginesOf(servers, name, i), service, demand, now)...)
+				reports = append(reports, g.reports(enginesOf(servers, name, i), service, routes.WantsSingleVersion(name), demand, now)...)
 			}
 		}
 		g.rollout.SetEngines(reports)
 	}
 }
 
-func (g *orderGroup) reports(engines []weights.Engine, service caller.Service, demand map[string]float64, now time.Time) []weights.Report {
+func (g *orderGroup) reports(engines []weights.Engine, service caller.Service, finishRuns bool, demand map[string]float64, now time.Time) []weights.Report {
 	reports := make([]weights.Report, 0, len(engines))
 	models := g.assigner.Assign(engines, service.Models, demand)
 	for _, e := range engines {
 		model := models[e.ID]
 		reports = append(reports, weights.Report{At: now, Worker: weights.Worker{
-			ID: e.ID, Address: e.Address, Service: service.Name, Model: model, Version: e.Versions[model],
+			ID: e.ID, Address: e.Address, Service: service.Name, Model: model, Version: e.Versions[model], FinishRuns: finishRuns,
 		}})
 	}
 	return reports
--- a/internal/trainer/batch/keeper_test.go
+++ b/internal/trainer/batch/keeper_test.go
@@ -227,8 +227,10 @@
 		t.Fatal(a.Status)
 	}
 	k := w.nodes[0].keeper
-	r := k.jobs["a"].items["a.0"]
-	run := r.run
+	e := k.jobs["a"]
+	const run = 5
+	r := &itemRun{item: &e.job.Items[0], run: run, running: true}
+	e.phase, e.items = phaseOwned, map[ItemID]*itemRun{"a.0": r}
 	k.handleItemEnd(itemEnd{job: "a", item: "a.0", run: run, mixed: true})
 	if r.running || r.run != run || !r.notUntil.Equal(k.now().Add(rerunDelay)) {
 		t.Errorf("running %v, run %d after %d, next at %v", r.running, r.run, run, r.notUntil)
--- a/internal/weights/assign.go
+++ b/internal/weights/assign.go
@@ -24,6 +24,9 @@
 	// moveMargin is how far a model's engines must be above its share before one
 	// of them changes its model, since that costs a load.
 	moveMargin = 0.75
+	// blindMargin is the same as a part of the share, while no work is known: a
+	// daemon that has just started would undo the split of the holder before.
+	blindMargin = 0.5
 )
 
 // Assigner decides which engine is kept at the newest version of which model.
@@ -54,6 +57,7 @@
 	})
 	newest := newestVersions(engines)
 	s := newSplit(models, shares(models, demand, len(engines)))
+	s.isDemandKnown = sum(models, demand) > 0
 	var free []Engine
 	for _, e := range engines {
 		model := a.models[e.ID]
@@ -102,18 +106,23 @@
 	return best
 }
 
-// shares returns how many of n engines each model should have. Their sum is n.
-func shares(models []string, demand map[string]float64, n int) map[string]float64 {
-	sum := 0.0
+func sum(models []string, demand map[string]float64) float64 {
+	all := 0.0
 	for _, m := range models {
-		sum += demand[m]
+		all += demand[m]
 	}
+	return all
+}
+
+// shares returns how many of n engines each model should have. Their sum is n.
+func shares(models []string, demand map[string]float64, n int) map[string]float64 {
+	all := sum(models, demand)
 	list := map[string]float64{}
 	for _, m := range models {
 		even := float64(n) / float64(len(models))
 		list[m] = even
-		if sum > 0 {
-			list[m] = evenPart*even + (1-evenPart)*float64(n)*demand[m]/sum
+		if all > 0 {
+			list[m] = evenPart*even + (1-evenPart)*float64(n)*demand[m]/all
 		}
 	}
 	return list
@@ -121,11 +130,12 @@
 
 // split is an assignment in the making.
 type split struct {
-	models   []string
-	shares   map[string]float64 // engines that a model should have
-	assigned map[core.ServerID]string
-	total    map[string]int
-	local    map[[2]string]int // by model and data centre
+	models        []string
+	shares        map[string]float64 // engines that a model should have
+	isDemandKnown bool
+	assigned      map[core.ServerID]string
+	total         map[string]int
+	local         map[[2]string]int // by model and data centre
 }
 
 func newSplit(models []string, shares map[string]float64) *split {
@@ -134,7 +144,11 @@
 
 // hasRoom reports whether the model may keep one engine more.
 func (s *split) hasRoom(model string) bool {
-	return float64(s.total[model]+1)-s.shares[model] <= moveMargin
+	margin := moveMargin
+	if !s.isDemandKnown {
+		margin = max(margin, blindMargin*s.shares[model])
+	}
+	return float64(s.total[model]+1)-s.shares[model] <= margin
 }
 
 func (s *split) add(e Engine, model string) {
--- a/internal/weights/assign_test.go
+++ b/internal/weights/assign_test.go
@@ -114,3 +114,17 @@
 		t.Errorf("recent after the window %v", r)
 	}
 }
+
+// Guards against a daemon that has just started and splits evenly what the
+// holder before had split by the work.
+func TestAssignKeepsTheSplitWithoutDemand(t *testing.T) {
+	engines := engines8(func(i int) map[string]core.Version {
+		if i < 5 {
+			return map[string]core.Version{"a": 9, "b": 1}
+		}
+		return map[string]core.Version{"a": 2, "b": 4}
+	})
+	if c := countModels(NewAssigner().Assign(engines, []string{"a", "b"}, nil)); c["a"] != 5 || c["b"] != 3 {
+		t.Errorf("split %v", c)
+	}
+}
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -29,8 +29,10 @@
 	Model       string
 	Incarnation string
 	ChecksFence bool // refuses orders with an old fencing number
-	Version     core.Version
-	State       WorkerState
+	// FinishRuns says that runs in progress must not go on under another version.
+	FinishRuns bool
+	Version    core.Version
+	State      WorkerState
 }
 
 // Limits bounds a roll-out in one data centre.
