--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -157,7 +158,7 @@
 	case chosen == nil && missing == "":
 		d.waitForServer(s)
 	case chosen == nil:
-		d.fail(s, &core.Error{Code: core.CodeNoCapability, Reason: "no backend server has the " + missing + " that the request needs"})
+		d.fail(s, &core.Error{Code: core.CodeNoCapability, Reason: fmt.Sprintf("no backend server has the %s that the request needs (service %q)", missing, s.call.Request.Service)})
 	case d.startAttempt(s, chosen):
 		d.watchAttempt(s, chosen)
 	default:
--- /dev/null
+++ b/internal/server/hosted/operations_test.go
@@ -0,0 +1,159 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	adapter "github.com/berylfall/berylfall/platform"
+	"github.com/berylfall/berylfall/platform/standin"
+)
+
+// logLine is one line of a daemon's log.
+type logLine map[string]any
+
+// linesOf returns the lines with the message, and with the value in the field
+// unless the field is empty. The page for operators must name the message.
+func (f *fleet) linesOf(t *testing.T, message, field, value string) []logLine {
+	t.Helper()
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), "`"+message+"`") {
+		t.Fatalf("docs/OPERATIONS.md does not name the line %q", message)
+	}
+	var found []logLine
+	for text := range strings.SplitSeq(f.log.String(), "\n") {
+		var line logLine
+		if json.Unmarshal([]byte(text), &line) != nil || line["msg"] != message {
+			continue
+		}
+		if field == "" || fmt.Sprint(line[field]) == value {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// awaitLine waits for such a line and returns the first.
+func (f *fleet) awaitLine(t *testing.T, message, field, value string) logLine {
+	t.Helper()
+	waitFor(t, fmt.Sprintf("line %q with %s %s", message, field, value), func() bool {
+		return len(f.linesOf(t, message, field, value)) > 0
+	})
+	return f.linesOf(t, message, field, value)[0]
+}
+
+// Guards against logs from which the cause of a refused plain request cannot be
+// found by the steps of docs/OPERATIONS.md.
+func TestCauseOfARefusedRequest(t *testing.T) {
+	f := newFleet(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.client()
+	f.awaitServed(t, ctx, c)
+	if err := f.store.Remove(ctx, adapter.KindServers, "desk-1"); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitLine(t, "backend server is gone", "backend_server", "desk-1")
+	a, err := c.Plain(ctx, "refused-1", []byte("x"))
+	if err != nil || a.Status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, %v", a.Status, err)
+	}
+	failed := f.awaitLine(t, "request failed", "request", "refused-1")
+	if failed["verdict"] != "not-run" || !strings.Contains(fmt.Sprint(failed["reason"]), "desk") {
+		t.Errorf("the refusal is explained as %v", failed)
+	}
+	if ended := f.awaitLine(t, "request ended", "request", "refused-1"); fmt.Sprint(ended["config"]) != "3" || ended["service"] != "desk" {
+		t.Errorf("the request ended as %v", ended)
+	}
+	f.stop(t)
+}
+
+// Guards against logs from which the cause of an item that was given up cannot
+// be found by the steps of docs/OPERATIONS.md.
+func TestCauseOfAnItemGivenUp(t *testing.T) {
+	f := newFleet(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.client()
+	f.awaitServed(t, ctx, c)
+	if err := f.plain.SetFaults(ctx, standin.ServerFaults{Status: http.StatusInternalServerError}); err != nil {
+		t.Fatal(err)
+	}
+	job := standin.JobSpec{ID: "j3", MinVersion: 1, Groups: 1, GroupSize: 1, Events: 2}
+	if err := c.Submit(ctx, job); err != nil {
+		t.Fatal(err)
+	}
+	results, err := c.ReadAll(ctx, "j3")
+	if err != nil || len(results) != 1 || results[0].State != "abandoned" {
+		t.Fatalf("results %+v, %v", results, err)
+	}
+	item := job.Items()[0]
+	given := f.awaitLine(t, "item given up", "request", item)
+	if given["job"] != "j3" || given["reason"] != "its reward call failed too often" || given["reward_request"] != "r-"+item {
+		t.Fatalf("the item is given up as %v", given)
+	}
+	attempts := f.linesOf(t, "attempt failed", "request", "r-"+item)
+	if len(attempts) != 2 || attempts[0]["backend_server"] != "desk-1" || !strings.Contains(fmt.Sprint(attempts[0]["error"]), "500") {
+		t.Errorf("the attempts of the reward call: %v", attempts)
+	}
+	f.stop(t)
+}
+
+// Guards against logs from which the cause of a group that missed its step
+// cannot be found by the steps of docs/OPERATIONS.md.
+func TestCauseOfAMissedStep(t *testing.T) {
+	f := newFleet(t, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	c := f.client()
+	f.awaitServed(t, ctx, c)
+	for _, e := range f.engines {
+		if err := e.SetFaults(ctx, standin.ServerFaults{RefuseOrders: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := deployment.NameVersion(f.store, 2); err != nil {
+		t.Fatal(err)
+	}
+	job := standin.JobSpec{ID: "j4", Step: 2, MinVersion: 2, Groups: 1, GroupSize: 2, Events: 2}
+	if err := c.Submit(ctx, job); err != nil {
+		t.Fatal(err)
+	}
+	refused := f.awaitLine(t, "order to load a version failed", "", "")
+	accepted := f.awaitLine(t, "job accepted", "job", "j4")
+	if fmt.Sprint(accepted["min_version"]) != "2" || len(f.linesOf(t, "results listed", "job", "j4")) > 0 {
+		t.Errorf("accepted as %v", accepted)
+	}
+	if len(f.linesOf(t, "engine noticed", "version", "2")) > 0 {
+		t.Error("an engine is said to hold the version")
+	}
+	if len(f.linesOf(t, "version named", "version", "2")) == 0 || len(f.linesOf(t, "lease changed", "event", "gained")) == 0 {
+		t.Error("neither the version nor the lease is in the log")
+	}
+	if !strings.HasPrefix(fmt.Sprint(refused["backend_server"]), "engine-") || !strings.Contains(fmt.Sprint(refused["error"]), "409") {
+		t.Errorf("the refused order is told as %v", refused)
+	}
+	for _, e := range f.engines {
+		if err := e.SetFaults(ctx, standin.ServerFaults{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	results, err := c.ReadAll(ctx, "j4")
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResults(t, job, results)
+	noticed := f.awaitLine(t, "engine noticed", "version", "2")
+	if at, err := time.Parse(time.RFC3339Nano, fmt.Sprint(noticed["time"])); err != nil || at.IsZero() {
+		t.Errorf("the notice has the time %v", noticed["time"])
+	}
+	f.stop(t)
+}
