Take limits of headers from the configuration, keep idle connections longer

Cause: the listener for callers closed connections after 60 s of silence and refused headers above 16 KiB, whatever limits the configuration in force names; a deployment with larger ones would lose proper requests.

--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -49,8 +49,10 @@
 type RouteSet struct {
 	Version  int64
 	Services map[string]Service
-	MaxBody  int // bytes
-	byHost   map[string][]Route
+	// MaxBody and MaxHeader bound a request in bytes; 0 is no bound.
+	MaxBody   int
+	MaxHeader int
+	byHost    map[string][]Route
 	// single are the services of routes on which one weight version makes a
 	// whole sample.
 	single map[string]bool
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -26,8 +26,12 @@
 	peerWorkers      = 512
 	// rosterPace lets changes of daemons collect.
 	rosterPace = time.Second
-	// maxBody bounds the body of a request; the configuration's own limit is lower.
-	maxBody = 40 << 20
+	// maxBody and maxHeader bound a request in bytes, and callerIdle the time
+	// that a caller's connection is idle. The limits of the configuration, which
+	// is not known when the listener opens, are lower.
+	maxBody    = 40 << 20
+	maxHeader  = 256 << 10
+	callerIdle = 10 * time.Minute
 	// storeCallTimeout is far above the time of an answer from a slow store and
 	// below the patience of a trainer.
 	storeCallTimeout = 800 * time.Millisecond
@@ -181,7 +185,7 @@
 	desk := batch.NewDesk(d.keeper, d.peers, d.log)
 	front := &adapter.Front{Routes: d.routes, Calls: d.dispatch, Jobs: desk, Log: d.log, Ready: d.isReady, OnEnd: d.countRequest, Metrics: d.writeMetrics}
 	var err error
-	if d.callers, err = transport.Listen(d.set.Callers, transport.ServerOptions{MaxBody: maxBody}); err != nil {
+	if d.callers, err = transport.Listen(d.set.Callers, transport.ServerOptions{MaxBody: maxBody, MaxHeader: maxHeader, IdleTimeout: callerIdle}); err != nil {
 		return err
 	}
 	d.callers.Router().NoRoute(front.Handle)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -36,6 +36,8 @@
 	TLS         *tls.Config
 	MaxBody     int           // bytes
 	ReadTimeout time.Duration // for one read of a request
+	IdleTimeout time.Duration // of a connection between two requests
+	MaxHeader   int           // bytes
 	// StreamBody leaves bodies over MaxBody to the handlers, so that
 	// LimitBody can refuse them with a verdict.
 	StreamBody bool
@@ -60,6 +62,12 @@
 	if o.ReadTimeout == 0 {
 		o.ReadTimeout = DefaultReadTimeout
 	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.MaxHeader == 0 {
+		o.MaxHeader = DefaultHeaderLimit
+	}
 	counter := newInFlight()
 	options := []config.Option{
 		server.WithListener(listener),
@@ -69,8 +77,8 @@
 		server.WithMaxRequestBodySize(o.MaxBody),
 		server.WithStreamBody(o.StreamBody),
 		server.WithReadTimeout(o.ReadTimeout),
-		server.WithIdleTimeout(DefaultIdleTimeout),
-		server.WithMaxHeaderBytes(DefaultHeaderLimit),
+		server.WithIdleTimeout(o.IdleTimeout),
+		server.WithMaxHeaderBytes(o.MaxHeader),
 		server.WithExitWaitTime(0),
 		server.WithDisablePrintRoute(true),
 	}
