--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -236,10 +236,10 @@
 		}
 	}
 	padding := strings.Repeat("x", 20<<10)
-	if status := sendRaw(t, f.callers[0], "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: padded\r\nBig: "+padding+"\r\nContent-Length: 0\r\n\r\n"); status != http.StatusOK {
+	if status := sendRaw(t, f.callers[0], "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: padded\r\nBig: "+padding+"\r\nContent-Length: 0\r\n\r\n", false); status != http.StatusOK {
 		t.Errorf("headers within the limit: status %d", status)
 	}
-	if status := sendRaw(t, f.callers[0], "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: bad\r\nBig: "+padding+padding+"\r\nContent-Length: 0\r\n\r\n"); status != http.StatusRequestHeaderFieldsTooLarge {
+	if status := sendRaw(t, f.callers[0], "POST /plain/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: bad\r\nBig: "+padding+padding+"\r\nContent-Length: 0\r\n\r\n", false); status != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("headers over the limit: status %d", status)
 	}
 	raw := []struct{ what, text string }{
@@ -251,7 +251,7 @@
 		{"bytes that are no request", "\x00\x01\x02\r\n\r\n"},
 	}
 	for _, test := range raw {
-		if status := sendRaw(t, f.callers[0], test.text); status/100 == 2 {
+		if status := sendRaw(t, f.callers[0], test.text, true); status/100 == 2 {
 			t.Errorf("%s: status %d", test.what, status)
 		}
 	}
@@ -269,9 +269,9 @@
 	f.stop(t)
 }
 
-// sendRaw sends bytes, closes its side and returns the status of the first
-// answer; 0 without one.
-func sendRaw(t *testing.T, address, text string) int {
+// sendRaw sends bytes and returns the status of the first answer; 0 without
+// one. breakOff closes the sending side after the bytes.
+func sendRaw(t *testing.T, address, text string, breakOff bool) int {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", address, patience)
 	if err != nil {
@@ -283,7 +283,9 @@
 	}
 	// The daemon may close the connection before it has read everything.
 	_, _ = io.WriteString(conn, text)
-	_ = conn.(*net.TCPConn).CloseWrite()
+	if breakOff {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0
