--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -156,7 +156,11 @@
 		Routes: jobRoutes{table: d.routes}, OnOwner: d.notices.announce,
 		Self: batch.Owner{Address: d.set.PeerAddress, Run: d.runName()},
 	})
-	d.loops = append(d.loops, d.keeper.Loop())
+	sweeper := batch.NewSweeper(batch.SweeperOptions{
+		Clock: d.clock, Log: d.log, Store: d.store, Keep: d.set.Bounds.KeepResults,
+		IsActive: func() bool { return d.orders.groups[0].held.Load() },
+	})
+	d.loops = append(d.loops, d.keeper.Loop(), sweeper.Loop())
 	return nil
 }
 
--- a/internal/trainer/batch/answers.go
+++ b/internal/trainer/batch/answers.go
@@ -122,7 +122,7 @@
 		return
 	}
 	next := e.state
-	next.Ended = true
+	next.Ended, next.EndedAt = true, k.now()
 	k.writeState(e, next, func(err error) {
 		if err != nil {
 			q.ask.Reply(Answer{Status: StatusUnavailable, CutOff: e.cutOff, Handover: e.pending})
--- /dev/null
+++ b/internal/trainer/batch/sweep_test.go
@@ -0,0 +1,106 @@
+package batch
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
+)
+
+// sweptStore answers at once, and fails when told.
+type sweptStore struct {
+	objects map[string]platform.Object
+	fail    bool
+}
+
+func (s *sweptStore) Submit(op platform.Op) bool {
+	switch {
+	case s.fail:
+		op.Reply(platform.Result{Err: platform.ErrUnavailable})
+	case op.Kind == platform.OpList:
+		var l platform.Listing
+		for key, o := range s.objects {
+			if strings.HasPrefix(key, op.Key) {
+				l.Objects = append(l.Objects, o)
+			}
+		}
+		op.Reply(platform.Result{Listing: l})
+	case op.Kind == platform.OpDelete:
+		delete(s.objects, op.Key)
+		op.Reply(platform.Result{})
+	}
+	return true
+}
+
+func (s *sweptStore) put(key, value string) {
+	s.objects[key] = platform.Object{Key: key, Value: []byte(value)}
+}
+
+func (s *sweptStore) keysOf(id string) []string {
+	var keys []string
+	for key := range s.objects {
+		if strings.Contains(key, "/"+id) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Guards against a store that fills up with ended jobs, against results that go
+// before their time or while the job is open, and against a sweep that broke
+// off and is never taken up.
+func TestSweeperRemovesEndedJobs(t *testing.T) {
+	const keep = 2 * time.Minute
+	clock := duty.NewManualClock(time.Unix(1e9, 0))
+	store := &sweptStore{objects: map[string]platform.Object{}}
+	ended := func(age time.Duration) string {
+		return fmt.Sprintf(`{"ended":true,"endedAt":%q}`, clock.Now().Add(-age).Format(time.RFC3339Nano))
+	}
+	for id, value := range map[string]string{"old": ended(time.Hour), "new": ended(-time.Hour), "open": `{"ended":false}`, "undated": `{"ended":true}`, "broken": `7`} {
+		store.put("jobstates/"+id, value)
+		store.put("jobs/"+id, `{}`)
+		store.put("results/"+id+".00000", `{}`)
+		store.put("results/"+id+".00001", `{}`)
+		store.put("jobitems/"+id+".ab.00000", `[]`)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	active := false
+	s := NewSweeper(SweeperOptions{Clock: clock, Log: logrus.NewEntry(log), Store: store, Keep: keep, IsActive: func() bool { return active }})
+	advance := func(d time.Duration) {
+		for ; d > 0; d -= sweepPause {
+			clock.Advance(sweepPause)
+			s.Loop().Step()
+		}
+	}
+	advance(2 * sweepPeriod)
+	if got := store.keysOf("old"); len(got) != 5 {
+		t.Fatalf("a daemon that does not sweep has left %v", got)
+	}
+	active = true
+	advance(sweepPeriod - sweepPause)
+	advance(2 * sweepPause)
+	store.fail = true
+	advance(sweepPeriod)
+	if got := store.keysOf("old"); !slices.Contains(got, "jobstates/old") || len(got) == 5 {
+		t.Fatalf("a sweep that broke off has left %v", got)
+	}
+	store.fail = false
+	advance(2 * sweepPeriod)
+	if got := store.keysOf("old"); len(got) > 0 {
+		t.Errorf("left of an old job: %v", got)
+	}
+	for _, id := range []string{"new", "open", "undated", "broken"} {
+		if got := store.keysOf(id); len(got) != 5 {
+			t.Errorf("left of job %s: %v", id, got)
+		}
+	}
+}
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -78,6 +78,8 @@
 type state struct {
 	Owner Owner `json:"owner"`
 	Ended bool  `json:"ended"`
+	// EndedAt is by the time of day of the daemon that wrote the end.
+	EndedAt time.Time `json:"endedAt,omitzero"`
 }
 
 // Result is the outcome of one item.
