Use the slowness that servers tell of their hosts

Cause: the fourth figure of a server's load, how much longer work takes on its host at the moment, was not decoded. Change: the figure is decoded, multiplies a server's expected time for 1.5 s, and leaves room for fewer items at a slow engine. The learned speed of a server leaves it out.

--- a/internal/backend/loadview.go
+++ b/internal/backend/loadview.go
@@ -18,6 +18,9 @@
 	maxReportLag = 5 * time.Second
 	// reportHalfLife is the age at which a report counts half.
 	reportHalfLife = 3 * time.Second
+	// slownessLife is how long a server's word on its host is used. Hosts are
+	// shared and change several times a second, or for some seconds.
+	slownessLife = 1500 * time.Millisecond
 	// otherWorkLife is how long the counts of other daemons are used.
 	otherWorkLife = 6 * time.Second
 	// offsetForget raises the smallest delay seen of a server's reports at each
@@ -172,3 +175,13 @@
 func (c *Candidate) depth() float64 {
 	return (float64(c.Outstanding) + c.load.others) / float64(max(1, c.Server.Description.Slots))
 }
+
+// slowness is how many times longer than usual work takes on the server, as it
+// told lately; 1 if it did not.
+func (c *Candidate) slowness(now time.Time) float64 {
+	l := &c.Server.Load
+	if l.Slowness <= 0 || now.Sub(l.Arrived) > slownessLife {
+		return 1
+	}
+	return l.Slowness
+}
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -196,6 +196,7 @@
 func (rt *router) begin(r *core.Request, class *serverClass, tried *attempted) {
 	rt.request, rt.class, rt.tried = r, class, tried
 	rt.at = rt.now()
+	rt.scorer.now = rt.at
 	rt.scorer.expected = rt.times.of(r).mean
 	rt.scorer.prefixes.n = 0
 	if r.IsModelCall() {
@@ -304,7 +305,7 @@
 	if !rt.accepts(rt.request, c, rt.at) {
 		return false
 	}
-	if rt.request.Class == core.ClassRollout && !c.hasRoom() {
+	if rt.request.Class == core.ClassRollout && !c.hasRoom(rt.at) {
 		return false
 	}
 	if rt.tried.excludes(c.Server.ID, rt.permission) {
@@ -328,9 +329,10 @@
 
 // hasRoom reports whether an item of a step may be sent to the engine. An
 // engine without work of this daemon always has room, since what is known of
-// the others' work may be old.
-func (c *Candidate) hasRoom() bool {
-	return c.Outstanding == 0 || c.depth() < rolloutDepth
+// the others' work may be old. A slow engine has room for fewer items, since a
+// step waits for the last of them.
+func (c *Candidate) hasRoom(now time.Time) bool {
+	return c.Outstanding == 0 || c.depth()*c.slowness(now) < rolloutDepth
 }
 
 // hasRoom reports whether the request's service can take extra work.
@@ -393,7 +395,12 @@
 		return
 	}
 	w.observe(e.Duration)
-	c.speed.observe(e.Duration.Seconds() / w.mean)
+	// The speed is that of the usual state; the server tells its state itself.
+	slowness := 1.0
+	if e.Load != nil && e.Load.Slowness > 0 {
+		slowness = e.Load.Slowness
+	}
+	c.speed.observe(e.Duration.Seconds() / w.mean / slowness)
 	if e.Attempt.Number > 1 {
 		return
 	}
--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -361,16 +361,16 @@
 	c := &Candidate{}
 	c.Server.Description.Slots = 4
 	for c.Outstanding = range 5 {
-		if !c.hasRoom() {
+		if !c.hasRoom(time.Time{}) {
 			t.Errorf("no room with %d of 4 slots in use", c.Outstanding)
 		}
 	}
 	c.Outstanding = 5
-	if c.hasRoom() {
+	if c.hasRoom(time.Time{}) {
 		t.Error("room with 5 items on 4 slots")
 	}
 	c.Outstanding, c.load.others = 0, 100
-	if !c.hasRoom() {
+	if !c.hasRoom(time.Time{}) {
 		t.Error("an engine without own work is closed by what is known of others")
 	}
 	const items = 40
@@ -395,3 +395,29 @@
 		}
 	}
 }
+
+// Guards against items of a step at an engine whose host is slow for some
+// seconds while others have room, and against an engine that is avoided for ever.
+func TestSlowHostsGetFewItems(t *testing.T) {
+	b := newBench(t, 2, answered)
+	d := b.dispatch
+	for _, c := range d.order {
+		c.Outstanding = 1
+	}
+	slow, now := d.order[0], b.clock.Now()
+	slow.Server.Load = Load{Arrived: now, Slowness: 3.5}
+	item := &core.Request{ID: "i", Service: "desk", Operation: "look", Class: core.ClassRollout, Repeatable: true}
+	for range 20 {
+		if c, _ := d.router.pick(item, nil); c == nil || c == slow {
+			t.Fatalf("picked %+v", c)
+		}
+	}
+	slow.Outstanding = 2 // of 4 slots: 0.5 x 3.5 is above the depth for items
+	if slow.hasRoom(now) {
+		t.Error("a slow engine that is half full takes items")
+	}
+	later := now.Add(slownessLife + time.Millisecond)
+	if !slow.hasRoom(later) || slow.slowness(later) != 1 {
+		t.Error("an engine that told of its host long ago is avoided")
+	}
+}
--- a/internal/backend/scorers.go
+++ b/internal/backend/scorers.go
@@ -26,6 +26,7 @@
 // Its fields are set for each decision.
 type completionScorer struct {
 	dataCentre string
+	now        time.Time
 	expected   float64      // service time of this class and size in the fleet, in seconds
 	prefixes   prefixHashes // of the request's prompt
 	locality   *locality
@@ -34,7 +35,7 @@
 // Score returns the expected completion time of the request on the server.
 func (s *completionScorer) Score(_ *core.Request, c *Candidate) float64 {
 	depth := c.depth()
-	service := s.expected * c.speed.factor
+	service := s.expected * c.speed.factor * c.slowness(s.now)
 	score := service * (1 + depth)
 	if s.prefixes.n > 0 && depth < 1 {
 		share := s.locality.share(c.Server.ID, &s.prefixes)
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -48,6 +48,9 @@
 	Running int
 	Waiting int
 	KVUsed  float64 // share of the cache memory in use, 0 to 1
+	// Slowness is how many times longer than usual work takes on the server's
+	// host at the moment; 0 if it does not tell.
+	Slowness float64
 }
 
 // Server is one backend server as this daemon knows it.
