--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -169,7 +169,7 @@
 	if e.Kind == platform.LeaseRenewed {
 		return
 	}
-	d.log.WithFields(logrus.Fields{"lease": e.Holding.Name, "event": e.Kind.String(), "fence": e.Holding.Fence, "holder": e.Holder}).Info("lease changed")
+	d.log.WithFields(logrus.Fields{"lease": e.Holding.Name, "event": e.Kind.String(), "fence": e.Holding.Fence, "holder": e.Holder, "holder_before": e.Before}).Info("lease changed")
 	g.held.Store(e.Kind == platform.LeaseGained)
 	o.versions.SetActive(o.holdsAny())
 }
--- a/internal/trainer/batch/results.go
+++ b/internal/trainer/batch/results.go
@@ -17,15 +17,20 @@
 	if item == nil || item.finished {
 		return
 	}
+	e.finish(item)
+	e.pending = append(e.pending, result)
+	k.listSoon(e)
+}
+
+// finish ends the runs of an item that has its result.
+func (e *entry) finish(item *itemRun) {
 	item.finished = true
 	item.stop()
 	e.unlisted--
-	e.pending = append(e.pending, result)
 	e.groups[item.item.Group]--
 	if e.groups[item.item.Group] == 0 {
 		e.wholes++
 	}
-	k.listSoon(e)
 }
 
 // listSoon writes the pending results once more have had time to collect, or
@@ -134,9 +139,7 @@
 	for _, result := range part.Results {
 		listed[result.Item] = true
 		if item := e.items[result.Item]; item != nil && !item.finished {
-			item.finished = true
-			item.stop()
-			e.unlisted--
+			e.finish(item)
 		}
 	}
 	kept := e.pending[:0]
