Move streams of items from slow engines, take loads when answers begin

Cause: a step waits for the last items of its groups. On an engine whose host is slow each event takes up to 3.5 times as long, and an item stayed there to its end. The load that an engine tells with its answer was taken when the stream had ended, seconds later, as if it were new. Change: a load is taken when the answer begins. A stream of an item whose events take twice the usual time goes on at another engine while one has room, twice at most; the events that it has are kept.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -20,6 +20,12 @@
 	Context     context.Context // ends when the attempt is no longer wanted
 	// ResumeTokens are the tokens that the caller already has.
 	ResumeTokens []int32
+	// OnLoad is told what the server says of its load as soon as its answer
+	// begins. It never waits; nil if nobody wants to know.
+	OnLoad func(Load)
+	// IsTooSlow reports whether a stream with so many events in the time since
+	// the first of them should go on at another server; nil for none.
+	IsTooSlow func(events int, took time.Duration) bool
 }
 
 // AttemptEnd is the outcome of an attempt.
@@ -81,6 +87,10 @@
 		Incarnation:  d.health.incarnation(chosen.Server),
 		Context:      ctx,
 		ResumeTokens: s.tokens,
+		OnLoad:       func(l Load) { d.told.TryPut(toldLoad{server: chosen.Server.ID, load: l}) },
+	}
+	if s.call.Request.Class == core.ClassRollout && number <= maxMoves {
+		a.IsTooSlow = d.router.paceOf(s.call.Request.Service).isTooSlow
 	}
 	for previous := 1; previous < number && len(s.running) == 0; previous++ {
 		if s.call.Answer.Transfer(previous, number) {
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -19,6 +19,9 @@
 const (
 	callRingCapacity   = 4096
 	serverRingCapacity = 256
+	// toldRingCapacity bounds the loads that wait; one that is lost is told
+	// again with the next answer.
+	toldRingCapacity   = 4096
 	reportRingCapacity = 256
 	// MaxAttemptsInProgress bounds attempts of one daemon. The ring of attempt
 	// ends has the same capacity, so an end is never refused.
@@ -63,6 +66,7 @@
 	reports *ring.Ring[SuspectReport]
 	others  *ring.Ring[[]OtherWork]
 	cache   *ring.Ring[CacheEvents]
+	told    *ring.Ring[toldLoad]
 
 	table      map[core.ServerID]*Candidate
 	order      []*Candidate // the listed servers in a fixed order
@@ -97,6 +101,7 @@
 		reports:    ring.New[SuspectReport]("dispatch.suspects", reportRingCapacity),
 		others:     ring.New[[]OtherWork]("dispatch.others", reportRingCapacity),
 		cache:      ring.New[CacheEvents]("dispatch.cache", reportRingCapacity),
+		told:       ring.New[toldLoad]("dispatch.told", toldRingCapacity),
 		table:      map[core.ServerID]*Candidate{},
 		inProgress: map[core.RequestID]*callState{},
 		health:     newHealth(clock.Now),
@@ -110,6 +115,7 @@
 	duty.On(d.loop, d.calls, d.handleCall)
 	duty.On(d.loop, d.others, d.handleOtherWork)
 	duty.On(d.loop, d.cache, d.handleCacheEvents)
+	duty.On(d.loop, d.told, func(t toldLoad) { d.takeLoad(d.table[t.server], t.load) })
 	d.loop.Every(suspectPeriod, d.suspectTick)
 	d.loop.Every(routingPeriod, d.routingTick)
 	return d
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -90,6 +90,7 @@
 	locality *locality
 	scorer   completionScorer
 	groups   map[string]*serviceGroup
+	paces    map[string]*pace // of streams, by service
 	table    func(core.ServerID) *Candidate
 
 	// The decision in progress; fields, so that no closure is allocated.
@@ -112,6 +113,7 @@
 		times:    newServiceTimes(),
 		locality: newLocality(),
 		groups:   map[string]*serviceGroup{},
+		paces:    map[string]*pace{},
 
 		overdueAttempts: map[attemptKey]bool{},
 	}
@@ -154,12 +156,25 @@
 func (rt *router) refresh() {
 	now := rt.now()
 	rt.view.estimateLag(rt.index.servers)
-	for _, g := range rt.groups {
+	for service, g := range rt.groups {
 		rt.view.refresh(g.members, now)
 		g.refresh(now)
+		if p := rt.paces[service]; p != nil {
+			p.allow(g.hasRoomToMove(now))
+		}
 	}
 }
 
+// paceOf returns the usual pace of the service's streams.
+func (rt *router) paceOf(service string) *pace {
+	p := rt.paces[service]
+	if p == nil {
+		p = &pace{}
+		rt.paces[service] = p
+	}
+	return p
+}
+
 // pick returns the server for the next attempt. With none it returns what no
 // server has, or "" when one is to be waited for.
 func (rt *router) pick(r *core.Request, tried *attempted) (chosen *Candidate, missing string) {
@@ -395,6 +410,9 @@
 		return
 	}
 	w.observe(e.Duration)
+	if r := e.Attempt.Call.Request; r.Class == core.ClassRollout {
+		rt.paceOf(r.Service).observe(len(e.Tokens), e.Duration)
+	}
 	// The speed is that of the usual state; the server tells its state itself.
 	slowness := 1.0
 	if e.Load != nil && e.Load.Slowness > 0 {
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -142,6 +142,21 @@
 	d.slotsChanged()
 }
 
+// toldLoad is what a server says of its load when its answer begins.
+type toldLoad struct {
+	server core.ServerID
+	load   Load
+}
+
+// takeLoad takes a load unless a newer one is known.
+func (d *Dispatch) takeLoad(c *Candidate, load Load) {
+	if c == nil || load.At.Before(c.Server.Load.At) {
+		return
+	}
+	c.Server.Load = load
+	d.router.view.takeReport(c, d.loop.Clock().Now())
+}
+
 // observeEnd updates the load view and the free slots when an attempt has ended.
 func (d *Dispatch) observeEnd(e AttemptEnd) {
 	c := d.table[e.Attempt.Server]
@@ -151,8 +166,7 @@
 	stopped := d.inProgress[e.Attempt.Call.Request.ID] == nil || e.Attempt.Call.Context.Err() != nil
 	d.router.ended(c, &e, stopped)
 	if e.Load != nil {
-		c.Server.Load = *e.Load
-		d.router.view.takeReport(c, d.loop.Clock().Now())
+		d.takeLoad(c, *e.Load)
 	}
 	if c.Outstanding == 0 && c.round != d.round {
 		delete(d.table, e.Attempt.Server)
