Test outages, lost answers and leaving servers on the stand-ins, options for relays

The stand-ins had faults that no test used; three tests of the composition use them now: plain requests during an outage of the store and a job after it, a job whose acceptance has a lost answer, a leaving server. All passed at first. The way through relays takes its parts as options.

--- a/internal/platform/relay_test.go
+++ b/internal/platform/relay_test.go
@@ -202,7 +202,9 @@
 	api, asker := newFakeAPI(), &fakeAsker{}
 	relays := []string{"a", "b"}
 	failures := 0
-	relayed := NewRelayedAPI(api, clock, asker, time.Second, func() []string { return relays }, 0, func(string, error) { failures++ })
+	relayed := NewRelayedAPI(api, clock, RelayedOptions{
+		Asker: asker, Within: time.Second, Relays: func() []string { return relays }, OnFail: func(string, error) { failures++ },
+	})
 	watch := func() {
 		if _, err := relayed.Watch(context.Background(), "servers/", 0); err != nil {
 			t.Fatal(err)
--- a/internal/platform/relayed.go
+++ b/internal/platform/relayed.go
@@ -16,43 +16,52 @@
 	AskWatch(ctx context.Context, address string, after int64) (Listing, error)
 }
 
+// RelayedOptions describe the way through relays.
+type RelayedOptions struct {
+	Asker RelayAsker
+	// Within is the time in which a change must be known.
+	Within time.Duration
+	// Relays returns the addresses of the relays, or none if the store is to be
+	// asked itself.
+	Relays func() []string
+	// First says which of the relays is asked first.
+	First int
+	// OnFail is told of a relay that has not answered. It must not wait.
+	OnFail func(address string, err error)
+}
+
 // RelayedAPI is the object API with watches that go through relays while these
 // answer. Everything else goes to the store.
 type RelayedAPI struct {
 	ObjectAPI
-	clock  duty.Clock
-	asker  RelayAsker
-	within time.Duration
-	relays func() []string
-	onFail func(address string, err error)
+	clock   duty.Clock
+	options RelayedOptions
 
 	choice atomic.Int64 // of a relay; the next one after each failure
 	direct atomic.Int64 // Unix nanoseconds until which the store is asked itself
 }
 
-// NewRelayedAPI returns the API. relays returns the addresses of the relays, or
-// none if the store is to be asked itself; first says which of them comes
-// first. within is the time in which a change must be known.
-func NewRelayedAPI(store ObjectAPI, clock duty.Clock, asker RelayAsker, within time.Duration, relays func() []string, first int, onFail func(address string, err error)) *RelayedAPI {
-	a := &RelayedAPI{ObjectAPI: store, clock: clock, asker: asker, within: within, relays: relays, onFail: onFail}
-	a.choice.Store(int64(first))
+// NewRelayedAPI returns the API over the store.
+func NewRelayedAPI(store ObjectAPI, clock duty.Clock, o RelayedOptions) *RelayedAPI {
+	a := &RelayedAPI{ObjectAPI: store, clock: clock, options: o}
+	a.choice.Store(int64(o.First))
 	return a
 }
 
 // Watch implements ObjectAPI.
 func (a *RelayedAPI) Watch(ctx context.Context, prefix string, after int64) (Listing, error) {
-	relays := a.relays()
+	relays := a.options.Relays()
 	if len(relays) == 0 || a.clock.Now().UnixNano() < a.direct.Load() {
 		return a.ObjectAPI.Watch(ctx, prefix, after)
 	}
 	address := relays[int(a.choice.Load())%len(relays)]
-	bounded, cancel := context.WithTimeout(ctx, part(a.within, relayFreshnessPart))
+	bounded, cancel := context.WithTimeout(ctx, part(a.options.Within, relayFreshnessPart))
 	defer cancel()
-	listing, err := a.asker.AskWatch(bounded, address, after)
+	listing, err := a.options.Asker.AskWatch(bounded, address, after)
 	if err == nil {
 		return listing, nil
 	}
-	a.onFail(address, err)
+	a.options.OnFail(address, err)
 	a.choice.Add(1)
 	a.direct.Store(a.clock.Now().Add(relayRetry).UnixNano())
 	return a.ObjectAPI.Watch(ctx, prefix, after)
--- /dev/null
+++ b/internal/server/hosted/faults_test.go
@@ -0,0 +1,93 @@
+package hosted
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/berylfall/berylfall/platform/standin"
+)
+
+// Guards against plain requests that fail while the store is down, against a
+// refusal of a job that runs all the same, and against a daemon that does not
+// come back with the store.
+func TestFrontOutlivesTheStore(t *testing.T) {
+	f, ctx, c := newServingFleet(t, 1)
+	if err := f.store.SetFaults(ctx, standin.StoreFaults{Down: true}); err != nil {
+		t.Fatal(err)
+	}
+	if a, err := c.Plain(ctx, "during", []byte("x")); err != nil || a.Status != http.StatusOK {
+		t.Errorf("a plain request during the outage: %d, %v", a.Status, err)
+	}
+	job := standin.JobSpec{ID: "j5", MinVersion: 1, Groups: 1, GroupSize: 2, Events: 2}
+	if a, err := c.SubmitOnce(ctx, job); err != nil || a.Status != http.StatusServiceUnavailable {
+		t.Errorf("a job during the outage: %d, %v", a.Status, err)
+	}
+	for _, e := range f.engines {
+		if runs, err := e.Runs(ctx); err != nil || len(runs) > 0 {
+			t.Errorf("runs of a refused job: %v, %v", runs, err)
+		}
+	}
+	if err := f.store.SetFaults(ctx, standin.StoreFaults{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Submit(ctx, job); err != nil {
+		t.Fatal(err)
+	}
+	results, err := c.ReadAll(ctx, job.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResults(t, job, results)
+	f.stop(t)
+}
+
+// Guards against a job that is lost, or stored twice, because the store's answer
+// to its acceptance is lost.
+func TestJobWithALostAcceptance(t *testing.T) {
+	f, ctx, c := newServingFleet(t, 2)
+	if err := f.store.SetFaults(ctx, standin.StoreFaults{LoseAnswers: true}); err != nil {
+		t.Fatal(err)
+	}
+	job := standin.JobSpec{ID: "j6", MinVersion: 1, Groups: 1, GroupSize: 3, Events: 2}
+	if a, err := c.SubmitOnce(ctx, job); err == nil && a.Status == http.StatusServiceUnavailable {
+		t.Error("a job whose acceptance may be stored is refused as not run")
+	}
+	if err := f.store.SetFaults(ctx, standin.StoreFaults{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Submit(ctx, job); err != nil {
+		t.Fatal(err)
+	}
+	results, err := c.ReadAll(ctx, job.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResults(t, job, results)
+	f.stop(t)
+}
+
+// Guards against work for a server that has said that it leaves.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	f, ctx, c := newServingFleet(t, 1)
+	if err := f.plain.Leave(ctx); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "leaving server", func() bool {
+		lines := f.linesOf(t, "backend server changed", "backend_server", "desk-1")
+		return len(lines) > 0 && lines[len(lines)-1]["leaving"] == true
+	})
+	before, err := f.plain.Runs(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		if a, err := c.Plain(ctx, "after", []byte("x")); err != nil || a.Status != http.StatusServiceUnavailable {
+			t.Errorf("a request without another server: %d, %v", a.Status, err)
+		}
+	}
+	after, err := f.plain.Runs(ctx)
+	if err != nil || len(after) != len(before) {
+		t.Errorf("%d runs at the leaving server, %v", len(after)-len(before), err)
+	}
+	f.stop(t)
+}
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -33,9 +33,12 @@
 	within := d.set.Bounds.Drain
 	d.relay = platform.NewRelay(d.clock, d.api, d.watch, platform.RelayOptions{Within: within, IsActive: d.isRelay})
 	d.loops = append(d.loops, d.relay.Loop())
-	first := int(xxhash.Sum64String(d.set.PeerAddress) % relayCount)
-	api := platform.NewRelayedAPI(d.api, d.clock, d.peers, within, d.relaysToAsk, first, func(address string, err error) {
-		d.log.WithError(err).WithField("daemon", address).Info("relay does not answer; the store is asked itself")
+	api := platform.NewRelayedAPI(d.api, d.clock, platform.RelayedOptions{
+		Asker: d.peers, Within: within, Relays: d.relaysToAsk,
+		First: int(xxhash.Sum64String(d.set.PeerAddress) % relayCount),
+		OnFail: func(address string, err error) {
+			d.log.WithError(err).WithField("daemon", address).Info("relay does not answer; the store is asked itself")
+		},
 	})
 	var watcher *platform.Watcher
 	pace := func() time.Duration {
