Reset connections of exchanges that are given up

All items of the job were listed 0.9 s before its end, by the daemon that had accepted it. A data centre had been cut off from 33.5 to 39.4 s; an attempt that was sent there and given up had its connection closed, and the operating system delivered the request by a retransmission 3.1 s after the links were back. Ruled out: another owner (the log names one) and a run after the end. Change: a connection whose exchange is given up or broken is reset, so that what has not arrived is dropped. That holds for attempts, orders and calls of the store alike. Test: the peer of an aborted connection reads a reset, that of a closed one the end.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -77,7 +77,7 @@
 		return end
 	}
 	// Closing is the only way to end a blocked read at once.
-	stopClosing := context.AfterFunc(a.Context, func() { connection.Close() })
+	stopClosing := context.AfterFunc(a.Context, connection.Abort)
 	var end backend.AttemptEnd
 	var reusable bool
 	if a.Call.Request.IsModelCall() {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -186,6 +186,17 @@
 // Release does nothing: the buffer is kept for the connection's next answer.
 func (c *Conn) Release() error { return nil }
 
+// Abort closes the connection and drops what the peer has not received. A plain
+// close leaves that to the operating system, which delivers a request that was
+// given up during a partition seconds later, when the links are back.
+func (c *Conn) Abort() {
+	if socket, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the socket is closed already.
+		_ = socket.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Len returns the number of bytes that can be read without waiting.
 func (c *Conn) Len() int { return len(c.buffer) - c.start }
 
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -72,3 +74,35 @@
 		at += n
 	}
 }
+
+// Guards against a request that is given up during a partition and delivered by
+// the operating system when the links are back.
+func TestAbortResetsTheConnection(t *testing.T) {
+	for _, abort := range []bool{true, false} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		c, err := DialConn(context.Background(), listener.Addr().String(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if abort {
+			c.Abort()
+		} else {
+			c.Close()
+		}
+		if err := peer.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		_, err = peer.Read(make([]byte, 1))
+		if errors.Is(err, syscall.ECONNRESET) != abort {
+			t.Errorf("abort %v: the peer reads %v", abort, err)
+		}
+	}
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -82,12 +82,15 @@
 		return false, err
 	}
 	// Closing is the only way to end a blocked read at once.
-	stopClosing := context.AfterFunc(ctx, func() { c.Close() })
+	stopClosing := context.AfterFunc(ctx, c.Abort)
 	err = c.RoundTrip(req, resp)
 	sent = c.Written > 0
-	if !stopClosing() || err != nil || resp.ConnectionClose() || c.Len() > 0 {
+	switch {
+	case !stopClosing() || err != nil:
+		c.Abort()
+	case resp.ConnectionClose() || c.Len() > 0:
 		c.Close()
-	} else {
+	default:
 		p.Put(c)
 	}
 	return sent, err
