Refuse what comes in the last moment of a stop

A request on a connection that a caller had kept came at 8.422 s, was passed on, and was cut off. Ruled out: the reset of connections that are given up, made just before: the request was cut by the end of the process. Change: once nothing is in progress, requests are refused as not run, and those that came in between are waited for.

--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -59,6 +59,7 @@
 	readiness *transport.Server
 	metrics   *settings.Metrics
 	stopping  atomic.Bool
+	closing   atomic.Bool // nothing more is passed on to servers
 }
 
 // StartFront starts a daemon that serves callers and trainers.
@@ -187,7 +188,7 @@
 
 func (d *frontDaemon) buildListeners() error {
 	desk := batch.NewDesk(d.keeper, d.peers, d.log)
-	front := &adapter.Front{Routes: d.routes, Calls: d.dispatch, Jobs: desk, Log: d.log, Ready: d.isReady, OnEnd: d.countRequest, Metrics: d.writeMetrics}
+	front := &adapter.Front{Routes: d.routes, Calls: d.dispatch, Jobs: desk, Log: d.log, Ready: d.isReady, Closing: d.closing.Load, OnEnd: d.countRequest, Metrics: d.writeMetrics}
 	var err error
 	if d.callers, err = transport.Listen(d.set.Callers, transport.ServerOptions{MaxBody: maxBody, MaxHeader: maxHeader, IdleTimeout: callerIdle}); err != nil {
 		return err
@@ -244,6 +245,10 @@
 	_ = duty.Sleep(working, stopMinimum-releaseWait)
 	d.keeper.WaitIdle(working)
 	d.callers.WaitIdle(working)
+	// A request that comes from here on is refused; the second wait is for those
+	// that came in between.
+	d.closing.Store(true)
+	d.callers.WaitIdle(ctx)
 	d.keeper.Release()
 	_ = duty.Sleep(ctx, stopReserve/3)
 	d.runner.Stop(ctx)
