--- a/internal/server/hosted/faults_test.go
+++ b/internal/server/hosted/faults_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"net/http"
 	"testing"
 
@@ -27,17 +28,7 @@
 			t.Errorf("runs of a refused job: %v, %v", runs, err)
 		}
 	}
-	if err := f.store.SetFaults(ctx, standin.StoreFaults{}); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.Submit(ctx, job); err != nil {
-		t.Fatal(err)
-	}
-	results, err := c.ReadAll(ctx, job.ID)
-	if err != nil {
-		t.Fatal(err)
-	}
-	checkResults(t, job, results)
+	f.runAfterOutage(ctx, t, c, job)
 	f.stop(t)
 }
 
@@ -52,6 +43,14 @@
 	if a, err := c.SubmitOnce(ctx, job); err == nil && a.Status == http.StatusServiceUnavailable {
 		t.Error("a job whose acceptance may be stored is refused as not run")
 	}
+	f.runAfterOutage(ctx, t, c, job)
+	f.stop(t)
+}
+
+// runAfterOutage ends the faults of the store and fails unless the job then runs
+// to its end.
+func (f *fleet) runAfterOutage(ctx context.Context, t *testing.T, c *standin.Client, job standin.JobSpec) {
+	t.Helper()
 	if err := f.store.SetFaults(ctx, standin.StoreFaults{}); err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +62,6 @@
 		t.Fatal(err)
 	}
 	checkResults(t, job, results)
-	f.stop(t)
 }
 
 // Guards against work for a server that has said that it leaves.
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
-	"github.com/berylfall/berylfall/internal/transport"
 	adapter "github.com/berylfall/berylfall/platform"
 	"github.com/berylfall/berylfall/platform/standin"
 )
@@ -69,7 +68,7 @@
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	for i := range n {
-		addresses, err := transport.FreeAddresses("127.0.0.1", 3)
+		addresses, err := standin.FreeAddresses("127.0.0.1", 3)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/server/hosted/options.go
+++ b/internal/server/hosted/options.go
@@ -8,12 +8,12 @@
 	"io"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/settings"
 )
 
 // Exit codes.
@@ -52,12 +52,8 @@
 
 // newLogger writes JSON lines to out.
 func (o *options) newLogger(out io.Writer) *logrus.Logger {
-	log := logrus.New()
+	log := settings.NewLogger(o.LogLevel, "json")
 	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	if level, err := logrus.ParseLevel(o.LogLevel); err == nil {
-		log.SetLevel(level)
-	}
 	return log
 }
 
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -84,7 +84,7 @@
 		g.rollout.SetOnWorker(d.notices.add)
 		o.groups[i] = g
 		d.loops = append(d.loops, g.rollout.Loop())
-		d.compete(o, g)
+		d.compete(o, g, limits.TakeoverWait)
 	}
 	o.versions = d.follow(adapter.KindVersions, platform.WatcherOptions{Inactive: true}, func(s platform.Snapshot) { d.handleVersions(o, s) })
 	d.orders = o
@@ -112,15 +112,16 @@
 }
 
 // compete makes this daemon a candidate for the group's lease. When the whole
-// system starts, it does so the later the lower it ranks.
-func (d *frontDaemon) compete(o *orderParts, g *orderGroup) {
+// system starts, it does so the later the lower it ranks. settle is how long a new
+// holder waits for the orders of the one before.
+func (d *frontDaemon) compete(o *orderParts, g *orderGroup, settle time.Duration) {
 	options := platform.LeaseOptions{
 		Duration:  ordersLeaseTime,
 		Listener:  func(e platform.LeaseEvent) { d.handleLease(o, g, e) },
 		PollEvery: func() time.Duration { return d.pollPeriod(g) },
 		// The platform starts a process on a host only after the one before has ended.
 		IsEarlierRun: d.isEarlierRun,
-		SettleAfter:  orderLimits(d.set.Bounds.LeaseTurn).TakeoverWait,
+		SettleAfter:  settle,
 	}
 	acquire := func() {
 		if !o.stopping.Load() && !o.lessor.Acquire(g.lease, options) {
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -42,7 +42,7 @@
 	})
 	var watcher *platform.Watcher
 	pace := func() time.Duration {
-		if len(d.relays()) > 0 {
+		if len(listOf(&d.roster.relays)) > 0 {
 			return time.Duration(relayedPacePart * float64(within))
 		}
 		return time.Duration(directPacePart * float64(within))
@@ -56,23 +56,24 @@
 	})
 }
 
-// relays returns the daemons that watch the servers for all; none if there are
-// few daemons.
-func (d *frontDaemon) relays() []string {
-	all := append(slices.Clone(d.roster.others()), d.set.PeerAddress)
+// rankRelays returns the daemons that watch the servers for all; none if there
+// are few daemons.
+func rankRelays(others []string, self string) []string {
+	all := append(slices.Clone(others), self)
 	if len(all) < relayedFrom {
 		return nil
 	}
 	return rendezvous.Rank(relaysRank, all, relayCount)
 }
 
-func (d *frontDaemon) isRelay() bool { return slices.Contains(d.relays(), d.set.PeerAddress) }
+func (d *frontDaemon) isRelay() bool {
+	return slices.Contains(listOf(&d.roster.relays), d.set.PeerAddress)
+}
 
 // relaysToAsk returns the relays, or none if this daemon is one of them.
 func (d *frontDaemon) relaysToAsk() []string {
-	relays := d.relays()
-	if slices.Contains(relays, d.set.PeerAddress) {
+	if d.isRelay() {
 		return nil
 	}
-	return relays
+	return listOf(&d.roster.relays)
 }
--- a/internal/server/hosted/roster.go
+++ b/internal/server/hosted/roster.go
@@ -24,15 +24,19 @@
 	Address string `json:"address"` // for other daemons
 }
 
-// roster holds the addresses of the other daemons. The watch's goroutine writes it.
+// roster holds the addresses of the other daemons, and which daemons are relays.
+// The watch's goroutine writes it.
 type roster struct {
 	byKey     map[string]string
 	addresses atomic.Pointer[[]string]
+	relays    atomic.Pointer[[]string]
 }
 
 // others returns the addresses of the other daemons.
-func (r *roster) others() []string {
-	if list := r.addresses.Load(); list != nil {
+func (r *roster) others() []string { return listOf(&r.addresses) }
+
+func listOf(p *atomic.Pointer[[]string]) []string {
+	if list := p.Load(); list != nil {
 		return *list
 	}
 	return nil
@@ -87,4 +91,6 @@
 	}
 	slices.Sort(list)
 	d.roster.addresses.Store(&list)
+	relays := rankRelays(list, d.set.PeerAddress)
+	d.roster.relays.Store(&relays)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,12 +59,15 @@
 }
 
 // NewLogger returns the daemon's logger.
-func (d *Daemon) NewLogger() *logrus.Logger {
+func (d *Daemon) NewLogger() *logrus.Logger { return NewLogger(d.LogLevel, d.LogFormat) }
+
+// NewLogger returns a logger of the level that writes "json" or text lines.
+func NewLogger(level, format string) *logrus.Logger {
 	log := logrus.New()
-	if level, err := logrus.ParseLevel(d.LogLevel); err == nil {
-		log.SetLevel(level)
+	if l, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(l)
 	}
-	if d.LogFormat == "json" {
+	if format == "json" {
 		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	} else {
 		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
--- a/internal/standin/demo/hosted.go
+++ b/internal/standin/demo/hosted.go
@@ -13,7 +13,6 @@
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/server/hosted"
-	"github.com/berylfall/berylfall/internal/transport"
 	"github.com/berylfall/berylfall/platform"
 	"github.com/berylfall/berylfall/platform/standin"
 )
@@ -81,7 +80,7 @@
 
 // startHostedFront starts a daemon and returns the address for callers.
 func startHostedFront(store *standin.Store) (hosted.Daemon, string, error) {
-	addresses, err := transport.FreeAddresses("127.0.0.1", 3)
+	addresses, err := standin.FreeAddresses("127.0.0.1", 3)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/trainer/batch/keeper.go
+++ b/internal/trainer/batch/keeper.go
@@ -223,8 +223,14 @@
 // submit sends an operation to the store; reply runs on the duty's goroutine.
 func (k *Keeper) submit(op platform.Op, reply func(platform.Result)) {
 	op.Timeout, op.FailFast = storeTimeout, true
-	op.Reply = func(r platform.Result) { k.results.TryPut(func() { reply(r) }) }
-	if !k.store.Submit(op) {
+	submitTo(k.store, k.results, op, reply)
+}
+
+// submitTo sends an operation to the store and has the reply run by the reader
+// of the ring. A full store replies at once.
+func submitTo(store Submitter, answers *ring.Ring[func()], op platform.Op, reply func(platform.Result)) {
+	op.Reply = func(r platform.Result) { answers.TryPut(func() { reply(r) }) }
+	if !store.Submit(op) {
 		reply(platform.Result{Err: platform.ErrQueueFull})
 	}
 }
--- a/internal/trainer/batch/sweep.go
+++ b/internal/trainer/batch/sweep.go
@@ -146,8 +146,5 @@
 // submit sends an operation to the store; reply runs on the duty's goroutine.
 func (s *Sweeper) submit(op platform.Op, reply func(platform.Result)) {
 	op.Timeout = sweepTimeout
-	op.Reply = func(r platform.Result) { s.answers.TryPut(func() { reply(r) }) }
-	if !s.options.Store.Submit(op) {
-		reply(platform.Result{Err: platform.ErrQueueFull})
-	}
+	submitTo(s.options.Store, s.answers, op, reply)
 }
--- a/internal/transport/json.go
+++ b/internal/transport/json.go
@@ -160,15 +160,27 @@
 	if err != nil {
 		return err
 	}
+	return decodeResponse(resp, out)
+}
+
+// decodeResponse decodes an answer into out unless out is nil. A status of 400
+// or above is a *ResponseError.
+func decodeResponse(resp *protocol.Response, out any) error {
 	if resp.StatusCode() >= consts.StatusBadRequest {
 		return NewResponseError(resp)
 	}
 	if out == nil {
 		return nil
 	}
-	return json.Unmarshal(resp.Body(), out)
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
 }
 
+// ErrNotEncoded means that the body of a request cannot be encoded.
+var ErrNotEncoded = errors.New("transport: the request cannot be encoded")
+
 // EncodeRequest fills req from the exchange.
 func EncodeRequest(req *protocol.Request, x Exchange) error {
 	req.SetMethod(x.Method)
@@ -181,7 +193,7 @@
 	}
 	body, err := json.Marshal(x.Body)
 	if err != nil {
-		return fmt.Errorf("encode request: %w", err)
+		return fmt.Errorf("%w: %w", ErrNotEncoded, err)
 	}
 	req.Header.SetContentTypeBytes([]byte(consts.MIMEApplicationJSON))
 	req.SetBody(body)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -96,6 +96,21 @@
 	return sent, err
 }
 
+// JSON is Exchange for a JSON request, whose answer is decoded into out unless
+// out is nil. The timeout of the request is not used; ctx bounds the exchange.
+func (p *Pool) JSON(ctx context.Context, address string, x Exchange, out any) (sent bool, err error) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	if err := EncodeRequest(req, x); err != nil {
+		return false, err
+	}
+	if sent, err = p.Exchange(ctx, address, req, resp); err != nil {
+		return sent, err
+	}
+	return sent, decodeResponse(resp, out)
+}
+
 // take removes the connection that was used last.
 func (p *Pool) take(address string) *Conn {
 	p.mu.Lock()
--- a/internal/weights/assign.go
+++ b/internal/weights/assign.go
@@ -56,8 +56,7 @@
 		return strings.Compare(string(x.ID), string(y.ID))
 	})
 	newest := newestVersions(engines)
-	s := newSplit(models, shares(models, demand, len(engines)))
-	s.isDemandKnown = sum(models, demand) > 0
+	s := newSplit(models, demand, len(engines))
 	var free []Engine
 	for _, e := range engines {
 		model := a.models[e.ID]
@@ -106,28 +105,6 @@
 	return best
 }
 
-func sum(models []string, demand map[string]float64) float64 {
-	all := 0.0
-	for _, m := range models {
-		all += demand[m]
-	}
-	return all
-}
-
-// shares returns how many of n engines each model should have. Their sum is n.
-func shares(models []string, demand map[string]float64, n int) map[string]float64 {
-	all := sum(models, demand)
-	list := map[string]float64{}
-	for _, m := range models {
-		even := float64(n) / float64(len(models))
-		list[m] = even
-		if all > 0 {
-			list[m] = evenPart*even + (1-evenPart)*float64(n)*demand[m]/all
-		}
-	}
-	return list
-}
-
 // split is an assignment in the making.
 type split struct {
 	models        []string
@@ -138,8 +115,22 @@
 	local         map[[2]string]int // by model and data centre
 }
 
-func newSplit(models []string, shares map[string]float64) *split {
-	return &split{models: models, shares: shares, assigned: map[core.ServerID]string{}, total: map[string]int{}, local: map[[2]string]int{}}
+// newSplit shares n engines out. The sum of the shares is n.
+func newSplit(models []string, demand map[string]float64, n int) *split {
+	s := &split{models: models, shares: map[string]float64{}, assigned: map[core.ServerID]string{}, total: map[string]int{}, local: map[[2]string]int{}}
+	all := 0.0
+	for _, m := range models {
+		all += demand[m]
+	}
+	s.isDemandKnown = all > 0
+	even := float64(n) / float64(len(models))
+	for _, m := range models {
+		s.shares[m] = even
+		if s.isDemandKnown {
+			s.shares[m] = evenPart*even + (1-evenPart)*float64(n)*demand[m]/all
+		}
+	}
+	return s
 }
 
 // hasRoom reports whether the model may keep one engine more.
