Send queries of the batch tests without a second goroutine

Cause: the cluster of the batch tests sent each query from a goroutine and gave it 2,000 simulated steps. Change: QueryRing.Send puts the query and returns the ring of its reply, and Do is Send and a wait. The test sends and takes the reply on its own goroutine, so the bound of 2,000 steps, which is unchanged, counts simulated time only.

--- a/internal/duty/query.go
+++ b/internal/duty/query.go
@@ -36,16 +36,26 @@
 	On(l, r.ring, handle)
 }
 
+// Send puts a query in the ring and returns the ring that its single reply arrives
+// in. A full ring is an error with verdict NotRun. It never blocks.
+func (r *QueryRing[P, R]) Send(ctx context.Context, params P) (*ring.Ring[R], error) {
+	query := Query[P, R]{Context: ctx, Params: params, reply: ring.New[R]("reply", 1)}
+	if !r.ring.TryPut(query) {
+		return nil, core.NotRunError(core.CodeOverloaded, "ring %s is full", r.ring.Name())
+	}
+	return query.reply, nil
+}
+
 // Do sends a query and blocks until its reply arrives or ctx ends. Duties must not
 // call it. A full ring is an error with verdict NotRun; when ctx ends first, the
 // verdict is MayHaveRun, since the duty may have handled the query.
 func (r *QueryRing[P, R]) Do(ctx context.Context, params P) (R, error) {
-	query := Query[P, R]{Context: ctx, Params: params, reply: ring.New[R]("reply", 1)}
-	if !r.ring.TryPut(query) {
+	replies, err := r.Send(ctx, params)
+	if err != nil {
 		var zero R
-		return zero, core.NotRunError(core.CodeOverloaded, "ring %s is full", r.ring.Name())
+		return zero, err
 	}
-	reply, ok := query.reply.Take(ctx)
+	reply, ok := replies.Take(ctx)
 	if !ok {
 		return reply, &core.Error{Code: core.CodeDeadline, Verdict: core.MayHaveRun, Reason: "no reply before the deadline", Err: ctx.Err()}
 	}
--- a/internal/trainer/batch/cluster_test.go
+++ b/internal/trainer/batch/cluster_test.go
@@ -62,6 +62,9 @@
 	starts       int
 	manager      *Manager
 	disconnected bool // from the store
+	callsStall   bool // the calls of the daemon's items do not end
+	holdsResults bool // replies to writes of result parts are held back
+	heldReplies  []func()
 	calls        []*core.Call
 	collections  []func()
 }
@@ -132,6 +135,11 @@
 		op.Reply(platform.Result{Err: platform.ErrStoreDown})
 		return true
 	}
+	if d.holdsResults && op.Kind == platform.OpPut && strings.HasPrefix(op.Key, resultPrefix) {
+		r := cluster.store.apply(op)
+		d.heldReplies = append(d.heldReplies, func() { op.Reply(r) })
+		return true
+	}
 	draw := cluster.random.Float64() / max(cluster.faultRate, 1e-9)
 	execute := func() {
 		r := cluster.store.apply(op)
@@ -230,38 +238,28 @@
 		f()
 	}
 	for _, d := range cluster.daemons {
-		d.endCalls()
+		if !d.callsStall {
+			d.endCalls()
+		}
 		d.manager.loop.RunPending()
 	}
 }
 
-// query sends a query to a daemon and steps the cluster until it is answered.
+// maxReplySteps bounds the simulated time until a query is answered.
+const maxReplySteps = 2000
+
+// query sends a query to a daemon and steps the cluster until it is answered. It
+// uses no other goroutine, so the number of steps does not depend on scheduling.
 func (cluster *testCluster) query(d *testDaemon, q Query) Reply {
 	cluster.t.Helper()
-	replies := make(chan Reply, 1)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		a, err := d.manager.queries.Do(ctx, q)
-		if err == nil {
-			replies <- a
-		}
-	}()
-	for d.manager.queries.Stats().Depth == 0 && d.manager.queries.Stats().Put == 0 {
-		time.Sleep(time.Microsecond)
+	replies, err := d.manager.queries.Send(context.Background(), q)
+	if err != nil {
+		cluster.t.Fatalf("daemon %s: %v", d.address, err)
 	}
-	return cluster.awaitReply(d, replies)
-}
-
-func (cluster *testCluster) awaitReply(d *testDaemon, replies chan Reply) Reply {
-	cluster.t.Helper()
-	for range 2000 {
+	for range maxReplySteps {
 		cluster.step()
-		select {
-		case a := <-replies:
+		if a, ok := replies.TryTake(); ok {
 			return a
-		default:
-			time.Sleep(time.Microsecond)
 		}
 	}
 	cluster.t.Fatalf("daemon %s does not answer", d.address)
