Confirm the result list by reading its next part

Cause: an owner answered that a position was empty after it had read from the store that it still owned the job. That does not prove its list complete: a former owner that does not know of the takeover, or whose write was in progress, can add a part after the new owner has read the list, and readers of the former owner see it. A second fault was found on the way: the reply to a write of a part that arrived after the job had been stopped and its list loaded again added the part a second time, which moves every later position. Change: an owner confirms the list by reading the key of the next part, which must not exist; it reads the owner of the job when the last check is 1.2 s old. Replies to reads and writes of the next part are ignored once the job was stopped or started again.

--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -70,13 +70,14 @@
 // startJob makes this daemon run the items of a job that it owns.
 func (m *Manager) startJob(e *jobEntry) {
 	e.phase = phaseOwned
-	e.lastQueryAt = m.now()
+	e.lastQueryAt, e.ownershipCheckedAt = m.now(), m.now()
 	done := map[ItemID]bool{}
 	for _, r := range e.published {
 		done[r.Item] = true
 	}
 	e.items = map[ItemID]*itemRun{}
-	e.unpublished, e.publishing = nil, 0
+	e.unpublished, e.nextPartInUse = nil, false
+	e.generation++
 	for i := range e.job.Items {
 		item := &e.job.Items[i]
 		if !done[item.ID] {
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -151,14 +150,20 @@
 	e.resultParts++
 }
 
+// isOwnershipCheckDue reports whether this daemon last read the owner of the job
+// longer than ownershipCheckPeriod ago.
+func (m *Manager) isOwnershipCheckDue(e *jobEntry) bool {
+	return m.now().Sub(e.ownershipCheckedAt) > ownershipCheckPeriod
+}
+
 // checkOwnership reads from the store whether this daemon still owns the job and
-// whether the job has ended, and then answers the queries that wait for that.
+// whether the job has ended. If queries wait for a confirmed result list, it then
+// confirms the list.
 func (m *Manager) checkOwnership(e *jobEntry) {
 	if e.checkingOwnership || e.phase != phaseOwned {
 		return
 	}
 	e.checkingOwnership = true
-	sentAt := m.now()
 	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
 		e.checkingOwnership = false
 		if e.phase != phaseOwned {
@@ -168,15 +173,14 @@
 			// The store is unreachable. The job continues, because conditional
 			// writes still publish each result only once.
 			m.log.WithError(err).WithField("job", e.id).Debug("ownership could not be checked")
-			e.storeUnreachable = true
-			e.replyAwaitingOwnership(Reply{Status: StatusUnavailable, StoreUnreachable: true, Unpublished: e.unpublished})
+			m.handleStoreUnreachable(e)
 			return
 		}
-		m.handleOwnershipChecked(e, sentAt)
+		m.handleOwnershipChecked(e)
 	})
 }
 
-func (m *Manager) handleOwnershipChecked(e *jobEntry, sentAt time.Time) {
+func (m *Manager) handleOwnershipChecked(e *jobEntry) {
 	switch {
 	case e.state.Ended:
 		m.stopJob(e, phaseLoading)
@@ -186,21 +190,32 @@
 		m.stopJob(e, phaseNotOwner)
 		m.answerAwaitingLoad(e)
 	default:
-		e.confirmedAt, e.storeUnreachable = sentAt, false
-		for _, q := range e.removeAwaitingOwnership() {
-			q.request.Reply(e.resultsFrom(q.request.Params.FromPosition))
+		e.ownershipCheckedAt, e.storeUnreachable = m.now(), false
+		if len(e.awaitingConfirmation) > 0 {
+			m.confirmList(e)
 		}
 	}
 }
 
-func (e *jobEntry) removeAwaitingOwnership() []pendingQuery {
-	queries := e.awaitingOwnership
-	e.awaitingOwnership = nil
+// handleStoreUnreachable records that the owner cannot use the store, and answers
+// the queries that wait for a confirmed result list.
+func (m *Manager) handleStoreUnreachable(e *jobEntry) {
+	e.storeUnreachable = true
+	for _, q := range e.removeAwaitingConfirmation() {
+		q.request.Reply(Reply{Status: StatusUnavailable, StoreUnreachable: true, Unpublished: e.unpublished})
+	}
+}
+
+func (e *jobEntry) removeAwaitingConfirmation() []pendingQuery {
+	queries := e.awaitingConfirmation
+	e.awaitingConfirmation = nil
 	return queries
 }
 
-func (e *jobEntry) replyAwaitingOwnership(a Reply) {
-	for _, q := range e.removeAwaitingOwnership() {
-		q.request.Reply(a)
+// answerAwaitingConfirmation answers the queries that waited for a confirmed result
+// list, or confirms the list again if that was too long ago.
+func (m *Manager) answerAwaitingConfirmation(e *jobEntry) {
+	for _, q := range e.removeAwaitingConfirmation() {
+		m.answerAtOnce(e, q)
 	}
 }
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -38,9 +38,10 @@
 	// complete groups, and each write costs a call of the store.
 	publishDelay     = 250 * time.Millisecond
 	slowPublishDelay = 800 * time.Millisecond
-	// idleOwnershipCheck is how long an open job may go without a query before
-	// its owner reads from the store whether it still owns the job.
-	idleOwnershipCheck = 1200 * time.Millisecond
+	// ownershipCheckPeriod is how long an owner may run a job without a query, or
+	// answer queries about it, before it reads from the store whether it still owns
+	// the job.
+	ownershipCheckPeriod = 1200 * time.Millisecond
 	// confirmationTTL is how long the result list is considered complete after it
 	// was read or written. It is well below the time within which every daemon
 	// must return a published result.
@@ -90,14 +91,15 @@
 	job   *Job
 	state state
 	// stateVersion is the version of the state object, platform.Absent if there is none.
-	stateVersion      int64
-	replaceOwner      Owner // owner that the load in progress takes the job over from
-	awaitingLoad      []pendingQuery
-	awaitingResults   []pendingQuery
-	awaitingOwnership []pendingQuery // queries that wait for an ownership check
-	confirmedAt       time.Time      // when the result list was last known to be complete
-	lastQueryAt       time.Time
-	checkingOwnership bool // the state is being read from the store
+	stateVersion         int64
+	replaceOwner         Owner // owner that the load in progress takes the job over from
+	awaitingLoad         []pendingQuery
+	awaitingResults      []pendingQuery
+	awaitingConfirmation []pendingQuery // queries that wait until the result list is known to be complete
+	confirmedAt          time.Time      // when the result list was last known to be complete
+	lastQueryAt          time.Time
+	ownershipCheckedAt   time.Time
+	checkingOwnership    bool // the state is being read from the store
 
 	items            map[ItemID]*itemRun
 	launchOrder      []ItemID
@@ -108,7 +110,8 @@
 	completedGroups  int       // groups that the unpublished results complete
 	inherited        []Result  // results that the former owner could not publish
 	storeUnreachable bool      // the last write or ownership check failed
-	publishing       int       // number of results in the write in progress
+	nextPartInUse    bool      // the next part of the result list is being written or read
+	generation       int       // counts the starts and stops of the job at this daemon
 	publishAt        time.Time // time of the next write; zero if none is scheduled
 	remainingItems   int       // items without a published or unpublished result
 }
@@ -355,7 +358,7 @@
 }
 
 func (m *Manager) replyToAll(e *jobEntry, reply Reply) {
-	waiting := slices.Concat(e.awaitingLoad, e.awaitingResults, e.removeAwaitingOwnership())
+	waiting := slices.Concat(e.awaitingLoad, e.awaitingResults, e.removeAwaitingConfirmation())
 	e.awaitingLoad, e.awaitingResults = nil, nil
 	for _, w := range waiting {
 		w.request.Reply(reply)
@@ -386,9 +389,11 @@
 		item.cancelRun()
 	}
 	e.items, e.unpublished = nil, nil
+	e.nextPartInUse = false
+	e.generation++
 	e.phase = next
 	e.awaitingLoad = append(e.awaitingLoad, e.awaitingResults...)
-	e.awaitingLoad = append(e.awaitingLoad, e.removeAwaitingOwnership()...)
+	e.awaitingLoad = append(e.awaitingLoad, e.removeAwaitingConfirmation()...)
 	e.awaitingResults = nil
 }
 
@@ -428,7 +433,7 @@
 		switch e.phase {
 		case phaseOwned:
 			m.launchDueItems(e)
-			if now.Sub(e.lastQueryAt) > idleOwnershipCheck {
+			if now.Sub(e.lastQueryAt) > ownershipCheckPeriod && m.isOwnershipCheckDue(e) {
 				m.checkOwnership(e)
 			}
 		case phaseNotOwner, phaseEnded:
--- a/internal/trainer/batch/manager_test.go
+++ b/internal/trainer/batch/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,6 +90,75 @@
 	}
 }
 
+// Guards against an owner that denies a published position: the former owner, which
+// has not learned of the takeover yet, publishes results after the new owner has
+// read the list, and the new owner has nothing to publish itself.
+func TestNewOwnerFindsLateResultsOfFormerOwner(t *testing.T) {
+	cluster := newCluster(t, 2, 10)
+	former, owner := cluster.daemons[0], cluster.daemons[1]
+	cluster.callStatus = func(*core.Call) int { return 503 } // no item finishes yet
+	cluster.query(former, submitQuery("a", 4))
+	takeOver := Query{Kind: QueryResults, ID: "a", Reload: true, ReplaceOwner: former.manager.self}
+	if a := cluster.query(owner, takeOver); a.Status == StatusNotOwner {
+		cluster.query(owner, takeOver)
+	}
+	if owner.manager.countOpenJobs() != 1 {
+		t.Fatal("the job was not taken over")
+	}
+	owner.callsStall = true
+	cluster.callStatus = func(c *core.Call) int {
+		if strings.HasSuffix(c.Request.Forward.ID, "a.0") { // the item and its reward call
+			return 0
+		}
+		return 503
+	}
+	a := cluster.query(former, Query{Kind: QueryResults, ID: "a", MaxWait: 2 * time.Second})
+	if len(a.Results) != 1 {
+		t.Fatalf("the former owner answers %v with %d results, want 1", a.Status, len(a.Results))
+	}
+	for at := time.Duration(0); at < 2*visibilityDelay; at += stepDuration {
+		cluster.step()
+	}
+	a = cluster.query(owner, Query{Kind: QueryResults, ID: "a", Relayed: true})
+	if a.Status == StatusOK && len(a.Results) == 0 {
+		t.Error("the new owner returns no result at a position that was read")
+	}
+}
+
+// Guards against a result part that is listed twice: the reply to its write arrives
+// after the job was ended and its result list was read from the store.
+func TestLateReplyDoesNotRepeatResults(t *testing.T) {
+	cluster := newCluster(t, 1, 11)
+	d := cluster.daemons[0]
+	cluster.callStatus = func(c *core.Call) int {
+		if strings.HasSuffix(c.Request.Forward.ID, "a.0") {
+			return 0
+		}
+		return 503
+	}
+	d.holdsResults = true
+	cluster.query(d, submitQuery("a", 4))
+	for range 200 {
+		if len(d.heldReplies) == 0 {
+			cluster.step()
+		}
+	}
+	if a := cluster.query(d, Query{Kind: QueryEndJob, ID: "a"}); a.Status != StatusOK || len(d.heldReplies) != 1 {
+		t.Fatalf("end answered %v with %d writes in progress", a.Status, len(d.heldReplies))
+	}
+	for at := time.Duration(0); at < 2*confirmationTTL; at += stepDuration {
+		cluster.step()
+	}
+	cluster.query(d, Query{Kind: QueryResults, ID: "a"})
+	d.heldReplies[0]()
+	for at := time.Duration(0); at < 2*confirmationTTL; at += stepDuration {
+		cluster.step()
+	}
+	if a := cluster.query(d, Query{Kind: QueryResults, ID: "a"}); len(a.Results) != 1 {
+		t.Errorf("%d results are listed, want 1: %+v", len(a.Results), a.Results)
+	}
+}
+
 // Guards against a reader that waits for a disconnected owner. An owner without
 // results to write detects the disconnection only by an ownership check.
 func TestIdleCutOffOwnerIsReplaced(t *testing.T) {
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -44,7 +44,7 @@
 	case e.phase == phaseEnded:
 		q.request.Reply(e.resultsFrom(query.FromPosition))
 	case e.storeUnreachable || query.MaxWait <= 0:
-		m.answerNoResults(e, q)
+		m.answerAtOnce(e, q)
 	default:
 		q.deadline = m.now().Add(query.MaxWait)
 		e.awaitingResults = append(e.awaitingResults, q)
@@ -52,15 +52,23 @@
 	}
 }
 
-// answerNoResults replies that there are no results at the position, after an
-// ownership check unless the list was recently known to be complete.
-func (m *Manager) answerNoResults(e *jobEntry, q pendingQuery) {
-	if m.now().Sub(e.confirmedAt) <= confirmationTTL {
-		q.request.Reply(e.resultsFrom(q.request.Params.FromPosition))
+// answerAtOnce answers with published results or that there are none at the
+// position. It confirms the result list first, unless it was recently known to be
+// complete, and the ownership if that is due.
+func (m *Manager) answerAtOnce(e *jobEntry, q pendingQuery) {
+	position := q.request.Params.FromPosition
+	if position < len(e.published) || m.now().Sub(e.confirmedAt) <= confirmationTTL {
+		q.request.Reply(e.resultsFrom(position))
 		return
 	}
-	e.awaitingOwnership = append(e.awaitingOwnership, q)
-	m.checkOwnership(e)
+	e.awaitingConfirmation = append(e.awaitingConfirmation, q)
+	switch {
+	case e.checkingOwnership:
+	case m.isOwnershipCheckDue(e):
+		m.checkOwnership(e)
+	default:
+		m.confirmList(e)
+	}
 }
 
 // relinquishJob stops the runs of a job that another daemon has taken over
@@ -111,7 +119,7 @@
 		case r.request.Params.FromPosition < len(e.published):
 			r.request.Reply(e.resultsFrom(r.request.Params.FromPosition))
 		case !r.deadline.After(now) && e.phase == phaseOwned:
-			m.answerNoResults(e, r)
+			m.answerAtOnce(e, r)
 		default:
 			e.awaitingResults = append(e.awaitingResults, r)
 		}
