Report the effect of commands and changes that fail after it

SuspectSet.Merge deleted a suspect when a report held a confirmed cause without time left. The verdict simulation counted the ends of a request and did not check them. Change: these errors carry the verdict ran and end the command with exit code 4; Merge ignores causes without time left; the simulation requires exactly one end. Result: the new tests of cli, operator and backend fail on the code before and pass now.

--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -161,7 +161,9 @@
 // a known entry, so reports may arrive late, repeatedly and in any order.
 func (s *SuspectSet) Merge(r SuspectReport, now time.Time) {
 	for _, cause := range r.ConfirmedCauses {
-		s.confirm(cause.Fingerprint, now.Add(min(cause.Remaining, QuarantineDuration)))
+		if cause.Remaining > 0 {
+			s.confirm(cause.Fingerprint, now.Add(min(cause.Remaining, QuarantineDuration)))
+		}
 	}
 	for _, suspect := range r.Suspects {
 		if suspect.Remaining > 0 && s.QuarantineRemaining(suspect.Fingerprint, now) == 0 {
--- a/internal/backend/suspects_test.go
+++ b/internal/backend/suspects_test.go
@@ -167,6 +167,18 @@
 	}
 }
 
+// Guards against a suspect that is forgotten because another daemon reports the end
+// of a quarantine: the next crash as the only suspect must count.
+func TestExpiredCauseKeepsSuspect(t *testing.T) {
+	s := NewSuspectSet()
+	now := time.Unix(1e9, 0)
+	s.RecordCrash([]uint64{8}, now)
+	s.Merge(SuspectReport{ConfirmedCauses: []ConfirmedCause{{Fingerprint: 8}}}, now)
+	if !s.IsSuspected(8, now) {
+		t.Error("the request is no longer a suspect")
+	}
+}
+
 // Guards against a report of another daemon that has no effect, shortens a
 // known entry, or outlives its time.
 func TestMergeSuspectReport(t *testing.T) {
--- a/internal/backend/verdict_simulation_test.go
+++ b/internal/backend/verdict_simulation_test.go
@@ -21,7 +21,7 @@
 	runs     int // executions on servers
 	attempts int // attempts that were executed
 	end      *core.End
-	ends     int
+	ends     int // ends that the caller received
 }
 
 // verdictSimulation generates random outcomes of attempts.
@@ -85,7 +85,9 @@
 		r.Deadline = p.clock.Now().Add(time.Duration(p.random.IntN(800)) * time.Millisecond)
 	}
 	c := core.NewCall(context.Background(), r)
-	p.histories[r.ID] = &requestHistory{call: c}
+	history := &requestHistory{call: c}
+	c.OnEnd = func(*core.Call, core.End) { history.ends++ }
+	p.histories[r.ID] = history
 	p.dispatch.Submit(c)
 }
 
@@ -111,7 +113,6 @@
 		}
 		if e := endOf(history.call); e != nil {
 			history.end = e
-			history.ends++
 		}
 	}
 }
@@ -121,6 +122,8 @@
 	switch {
 	case history.end == nil:
 		return fmt.Errorf("request %s never ended", r.ID)
+	case history.ends != 1:
+		return fmt.Errorf("request %s ended %d times", r.ID, history.ends)
 	case history.end.Verdict == core.NotRun && history.runs > 0:
 		return fmt.Errorf("request %s has the verdict not-run and ran %d times", r.ID, history.runs)
 	case !r.Repeatable && history.runs > 1:
@@ -133,8 +136,8 @@
 	return nil
 }
 
-// Guards against a not-run verdict for a request that ran or will run later,
-// against a second execution of a call that must not be repeated, and against
+// Guards against a request that ends twice, against a not-run verdict for a request
+// that ran or will run later, against a second execution of a call that must not be repeated, and against
 // more attempts than a request allows.
 func TestVerdictsMatchExecutions(t *testing.T) {
 	for seed := range uint64(verdictSeeds) {
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -30,7 +30,7 @@
 	ExitFailed         = 1 // nothing changed, or a read failed
 	ExitInvalid        = 2 // usage or invalid input; nothing changed
 	ExitConflict       = 3 // the stored version differs from the expected one; nothing changed
-	ExitUnknownOutcome = 4 // the change or request may have taken effect
+	ExitUnknownOutcome = 4 // the change or request has taken effect, or may have, but did not succeed
 )
 
 // Default addresses of a local daemon.
@@ -90,7 +90,7 @@
 	parser := flags.NewParser(&s.options, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "berylfall"
 	parser.ShortDescription = "operate berylfall"
-	parser.LongDescription = "Exit codes: 0 done, 1 failed, 2 usage or invalid input, 3 conflict, 4 may have taken effect.\n\nExample: berylfall status"
+	parser.LongDescription = "Exit codes: 0 done, 1 failed, 2 usage or invalid input, 3 conflict, 4 took effect or may have, without success.\n\nExample: berylfall status"
 	parser.CommandHandler = func(command flags.Commander, rest []string) error {
 		if command == nil {
 			return nil
@@ -136,7 +136,7 @@
 		return ExitFailed
 	}
 	switch {
-	case e.Verdict == core.MayHaveRun:
+	case e.Verdict != core.NotRun:
 		return ExitUnknownOutcome
 	case e.Code == core.CodeInvalid || e.Code == core.CodeTooLarge:
 		return ExitInvalid
--- a/internal/cli/app_test.go
+++ b/internal/cli/app_test.go
@@ -11,6 +11,10 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/operator/operatorhttp"
+	"github.com/berylfall/berylfall/internal/transport"
 )
 
 func runCommand(t *testing.T, address string, args ...string) (code int, output string) {
@@ -62,6 +66,32 @@
 	}
 }
 
+// Guards against the exit code for "failed; nothing changed" when the drain began and
+// requests are still in flight, and when a plain service ran a request and answered
+// with an error status.
+func TestFailureAfterEffect(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case operatorhttp.PathDrain:
+			_, _ = fmt.Fprint(w, `{"draining":true,"inFlight":2}`)
+		case operatorhttp.PathStatus:
+			_, _ = fmt.Fprint(w, `{"drain":{"draining":true,"inFlight":2}}`)
+		default:
+			w.Header().Set(transport.HeaderVerdict, core.Ran.String())
+			w.WriteHeader(http.StatusConflict)
+		}
+	}))
+	defer server.Close()
+	for _, args := range [][]string{
+		{"drain", "--wait", "1ms"},
+		{"request", "--customer", "c", "--service", "s", "--operation", "o"},
+	} {
+		if code, output := runCommand(t, server.URL, args...); code != ExitUnknownOutcome {
+			t.Errorf("%v: exit code %d, want %d; output: %s", args, code, ExitUnknownOutcome, output)
+		}
+	}
+}
+
 // Guards against the exit code for "may have taken effect" when the answer to a
 // read is lost.
 func TestLostAnswerToRead(t *testing.T) {
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -60,7 +60,10 @@
 		return err
 	}
 	if result.Status >= consts.StatusBadRequest {
-		return core.NotRunError(core.CodeBackendFailure, "the service answered with status %d", result.Status)
+		return &core.Error{
+			Code: core.CodeBackendFailure, Verdict: result.Verdict,
+			Reason: fmt.Sprintf("the service answered with status %d", result.Status),
+		}
 	}
 	return nil
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -190,7 +190,10 @@
 			return nil
 		}
 		if !time.Now().Before(deadline) || s.ctx.Err() != nil {
-			return core.NotRunError(core.CodeDeadline, "the daemon drains, but %d requests are still in flight", state.InFlight)
+			return &core.Error{
+				Code: core.CodeDeadline, Verdict: core.Ran,
+				Reason: fmt.Sprintf("the daemon drains, but %d requests are still in flight", state.InFlight),
+			}
 		}
 		s.app.Sleep(pollPeriod)
 	}
--- a/internal/operator/contracts.go
+++ b/internal/operator/contracts.go
@@ -104,7 +104,10 @@
 	}
 	stored, err := daemon.DecodeContract(r.Object)
 	if err != nil {
-		return ContractChange{}, err
+		return ContractChange{}, &core.Error{
+			Code: core.CodeInternal, Verdict: core.Ran, Err: err,
+			Reason: fmt.Sprintf("version %d was stored, but the store's answer cannot be read", r.Object.Version),
+		}
 	}
 	change := ContractChange{Stored: stored}
 	if err := c.appendHistory(ctx, author, stored); err != nil {
--- a/internal/operator/contracts_test.go
+++ b/internal/operator/contracts_test.go
@@ -20,6 +20,8 @@
 	objects map[string]platform.Object
 	// beforeWrite is called before each write; an error fails the write.
 	beforeWrite func(key string) error
+	// garblesReplies makes the reply to a write carry a value that cannot be read.
+	garblesReplies bool
 }
 
 func (f *fakeStore) Do(_ context.Context, op platform.Op) platform.Result {
@@ -46,6 +48,9 @@
 	}
 	o := platform.Object{Key: op.Key, Version: current.Version + 1, Value: op.Value, Deleted: op.Kind == platform.OpDelete}
 	f.objects[op.Key] = o
+	if f.garblesReplies {
+		o.Value = []byte("{")
+	}
 	return platform.Result{Object: o}
 }
 
@@ -124,6 +129,17 @@
 	}
 }
 
+// Guards against a change that was stored and is reported as failed without effect,
+// because the store's answer to the write cannot be read.
+func TestUnreadableAnswerReportsStoredChange(t *testing.T) {
+	c, store := newContracts()
+	store.garblesReplies = true
+	_, err := c.Apply(context.Background(), "alice", newTestContract(1), 0)
+	if got := core.AsError(err); err == nil || got.Verdict != core.Ran || len(store.objects) == 0 {
+		t.Errorf("error = %+v with %d objects, want the verdict ran", got, len(store.objects))
+	}
+}
+
 // Guards against an apply that overwrites a concurrent change.
 func TestConflictShowsBothVersions(t *testing.T) {
 	c, store := newContracts()
