Bound what a peer may send without completing a message

Cause: the HTTP library reads heads, chunk headers, trailers and interim responses without a bound, and takes an error of Peek that comes with bytes for none. One exchange with a server whose head never ends took 520 to 820 MB in 1.5 s. It also accepted a truncated trailer, and 1xx heads other than 100 as the final answer. Change: a guard on each connection bounds the bytes and the time between two points of progress: a head (64 KiB), a part of a body, an event (256 KiB), 5 s. Bodies are read in parts as they arrive, chunked ones by the standard library's reader; bodies over 64 KiB share a budget for each pool. A stream ends after the number of events that its request allows. Polls, the store, the weight store and scorers use the same connections instead of the library's client. On listeners a request is bounded as a whole, since the library bounds neither chunk headers nor trailers. At a bound the connection is reset and the attempt ends as may-have-run.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
@@ -28,7 +27,7 @@
 // Client carries out attempts and polls over HTTP.
 type Client struct {
 	pool         *transport.Pool
-	pollClient   *client.Client
+	polls        *transport.Pool
 	probeTimeout time.Duration
 }
 
@@ -39,20 +38,15 @@
 	_ backend.CacheSource = (*Client)(nil)
 )
 
-// NewClient returns a client for backend servers. It fails if the HTTP client
-// cannot be created.
-func NewClient(o Options) (*Client, error) {
+// NewClient returns a client for backend servers.
+func NewClient(o Options) *Client {
 	if o.ReadIdleTimeout == 0 {
 		o.ReadIdleTimeout = DefaultReadIdleTimeout
 	}
 	if o.ProbeTimeout == 0 {
 		o.ProbeTimeout = defaultProbeTimeout
 	}
-	pollClient, err := transport.NewClient(transport.ClientOptions{ReadTimeout: o.ReadIdleTimeout})
-	if err != nil {
-		return nil, err
-	}
-	return &Client{pool: transport.NewPool(o.ReadIdleTimeout), pollClient: pollClient, probeTimeout: o.ProbeTimeout}, nil
+	return &Client{pool: transport.NewPool(o.ReadIdleTimeout), polls: transport.NewPool(o.ReadIdleTimeout).LimitBodies(transport.MaxProbeBodyBytes), probeTimeout: o.ProbeTimeout}
 }
 
 // Exchange carries out one attempt and blocks until it has ended.
@@ -86,9 +80,12 @@
 	} else {
 		end, reusable = c.exchangeOperation(a, connection, req, resp)
 	}
-	if stopClosing() && reusable {
+	switch {
+	case stopClosing() && reusable:
 		c.pool.Put(connection)
-	} else {
+	case end.Err != nil:
+		connection.Abort()
+	default:
 		connection.Close()
 	}
 	return end
@@ -205,7 +202,7 @@
 		periods++
 		return c.checkIdleCall(a, periods)
 	}
-	if err := connection.RoundTrip(req, resp); err != nil {
+	if err := connection.RoundTrip(a.Context, req, resp, transport.DefaultMaxBodyBytes); err != nil {
 		end = backend.FailedAttempt(backend.ConnectionError(a.Context, connection.BytesWritten, err))
 		if connection.BytesWritten > 0 && a.Context.Err() == nil {
 			c.detectCrash(&end, a)
@@ -241,7 +238,7 @@
 func (c *Client) endWithErrorResponse(a backend.Attempt, connection *transport.Conn, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
 	readErr := error(nil)
 	if a.Call.Request.IsModelCall() {
-		readErr = connection.ReadResponseBody(resp)
+		readErr = connection.ReadResponseBody(a.Context, resp, transport.MaxProbeBodyBytes)
 	}
 	return backend.FailedAttempt(classifyErrorResponse(transport.NewResponseError(resp))), readErr == nil && !resp.ConnectionClose()
 }
--- a/internal/backend/backendhttp/exchange_test.go
+++ b/internal/backend/backendhttp/exchange_test.go
@@ -58,9 +58,7 @@
 
 func newClientWithIdleTimeout(t testing.TB, timeout time.Duration) *backendhttp.Client {
 	t.Helper()
-	c, err := backendhttp.NewClient(backendhttp.Options{ReadIdleTimeout: timeout, ProbeTimeout: testTimeout})
-	requireNoError(t, err)
-	return c
+	return backendhttp.NewClient(backendhttp.Options{ReadIdleTimeout: timeout, ProbeTimeout: testTimeout})
 }
 
 func requireNoError(t testing.TB, err error) {
--- a/internal/backend/backendhttp/probe.go
+++ b/internal/backend/backendhttp/probe.go
@@ -22,7 +22,7 @@
 // Describe reads the capabilities of a backend server.
 func (c *Client) Describe(ctx context.Context, address string) (backend.Description, error) {
 	var m ServerMessage
-	if err := transport.DoJSON(ctx, c.pollClient, getExchange(ctx, address, PathServer), &m); err != nil {
+	if _, err := c.polls.DoJSON(ctx, getExchange(address, PathServer), &m); err != nil {
 		return backend.Description{}, err
 	}
 	return m.description(), nil
@@ -52,7 +52,7 @@
 // Load reads the load report of a backend server.
 func (c *Client) Load(ctx context.Context, address string) (backend.Load, error) {
 	var m LoadMessage
-	err := transport.DoJSON(ctx, c.pollClient, getExchange(ctx, address, PathLoad), &m)
+	_, err := c.polls.DoJSON(ctx, getExchange(address, PathLoad), &m)
 	return backend.Load{MeasuredAt: m.At, Running: m.Running, Waiting: m.Waiting, KVUsed: m.KVUsed}, err
 }
 
@@ -61,7 +61,7 @@
 func (c *Client) CacheEvents(ctx context.Context, address string, after int64) ([]backend.CacheEvent, error) {
 	var messages []CacheEventMessage
 	path := PathCacheEvents + "?after=" + strconv.FormatInt(after, 10)
-	if err := transport.DoJSON(ctx, c.pollClient, getExchange(ctx, address, path), &messages); err != nil {
+	if _, err := c.polls.DoJSON(ctx, getExchange(address, path), &messages); err != nil {
 		return nil, err
 	}
 	events := make([]backend.CacheEvent, 0, len(messages))
@@ -71,12 +71,8 @@
 	return events, nil
 }
 
-func getExchange(ctx context.Context, address, path string) transport.Exchange {
-	x := transport.Exchange{Method: consts.MethodGet, URL: "http://" + address + path}
-	if deadline, ok := ctx.Deadline(); ok {
-		x.Timeout = time.Until(deadline)
-	}
-	return x
+func getExchange(address, path string) transport.Exchange {
+	return transport.Exchange{Method: consts.MethodGet, URL: "http://" + address + path}
 }
 
 // Cancel tells the engine to stop processing the attempt's request. Plain
@@ -141,7 +137,7 @@
 		return err
 	}
 	req.SetConnectionClose()
-	if err := connection.RoundTrip(req, resp); err != nil {
+	if err := connection.RoundTrip(ctx, req, resp, transport.MaxProbeBodyBytes); err != nil {
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	return decodeResponse(resp, out)
--- a/internal/backend/backendhttp/stream.go
+++ b/internal/backend/backendhttp/stream.go
@@ -37,9 +37,7 @@
 // read copies the events into the answer until the last one. If isWhole is
 // true, the body was read to its end and the connection can be reused.
 func (s *stream) read(c *transport.Conn, resp *protocol.Response) (isWhole bool, err error) {
-	if err := c.StreamResponseBody(resp); err != nil {
-		return false, err
-	}
+	c.StreamResponseBody(resp)
 	reader, err := sse.NewReader(resp)
 	if err != nil {
 		return false, err
@@ -58,6 +56,7 @@
 		if err != nil {
 			return false, err
 		}
+		c.MarkEvent()
 	}
 }
 
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -16,7 +16,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/berylfall/berylfall/internal/platform"
@@ -34,7 +33,7 @@
 
 // Client calls the object API and the host list. Any goroutine may use it.
 type Client struct {
-	http *client.Client
+	pool *transport.Pool
 	base string
 }
 
@@ -44,12 +43,8 @@
 )
 
 // NewClient returns a client for the platform at base, such as "http://127.0.0.1:7000".
-func NewClient(base string, o transport.ClientOptions) (*Client, error) {
-	c, err := transport.NewClient(o)
-	if err != nil {
-		return nil, err
-	}
-	return &Client{http: c, base: base}, nil
+func NewClient(base string) *Client {
+	return &Client{pool: transport.NewPool(transport.DefaultReadTimeout).LimitBodies(transport.MaxListingBytes), base: base}
 }
 
 // Get reads one object. A deleted object is platform.ErrNotFound.
@@ -117,10 +112,8 @@
 }
 
 func (c *Client) do(ctx context.Context, x transport.Exchange, out any) error {
-	if deadline, ok := ctx.Deadline(); ok {
-		x.Timeout = time.Until(deadline)
-	}
-	return ClassifyError(transport.DoJSON(ctx, c.http, x, out))
+	_, err := c.pool.DoJSON(ctx, x, out)
+	return ClassifyError(err)
 }
 
 // ClassifyError maps a failed call to an error of package platform.
--- a/internal/scorer/scorerhttp/scorerhttp.go
+++ b/internal/scorer/scorerhttp/scorerhttp.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/berylfall/berylfall/internal/scorer"
@@ -43,19 +41,13 @@
 
 // Client implements scorer.Client over HTTP.
 type Client struct {
-	http *client.Client
+	pool *transport.Pool
 }
 
 var _ scorer.Client = (*Client)(nil)
 
 // NewClient returns a client for scoring services.
-func NewClient(o transport.ClientOptions) (*Client, error) {
-	c, err := transport.NewClient(o)
-	if err != nil {
-		return nil, err
-	}
-	return &Client{http: c}, nil
-}
+func NewClient() *Client { return &Client{pool: transport.NewPool(transport.DefaultReadTimeout)} }
 
 // Score posts the batch to the scoring service at the base URL. The request
 // times out at the deadline of ctx.
@@ -65,11 +57,8 @@
 		message.Samples = append(message.Samples, SampleMessage{ID: string(sample.ID), Prompt: sample.Prompt, Text: sample.Text})
 	}
 	exchange := transport.Exchange{Method: consts.MethodPost, URL: url + PathScore, Body: message}
-	if deadline, ok := ctx.Deadline(); ok {
-		exchange.Timeout = time.Until(deadline)
-	}
 	var answer ScoresMessage
-	if err := transport.DoJSON(ctx, c.http, exchange, &answer); err != nil {
+	if _, err := c.pool.DoJSON(ctx, exchange, &answer); err != nil {
 		return nil, err
 	}
 	scores := make([]scorer.Score, 0, len(answer.Scores))
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -12,10 +12,7 @@
 const maxConcurrentProbes = 32
 
 func (b *builder) buildBackend() error {
-	client, err := backendhttp.NewClient(backendhttp.Options{})
-	if err != nil {
-		return err
-	}
+	client := backendhttp.NewClient(backendhttp.Options{})
 	exchanges, err := b.pool("exchanges", b.settings.Exchanges)
 	if err != nil {
 		return err
--- a/internal/server/build_platform.go
+++ b/internal/server/build_platform.go
@@ -12,16 +12,12 @@
 	"github.com/berylfall/berylfall/internal/operator"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/platform/platformhttp"
-	"github.com/berylfall/berylfall/internal/transport"
 )
 
 func (b *builder) buildPlatform() error {
 	b.incarnation = daemon.Incarnation{Start: b.clock.Now().UnixNano(), Random: rand.Uint64()}
+	b.platformClient = platformhttp.NewClient(b.settings.PlatformURL)
 	var err error
-	b.platformClient, err = platformhttp.NewClient(b.settings.PlatformURL, transport.ClientOptions{})
-	if err != nil {
-		return err
-	}
 	b.storePool, err = b.pool("store", b.settings.StoreCalls)
 	if err != nil {
 		return err
--- a/internal/server/build_trainer.go
+++ b/internal/server/build_trainer.go
@@ -6,7 +6,6 @@
 	"github.com/berylfall/berylfall/internal/scorer"
 	"github.com/berylfall/berylfall/internal/scorer/scorerhttp"
 	"github.com/berylfall/berylfall/internal/trainer"
-	"github.com/berylfall/berylfall/internal/transport"
 )
 
 const (
@@ -47,11 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client, err := scorerhttp.NewClient(transport.ClientOptions{})
-	if err != nil {
-		return nil, err
-	}
-	return scorer.New(b.clock, client, pool), nil
+	return scorer.New(b.clock, scorerhttp.NewClient(), pool), nil
 }
 
 // buildBulk opens the bulk file if a data folder is set. If the file cannot be
--- a/internal/server/build_weights.go
+++ b/internal/server/build_weights.go
@@ -4,7 +4,6 @@
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
-	"github.com/berylfall/berylfall/internal/transport"
 	"github.com/berylfall/berylfall/internal/weights"
 	"github.com/berylfall/berylfall/internal/weights/weightshttp"
 )
@@ -17,10 +16,7 @@
 	if b.settings.WeightsURL == "" {
 		return nil
 	}
-	client, err := weightshttp.NewClient(b.settings.WeightsURL, transport.ClientOptions{})
-	if err != nil {
-		return err
-	}
+	client := weightshttp.NewClient(b.settings.WeightsURL)
 	pool, err := b.pool("weights", weightsPoolSize)
 	if err != nil {
 		return err
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/berylfall/berylfall/internal/platform/platformhttp"
 	"github.com/berylfall/berylfall/internal/standin/deployment"
-	"github.com/berylfall/berylfall/internal/transport"
 )
 
 // Guards against a planned stop that does not release the leases, so that the next
@@ -17,8 +16,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	deployed := startTestDeployment(t, ctx, deployment.Spec{})
-	store, err := platformhttp.NewClient(deployed.standins.PlatformURL(), transport.ClientOptions{})
-	requireNoError(t, err)
+	store := platformhttp.NewClient(deployed.standins.PlatformURL())
 	holder := func() string {
 		object, err := store.Get(ctx, "leases/shares/local")
 		if err != nil {
--- a/internal/standin/objectapi/objectapi_test.go
+++ b/internal/standin/objectapi/objectapi_test.go
@@ -9,7 +9,6 @@
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/platform/platformhttp"
-	"github.com/berylfall/berylfall/internal/transport"
 )
 
 // waitLimit limits the wait for events that take milliseconds.
@@ -34,10 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, err := platformhttp.NewClient(server.URL(), transport.ClientOptions{})
-	if err != nil {
-		t.Fatal(err)
-	}
+	client := platformhttp.NewClient(server.URL())
 	t.Cleanup(func() {
 		clock.Advance(hangLimit) // ends hung calls
 		runner.Stop(ctx)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -5,8 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"math"
 	"net"
 	"os"
 	"syscall"
@@ -15,7 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	hertzreq "github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	hertzresp "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -49,6 +47,10 @@
 	OnReadTimeout func() error // nil makes the read fail with the time-out error
 	buffer        []byte
 	start         int // index of the first unread byte of buffer
+
+	guard       progressGuard
+	guardErr    error               // of the guard; the connection cannot be used any more
+	largeBodies *semaphore.Weighted // of the pool; nil is no limit
 }
 
 var _ network.Reader = (*Conn)(nil)
@@ -112,21 +114,13 @@
 	return err
 }
 
-// ReadResponseHeader reads the status line and the header fields of the response.
-func (c *Conn) ReadResponseHeader(resp *protocol.Response) error {
-	return hertzresp.ReadHeaders(resp, c)
-}
-
-// ReadResponseBody reads the whole body of the response. A body over
-// DefaultMaxBodyBytes is an error.
-func (c *Conn) ReadResponseBody(resp *protocol.Response) error {
-	return hertzresp.ReadRespBody(resp, c, DefaultMaxBodyBytes)
-}
-
 // fill blocks until n unread bytes are buffered, a read fails, or a read times
 // out and OnReadTimeout is nil or returns an error.
 func (c *Conn) fill(n int) error {
 	for len(c.buffer)-c.start < n {
+		if c.guardErr != nil {
+			return c.guardErr
+		}
 		c.reserve(n)
 		if err := c.SetReadDeadline(time.Now().Add(c.takeReadTimeout())); err != nil {
 			return err
@@ -134,6 +128,11 @@
 		used := len(c.buffer)
 		read, err := c.Conn.Read(c.buffer[used:cap(c.buffer)])
 		c.buffer = c.buffer[:used+read]
+		if c.guardErr = c.guard.receive(read, time.Now()); c.guardErr != nil {
+			// The HTTP library ignores an error of Peek that comes with bytes.
+			c.buffer, c.start = nil, 0
+			return c.guardErr
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.OnReadTimeout != nil {
 			err = c.OnReadTimeout()
 		}
@@ -202,11 +201,7 @@
 // a request abandoned during a network partition could still be delivered
 // seconds later, when the partition has healed.
 func (c *Conn) Abort() {
-	if socket, ok := c.Conn.(*net.TCPConn); ok {
-		// An error means that the socket has already been closed.
-		_ = socket.SetLinger(0)
-	}
-	_ = c.Close()
+	resetConnection(c.Conn)
 }
 
 // Len returns the number of bytes that can be read without blocking.
@@ -255,30 +250,14 @@
 	return err == nil && idle
 }
 
-// RoundTrip sends the request and reads the whole response.
-func (c *Conn) RoundTrip(req *protocol.Request, resp *protocol.Response) error {
+// RoundTrip sends the request and reads the whole response, whose body may have
+// maxBodyBytes.
+func (c *Conn) RoundTrip(ctx context.Context, req *protocol.Request, resp *protocol.Response, maxBodyBytes int) error {
 	if err := c.Send(req); err != nil {
 		return err
 	}
 	if err := c.ReadResponseHeader(resp); err != nil {
 		return err
 	}
-	return c.ReadResponseBody(resp)
-}
-
-// StreamResponseBody makes the body readable as it arrives. For a body without
-// chunked encoding it does not use the library's stream, which reads ahead and
-// would delay events until the end of the body.
-func (c *Conn) StreamResponseBody(resp *protocol.Response) error {
-	const chunked, untilConnectionClose = -1, -2 // special content lengths of the HTTP library
-	length := resp.Header.ContentLength()
-	if length == chunked {
-		return hertzresp.ReadRespBodyStream(resp, c, 0, func(bool) error { return nil })
-	}
-	limit := int64(length)
-	if length == untilConnectionClose {
-		limit = math.MaxInt64
-	}
-	resp.SetBodyStream(io.LimitReader(c, limit), length)
-	return nil
+	return c.ReadResponseBody(ctx, resp, maxBodyBytes)
 }
--- /dev/null
+++ b/internal/transport/listener.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"net"
+	"time"
+)
+
+// requestTimeout bounds the time from the first to the last byte of a request.
+const requestTimeout = 60 * time.Second
+
+// guardedListener returns connections on which a request is bounded as a whole. The
+// HTTP library bounds the head and the body of a request, but neither the headers of
+// its chunks nor its trailer.
+type guardedListener struct {
+	net.Listener
+	maxRequestBytes int
+}
+
+// Accept waits for the next connection.
+func (l guardedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	guarded := &guardedConn{Conn: c, maxRequestBytes: l.maxRequestBytes}
+	guarded.guard.reset(l.maxRequestBytes, requestTimeout)
+	return guarded, nil
+}
+
+// guardedConn is the server's side of a connection. The HTTP library reads and writes
+// it on one goroutine at a time.
+type guardedConn struct {
+	net.Conn
+	maxRequestBytes int
+	guard           progressGuard
+}
+
+// Read closes the connection with a reset if the request has too many bytes or takes
+// too long.
+func (c *guardedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if guardErr := c.guard.receive(n, time.Now()); guardErr != nil {
+		resetConnection(c.Conn)
+		return 0, guardErr
+	}
+	return n, err
+}
+
+// Write sends a part of a response, which ends the request.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	c.guard.reset(c.maxRequestBytes, requestTimeout)
+	return c.Conn.Write(b)
+}
+
+// resetConnection closes the connection and discards data that the peer has not
+// received.
+func resetConnection(c net.Conn) {
+	if socket, ok := c.(*net.TCPConn); ok {
+		// An error means that the socket has already been closed.
+		_ = socket.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -26,6 +27,9 @@
 	readTimeout time.Duration
 	keepAlive   time.Duration
 	now         func() time.Time
+	largeBodies *semaphore.Weighted
+	// maxBodyBytes bounds the body of a response that Do, Exchange or DoJSON reads.
+	maxBodyBytes int
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -39,12 +43,25 @@
 // probes after the keepAlive time without data, so that a dead connection is
 // detected while it waits for a response.
 func NewKeepAlivePool(readTimeout, keepAlive time.Duration) *Pool {
-	return &Pool{readTimeout: readTimeout, keepAlive: keepAlive, now: time.Now, idle: map[string][]*Conn{}}
+	return &Pool{readTimeout: readTimeout, keepAlive: keepAlive, now: time.Now, largeBodies: newLargeBodies(DefaultMaxBodyBytes), maxBodyBytes: DefaultMaxBodyBytes, idle: map[string][]*Conn{}}
+}
+
+// LimitBodies sets the largest body of a response, in bytes, and returns the pool.
+// The large bodies that are read at the same time take up to as much memory. The
+// default is DefaultMaxBodyBytes. It is called before the pool is used.
+func (p *Pool) LimitBodies(maxBytes int) *Pool {
+	p.maxBodyBytes, p.largeBodies = maxBytes, newLargeBodies(maxBytes)
+	return p
 }
 
 // Dial opens a new connection, also when the pool has an idle one.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
-	return dialWithKeepAlive(ctx, address, p.readTimeout, p.keepAlive)
+	c, err := dialWithKeepAlive(ctx, address, p.readTimeout, p.keepAlive)
+	if err != nil {
+		return nil, err
+	}
+	c.largeBodies = p.largeBodies
+	return c, nil
 }
 
 // Get returns an idle connection that is still usable, or a new one.
@@ -85,7 +102,7 @@
 	}
 	// Only closing the connection interrupts a blocked read immediately.
 	stopClosing := context.AfterFunc(ctx, c.Abort)
-	err = c.RoundTrip(req, resp)
+	err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
 	sent = c.BytesWritten > 0
 	switch {
 	case !stopClosing() || err != nil:
@@ -98,16 +115,21 @@
 	return sent, err
 }
 
-// DoJSON is like Exchange for a JSON request and decodes the response into out
-// unless out is nil. It ignores x.Timeout; the deadline of ctx applies.
-func (p *Pool) DoJSON(ctx context.Context, address string, x Exchange, out any) (sent bool, err error) {
+// DoJSON sends a JSON request to the host of x.URL and decodes the response into out
+// unless out is nil. It reports whether any byte of the request was sent.
+func (p *Pool) DoJSON(ctx context.Context, x Exchange, out any) (sent bool, err error) {
+	if x.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, x.Timeout)
+		defer cancel()
+	}
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	if err := EncodeRequest(req, x); err != nil {
 		return false, err
 	}
-	if sent, err = p.Exchange(ctx, address, req, resp); err != nil {
+	if sent, err = p.Exchange(ctx, string(req.Host()), req, resp); err != nil {
 		return sent, err
 	}
 	return sent, decodeResponse(resp, out)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -34,6 +34,9 @@
 	// it while a request is being sent.
 	MaxIdleDuration         = 20 * time.Second
 	maxConnectionsPerServer = 4096 // per backend server
+	// chunkedSizeFactor is how many times larger than its body a chunked request
+	// may be.
+	chunkedSizeFactor = 2
 )
 
 // ServerOptions configures a server. Zero values select the defaults.
@@ -76,7 +79,7 @@
 	}
 	counter := newRequestCounter()
 	options := []config.Option{
-		server.WithListener(listener),
+		server.WithListener(guardedListener{Listener: listener, maxRequestBytes: o.MaxHeaderBytes + chunkedSizeFactor*o.MaxBodyBytes}),
 		server.WithTracer(counter),
 		server.WithSenseClientDisconnection(true),
 		server.WithTransport(standard.NewTransporter),
--- a/internal/weights/weightshttp/client.go
+++ b/internal/weights/weightshttp/client.go
@@ -12,9 +12,7 @@
 import (
 	"context"
 	"net/url"
-	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
@@ -35,7 +33,7 @@
 // Client calls the weight store and sends orders to engines. Any goroutine may
 // use it.
 type Client struct {
-	http *client.Client
+	pool *transport.Pool
 	base string
 }
 
@@ -45,29 +43,24 @@
 )
 
 // NewClient returns a client for the weight store at the base URL.
-func NewClient(base string, o transport.ClientOptions) (*Client, error) {
-	c, err := transport.NewClient(o)
-	if err != nil {
-		return nil, err
-	}
-	return &Client{http: c, base: base}, nil
+func NewClient(base string) *Client {
+	return &Client{pool: transport.NewPool(transport.DefaultReadTimeout).LimitBodies(transport.MaxProbeBodyBytes), base: base}
 }
 
 // Latest returns the newest version of the model.
 func (c *Client) Latest(ctx context.Context, model string) (core.Version, error) {
 	var m LatestMessage
-	x := transport.Exchange{Method: consts.MethodGet, URL: c.base + PathLatest + url.PathEscape(model), Timeout: remaining(ctx)}
-	err := transport.DoJSON(ctx, c.http, x, &m)
+	x := transport.Exchange{Method: consts.MethodGet, URL: c.base + PathLatest + url.PathEscape(model)}
+	_, err := c.pool.DoJSON(ctx, x, &m)
 	return core.Version(m.Version), err
 }
 
 // Load sends the order to the engine and blocks until the engine has answered. It
 // does not read the version back.
 func (c *Client) Load(ctx context.Context, e weights.Engine, o weights.Order, source string, fence int64) (readBack core.Version, err error) {
-	return 0, transport.DoJSON(ctx, c.http, transport.Exchange{
-		Method:  consts.MethodPost,
-		URL:     "http://" + e.Address + backendhttp.PathOrders,
-		Timeout: remaining(ctx),
+	_, err = c.pool.DoJSON(ctx, transport.Exchange{
+		Method: consts.MethodPost,
+		URL:    "http://" + e.Address + backendhttp.PathOrders,
 		Body: backendhttp.OrderMessage{
 			Kind:    "load-version",
 			Model:   e.Model,
@@ -76,12 +69,5 @@
 			Fence:   fence,
 		},
 	}, nil)
-}
-
-func remaining(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return 0
-	}
-	return time.Until(deadline)
+	return 0, err
 }
