--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -68,7 +68,7 @@
 	connection, err := c.connect(a)
 	if err != nil {
 		end := backend.FailedAttempt(backend.DialError(a.Context, err))
-		end.Unreachable = a.Context.Err() == nil
+		end.Unreachable = backend.ContextCause(a.Context) == nil
 		return end
 	}
 	// Closing the connection is the only way to end a blocked read immediately.
@@ -161,14 +161,14 @@
 func (c *Client) endBrokenStream(s *stream, connection *transport.Conn, err error) backend.AttemptEnd {
 	end := backend.FailedAttempt(backend.ConnectionError(s.attempt.Context, connection.BytesWritten, err))
 	end.Tokens = s.tokens
-	if errors.Is(err, errNotNeeded) && s.attempt.Context.Err() == nil {
+	if errors.Is(err, errNotNeeded) && backend.ContextCause(s.attempt.Context) == nil {
 		end.Err = core.MayHaveRunError(core.CodeCancelled, "another attempt answers the request")
 	}
 	if connection.BytesWritten == 0 {
 		return end
 	}
 	end.CancelAtServer = true
-	if s.attempt.Context.Err() != nil || errors.Is(err, errNotNeeded) {
+	if backend.ContextCause(s.attempt.Context) != nil || errors.Is(err, errNotNeeded) {
 		return end
 	}
 	c.detectCrash(&end, s.attempt)
@@ -204,7 +204,7 @@
 	}
 	if err := connection.RoundTrip(a.Context, req, resp, transport.DefaultMaxBodyBytes); err != nil {
 		end = backend.FailedAttempt(backend.ConnectionError(a.Context, connection.BytesWritten, err))
-		if connection.BytesWritten > 0 && a.Context.Err() == nil {
+		if connection.BytesWritten > 0 && backend.ContextCause(a.Context) == nil {
 			c.detectCrash(&end, a)
 		}
 		return end, false
