--- /dev/null
+++ b/internal/daemon/daemonrpc/fuzz_test.go
@@ -0,0 +1,94 @@
+package daemonrpc
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/trainer/batch"
+)
+
+// addRecorded adds the recorded messages of an earlier build to the seed corpus.
+func addRecorded(f *testing.F, pattern string) {
+	f.Helper()
+	files, err := filepath.Glob(filepath.Join("testdata", pattern))
+	if err != nil || len(files) == 0 {
+		f.Fatalf("no recorded messages: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		if data, err := hex.DecodeString(strings.Join(strings.Fields(string(text)), "")); err == nil {
+			f.Add(data)
+		}
+	}
+}
+
+// Guards against bytes of a peer that make the decoder of link messages panic or
+// allocate more than the largest message.
+func FuzzLinkMessage(f *testing.F) {
+	addRecorded(f, "*.hex")
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d := decoder{r: bytes.NewReader(data)}
+		for {
+			envelope, _, err := d.read()
+			if err != nil {
+				break
+			}
+			if envelope.Message == nil {
+				t.Fatal("an envelope without a message")
+			}
+		}
+		if cap(d.buf) > MaxMessageBytes {
+			t.Errorf("a buffer of %d bytes", cap(d.buf))
+		}
+	})
+}
+
+// Guards against a peer request or response that makes its decoder panic, and against
+// a response with a status that is not known.
+func FuzzPeerRequest(f *testing.F) {
+	addRecorded(f, "*.hex")
+	for _, q := range []*JobQuestion{{}, {Kind: 99}, {After: -1, WaitMs: -1}, {Submitted: []byte("null")}, {Kind: int32(batch.QueryResults), WaitMs: 1 << 62}} {
+		data, err := proto.Marshal(&Question{Kind: &Question_Job{Job: q}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	data, err := proto.Marshal(&JobAnswer{Status: 77, Total: -1})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := PeerServer{handlers: PeerHandlers{
+			HandleEngineNotifications: func([]backend.ModelStatus) {},
+			HandleOwnerNotifications:  func([]batch.Ownership) {},
+			HandleWatchRequest:        func(context.Context, int64) (platform.Listing, error) { return platform.Listing{}, nil },
+			HandleJobRequest:          func(context.Context, batch.Query) batch.Reply { return batch.Reply{} },
+		}}
+		var m Question
+		if proto.Unmarshal(data, &m) == nil {
+			_, _ = s.handleRequest(&m)
+		}
+		var a JobAnswer
+		if proto.Unmarshal(data, &a) == nil {
+			if reply := decodeJobResponse(&a); reply.Status.String() == "" || reply.Total < 0 {
+				t.Errorf("accepted response %+v", reply)
+			}
+		}
+	})
+}
--- a/internal/daemon/daemonrpc/peerrequests.go
+++ b/internal/daemon/daemonrpc/peerrequests.go
@@ -343,11 +343,12 @@
 		Kind: batch.QueryKind(m.GetKind()), ID: batch.JobID(m.GetJob()), FromPosition: int(m.GetAfter()),
 		MaxWait: time.Duration(m.GetWaitMs()) * time.Millisecond, Item: batch.ItemID(m.GetItem()), Delegated: m.GetDelegated(),
 	}
-	if len(m.GetSubmitted()) == 0 {
-		return q, nil
+	if len(m.GetSubmitted()) > 0 {
+		if err := json.Unmarshal(m.Submitted, &q.Job); err != nil {
+			return q, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
 	}
-	q.Job = &batch.Job{}
-	return q, json.Unmarshal(m.Submitted, q.Job)
+	return q, nil
 }
 
 func encodeJobResponse(a batch.Reply) *JobAnswer {
@@ -369,9 +370,15 @@
 	return list
 }
 
+// decodeJobResponse decodes a response. One with an unknown status, as another build
+// may send it, says that the peer cannot answer.
 func decodeJobResponse(m *JobAnswer) batch.Reply {
+	status := batch.Status(m.Status)
+	if status < batch.StatusUnavailable || status > batch.StatusUnknownOutcome || m.Total < 0 {
+		return batch.Reply{Status: batch.StatusUnavailable}
+	}
 	return batch.Reply{
-		Status: batch.Status(m.Status), Owner: batch.Owner{Address: m.OwnerAddress, Run: m.OwnerRun},
+		Status: status, Owner: batch.Owner{Address: m.OwnerAddress, Run: m.OwnerRun},
 		Total: int(m.Total), Body: m.Body, Results: decodeResults(m.Results),
 		StoreUnreachable: m.CutOff, Unpublished: decodeResults(m.Handover),
 	}
--- a/internal/trainer/batch/manager_test.go
+++ b/internal/trainer/batch/manager_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 )
@@ -180,6 +183,23 @@
 	}
 }
 
+// Guards against a query of a peer that makes the jobs duty panic or wait for ever: a
+// submission without a job, an unknown kind, a position or wait out of range.
+func TestMalformedQueriesAreRefused(t *testing.T) {
+	cluster := newCluster(t, 1, 12)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	router := NewRouter(cluster.daemons[0].manager, nil, logrus.NewEntry(log))
+	for _, q := range []Query{
+		{Kind: QuerySubmit, ID: "a"}, {Kind: 99, ID: "a"}, {Kind: -1, ID: "a"},
+		{Kind: QueryResults, ID: "a", FromPosition: -1}, {Kind: QueryResults, ID: "a", MaxWait: -1}, {Kind: QueryResults, ID: "a", MaxWait: time.Hour},
+	} {
+		if a := router.HandleRelayed(t.Context(), q); a.Status != StatusUnavailable || cluster.daemons[0].manager.queries.Stats().Put != 0 {
+			t.Errorf("query %+v is answered %v", q, a.Status)
+		}
+	}
+}
+
 // Guards against items that continue to run after their job was ended through
 // another daemon, which has taken the job over.
 func TestEndedJobStopsAtFormerOwner(t *testing.T) {
--- a/internal/trainer/batch/router.go
+++ b/internal/trainer/batch/router.go
@@ -120,6 +120,10 @@
 // HandleRelayed answers a query that a peer has relayed or delegated to this
 // daemon.
 func (r *Router) HandleRelayed(ctx context.Context, q Query) Reply {
+	if err := q.check(); err != nil {
+		r.log.WithError(err).WithField("job", q.ID).Warn("query of a peer cannot be handled")
+		return Reply{Status: StatusUnavailable}
+	}
 	if q.Delegated {
 		return r.HandleQuery(ctx, q)
 	}
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -15,6 +15,7 @@
 package batch
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
@@ -164,6 +165,26 @@
 	Unpublished []Result
 }
 
+// maxQueryWait is the longest wait for a result that a peer may request.
+const maxQueryWait = 30 * time.Second
+
+// check returns an error for a query that the jobs duty cannot handle. A peer of
+// another build may send one.
+func (q *Query) check() error {
+	isKnown := q.Kind >= QuerySubmit && q.Kind <= QueryRelinquish
+	switch {
+	case !isKnown:
+		return core.InvalidError("kind", strconv.Itoa(int(q.Kind)), "a kind of query", "is not known")
+	case q.Kind == QuerySubmit && q.Job == nil:
+		return core.InvalidError("job", "", "the job", "is missing in a submission")
+	case q.FromPosition < 0:
+		return core.InvalidError("position", strconv.Itoa(q.FromPosition), "0 or more", "is out of range")
+	case q.MaxWait < 0 || q.MaxWait > maxQueryWait:
+		return core.InvalidError("wait", q.MaxWait.String(), "0 to "+maxQueryWait.String(), "is out of range")
+	}
+	return nil
+}
+
 // Status is the outcome of a query. Its number is part of the messages between
 // daemons.
 type Status int
