Eject a server whose answer never ends, and play such servers in a scenario

Cause: an endless answer costs megabytes and counted as one of five failures that eject a server. Change: one such answer ejects the server, for the usual time.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -53,6 +53,9 @@
 	Incarnation string
 	// Unreachable reports that no connection could be opened.
 	Unreachable bool
+	// Endless reports that the server's answer exceeded its limits, as that of a
+	// faulty server may. One such answer suffices to eject the server.
+	Endless bool
 	// CancelAtServer requests a cancellation over a new connection, because the
 	// server may still be processing the request.
 	CancelAtServer bool
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -161,6 +161,7 @@
 func (c *Client) endBrokenStream(s *stream, connection *transport.Conn, err error) backend.AttemptEnd {
 	end := backend.FailedAttempt(backend.ConnectionError(s.attempt.Context, connection.BytesWritten, err))
 	end.Tokens = s.tokens
+	end.Endless = transport.IsEndless(err)
 	if errors.Is(err, errNotNeeded) && backend.ContextCause(s.attempt.Context) == nil {
 		end.Err = core.MayHaveRunError(core.CodeCancelled, "another attempt answers the request")
 	}
@@ -204,6 +205,7 @@
 	}
 	if err := connection.RoundTrip(a.Context, req, resp, transport.DefaultMaxBodyBytes); err != nil {
 		end = backend.FailedAttempt(backend.ConnectionError(a.Context, connection.BytesWritten, err))
+		end.Endless = transport.IsEndless(err)
 		if connection.BytesWritten > 0 && backend.ContextCause(a.Context) == nil {
 			c.detectCrash(&end, a)
 		}
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -406,6 +406,8 @@
 		rt.recordAnswer(c, w, e)
 	case isCancelled:
 		c.relativeTime.observeAtLeast(e.Duration.Seconds() / w.mean)
+	case e.Endless:
+		c.ejection.consecutiveFailures = consecutiveFailureLimit
 	case isServerFailure(e):
 		c.ejection.consecutiveFailures++
 	}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -19,6 +19,7 @@
 	SwapFails        bool   // orders fail and leave the model with an unknown version (0)
 	DropCacheEvents  int    // each n-th cache event is not published; 0 is none
 	SlowFactor       int    // a step takes this many times longer; 0 and 1 are normal
+	Endless          string // requests start, and the response of this kind of package endless is sent
 }
 
 func (f Faults) crashesOn(prompt string) bool {
--- a/internal/standin/engine/handle.go
+++ b/internal/standin/engine/handle.go
@@ -30,6 +30,7 @@
 	events     []backendhttp.CacheEventMessage
 	kv         backendhttp.KVMessage
 	counts     Counts
+	endless    string // kind of the response that never ends
 }
 
 func (s *Server) handleQuery(query duty.Query[params, reply]) {
@@ -60,6 +61,7 @@
 		r = reply{retryAfter: s.faults.RetryAfter}
 	case p.start != nil:
 		s.enqueue(p.start)
+		r.endless = s.faults.Endless
 	}
 	s.cache.publish(s.loop.Clock().Now(), s.faults.DropCacheEvents)
 	query.Reply(r)
--- a/internal/standin/engine/routes.go
+++ b/internal/standin/engine/routes.go
@@ -12,6 +12,7 @@
 
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/standin/endless"
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
@@ -95,13 +96,18 @@
 		return
 	}
 	g := newGeneration(m)
-	if r := s.query(ctx, params{start: g}); !r.accepted {
+	r := s.query(ctx, params{start: g})
+	if !r.accepted {
 		c.Response.Header.Set(transport.HeaderRequestStarted, "false")
 		refusal := core.NotRunError(core.CodeOverloaded, "the engine rejects the request")
 		refusal.RetryAfter = time.Duration(r.retryAfter) * time.Second
 		transport.WriteError(c, refusal)
 		return
 	}
+	if endless.Send(c.GetConn(), r.endless) {
+		s.query(ctx, params{control: &command{id: m.RequestID, action: "cancel"}})
+		return
+	}
 	s.streamEvents(ctx, c, g)
 }
 
--- a/internal/standin/plain/faults.go
+++ b/internal/standin/plain/faults.go
@@ -13,6 +13,8 @@
 	Silent           bool   // calls run, but no response is sent until Silent is false
 	CrashOn          string // a call whose body contains it crashes the service; empty is none
 	SlowFactor       int    // calls take this many times longer; 0 and 1 are normal
+	Endless          string // calls run, and the response of this kind of package endless is sent
+	EndlessReports   string // load reports are answered with the response of this kind
 }
 
 func (f Faults) crashesOn(body []byte) bool {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -119,6 +119,7 @@
 		s.faults = *p.setFaults
 		s.replyToUnanswered()
 	case p.load:
+		r.faults = s.faults
 		r.load = backendhttp.LoadMessage{At: s.loop.Clock().Now(), Running: len(s.active) + len(s.unanswered)}
 	case p.describe:
 		r.server = backendhttp.ServerMessage{
--- a/internal/standin/plain/routes.go
+++ b/internal/standin/plain/routes.go
@@ -9,6 +9,7 @@
 
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/standin/endless"
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
@@ -21,7 +22,10 @@
 		c.JSON(consts.StatusOK, s.query(ctx, params{describe: true}).server)
 	})
 	r.GET(backendhttp.PathLoad, func(ctx context.Context, c *app.RequestContext) {
-		c.JSON(consts.StatusOK, s.query(ctx, params{load: true}).load)
+		r := s.query(ctx, params{load: true})
+		if !endless.Send(c.GetConn(), r.faults.EndlessReports) {
+			c.JSON(consts.StatusOK, r.load)
+		}
 	})
 	r.POST(backendhttp.PathOperations+":operation", s.handleOperation)
 }
@@ -45,6 +49,7 @@
 	case r.faults.BreakWithin:
 		_, _ = c.GetConn().Write([]byte(truncatedResponse))
 		_ = c.GetConn().Close()
+	case endless.Send(c.GetConn(), r.faults.Endless):
 	case r.faults.RefuseAfterStart:
 		transport.WriteError(c, refusal)
 	case r.faults.FailLate:
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -25,6 +25,11 @@
 	ErrBodyTooLarge    = errors.New("transport: the body of the response is too large")
 )
 
+// IsEndless reports whether err ended a response that had no end within its limits.
+func IsEndless(err error) bool {
+	return errors.Is(err, ErrNoProgressBytes) || errors.Is(err, ErrNoProgressTime) || errors.Is(err, ErrBodyTooLarge)
+}
+
 // progressGuard bounds the bytes that a peer sends, and the time that it takes,
 // between two points of progress of a message. Without it, a peer whose head, line
 // or chunk header never ends fills the memory of this process.
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -42,6 +42,7 @@
 		"takenport": cmdTakenPort,
 		"runs":      cmdRuns,
 		"crashes":   cmdCrashes,
+		"memory":    cmdMemory,
 	}
 }
 
@@ -185,6 +186,24 @@
 	ts.Check(findProcess(ts, args[0]).cmd.Process.Signal(signals[args[1]]))
 }
 
+// cmdMemory checks the largest memory that a program has used: memory NAME MEGABYTES
+func cmdMemory(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: memory NAME MEGABYTES")
+	}
+	limit, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", findProcess(ts, args[0]).cmd.Process.Pid))
+	ts.Check(err)
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	ts.Check(err)
+	ts.Logf("%s used %d MB at most", args[0], kilobytes>>10)
+	if kilobytes>>10 > limit {
+		ts.Fatalf("%s used %d MB, want at most %d", args[0], kilobytes>>10, limit)
+	}
+}
+
 // cmdEnded waits for a program to exit and checks that its exit code is 0: ended NAME
 func cmdEnded(ts *testscript.TestScript, neg bool, args []string) {
 	p := findProcess(ts, args[0])
