--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,12 @@
 # Packages of tests; CI passes the same list.
 PKGS ?= ./...
 BENCHTIME ?= 1s
+# Inputs, or time, for each fuzz test; PACKAGE:TEST of each.
+FUZZTIME ?= 500x
+FUZZ_TESTS := internal/transport:FuzzResponse platform:FuzzEvents platform:FuzzSettings \
+	platform:FuzzExternalObjects internal/daemon/daemonrpc:FuzzLinkMessage internal/daemon/daemonrpc:FuzzPeerRequest
 
-.PHONY: build demo test bench lint fmt generate tools
+.PHONY: build demo test fuzz bench lint fmt generate tools
 
 build:
 	go build -o bin/ ./cmd/...
@@ -22,6 +26,9 @@
 test:
 	go test -count=1 -timeout 15m $(PKGS)
 
+fuzz:
+	for t in $(FUZZ_TESTS); do go test -run '^$$' -fuzz "^$${t#*:}\$$" -fuzztime $(FUZZTIME) ./$${t%:*} || exit 1; done
+
 bench:
 	go test -run '^$$' -bench . -benchmem -benchtime $(BENCHTIME) $(PKGS)
 
