--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -35,10 +35,13 @@
 	// daemons.
 	closeCandidates   = 2
 	distantPollPeriod = 8 * time.Second
-	distantPollStep   = time.Second
+	distantPollStep   = 4 * time.Second
 	// candidateDelay per rank lets the daemons that rank first for a lease acquire it
 	// first.
 	candidateDelay = time.Second
+	// groupDelay per group lets a daemon know that it holds the lease of one group
+	// before it acquires that of the next.
+	groupDelay = 250 * time.Millisecond
 	// orderPoolSize is the number of concurrent orders.
 	orderPoolSize = 64
 	// maxLoadingShare is the share of a group's engines that may load at the same time.
@@ -68,6 +71,9 @@
 	rollout  *weights.Rollout
 	assigner *weights.Assigner // used on the directory's goroutine only; nil without the lease
 	isHolder atomic.Bool
+	// firstDelay is the time from the first start of all daemons until this one reads
+	// its rank.
+	firstDelay time.Duration
 }
 
 func (d *frontDaemon) buildOrders() error {
@@ -84,6 +90,7 @@
 		g := &orderGroup{lease: fmt.Sprintf("orders-%d", i)}
 		g.rollout = weights.NewRollout(clock, d.log, orders, o.latestVersions, pool, limits)
 		g.rollout.SetOnLoad(d.notifier.addLoadEvent)
+		g.firstDelay = candidateDelay + time.Duration(i)*groupDelay
 		o.groups[i] = g
 		d.loops = append(d.loops, g.rollout.Loop())
 		d.becomeCandidate(o, g, limits.TakeoverWait)
@@ -97,7 +104,7 @@
 // between the orders of two holders.
 func orderLimits(turn time.Duration) weights.Limits {
 	return weights.Limits{
-		MaxStoreLoadShare: maxLoadingShare, MinReadyShare: weights.DefaultLimits().MinReadyShare, MaxServingLag: 1,
+		MaxStoreLoadShare: maxLoadingShare, MinReadyShare: weights.DefaultLimits().MinReadyShare, MaxServingLag: 1, LoadServingWhenIdle: true,
 		TakeoverWait: max(0, turn-platform.MinTakeoverGap(orderLeaseDuration)) + takeoverMargin,
 	}
 }
@@ -121,13 +128,18 @@
 	options := platform.LeaseOptions{
 		Duration:   orderLeaseDuration,
 		Listener:   func(e platform.LeaseEvent) { d.handleLease(o, g, e) },
-		PollPeriod: func() time.Duration { return d.pollPeriod(g) },
+		PollPeriod: func() time.Duration { return d.pollPeriod(o, g) },
 		// The platform starts a process on a host only after the previous one has ended.
 		IsEarlierRun: d.isEarlierRun,
 		TakeoverWait: takeoverWait,
 	}
-	acquire := func() {
-		if !o.isStopping.Load() && !o.leaseManager.Acquire(g.lease, options) {
+	var acquire func()
+	acquire = func() {
+		switch {
+		case o.isStopping.Load():
+		case o.holdsAnother(g) && len(d.peerList.otherAddresses()) > 0:
+			o.leaseManager.Loop().After(distantPollPeriod, acquire)
+		case !o.leaseManager.Acquire(g.lease, options):
 			d.log.WithField("lease", g.lease).Error("daemon cannot become a candidate: ring of the lease manager is full")
 		}
 	}
@@ -135,7 +147,7 @@
 		acquire()
 		return
 	}
-	o.leaseManager.Loop().After(candidateDelay, func() {
+	o.leaseManager.Loop().After(g.firstDelay, func() {
 		o.leaseManager.Loop().After(time.Duration(d.rank(g))*candidateDelay, acquire)
 	})
 }
@@ -151,9 +163,15 @@
 	return slices.Index(ranked, d.hostSettings.PeerAddress)
 }
 
-func (d *frontDaemon) pollPeriod(g *orderGroup) time.Duration {
-	rank := d.rank(g)
-	if rank < closeCandidates {
+// pollPeriod returns the period at which this daemon reads the group's lease as a
+// candidate. The holder of another group's lease leaves it to others, because the loss
+// of a daemon that holds both would delay new versions in all groups.
+func (d *frontDaemon) pollPeriod(o *engineOrders, g *orderGroup) time.Duration {
+	return candidatePollPeriod(d.rank(g), o.holdsAnother(g))
+}
+
+func candidatePollPeriod(rank int, holdsAnother bool) time.Duration {
+	if rank < closeCandidates && !holdsAnother {
 		return orderLeaseDuration / 2
 	}
 	return max(distantPollPeriod, time.Duration(rank)*distantPollStep)
@@ -181,6 +199,11 @@
 	d.directory.UpdateModelStatus(nil)
 }
 
+// holdsAnother reports whether this daemon holds the lease of a group other than g.
+func (o *engineOrders) holdsAnother(g *orderGroup) bool {
+	return slices.ContainsFunc(o.groups[:], func(other *orderGroup) bool { return other != nil && other != g && other.isHolder.Load() })
+}
+
 func (o *engineOrders) holdsAny() bool {
 	return slices.ContainsFunc(o.groups[:], func(g *orderGroup) bool { return g.isHolder.Load() })
 }
