--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -104,7 +104,7 @@
 // between the orders of two holders.
 func orderLimits(turn time.Duration) weights.Limits {
 	return weights.Limits{
-		MaxStoreLoadShare: maxLoadingShare, MinReadyShare: weights.DefaultLimits().MinReadyShare, MaxServingLag: 1, LoadServingWhenIdle: true,
+		MaxStoreLoadShare: maxLoadingShare, MinReadyShare: weights.DefaultLimits().MinReadyShare, MaxServingLag: 1,
 		TakeoverWait: max(0, turn-platform.MinTakeoverGap(orderLeaseDuration)) + takeoverMargin,
 	}
 }
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -43,9 +43,6 @@
 	RequiresSingleVersion bool
 	Version               core.Version
 	State                 EngineState
-	// IsBusy means that a load now would interrupt work for the target version. The
-	// engine gets an order once it is idle or too old for new work.
-	IsBusy bool
 }
 
 // Limits bounds a rollout in one data centre.
@@ -65,9 +62,6 @@
 	// which an engine gets new work. A load on an engine further behind reduces no
 	// serving capacity.
 	MaxServingLag core.Version
-	// LoadServingWhenIdle loads a version on an engine that serves new work only
-	// while the engine has no work.
-	LoadServingWhenIdle bool
 }
 
 // storeLoads returns the number of concurrent loads from the weight store.
@@ -117,9 +111,6 @@
 
 	var orders []Order
 	for _, e := range enginesBehind(engines, target) {
-		if e.IsBusy {
-			continue
-		}
 		reducesCapacity := l.isServing(e, target)
 		if reducesCapacity && unavailable >= limit {
 			continue
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -35,12 +35,6 @@
 	// are served first.
 	minOrderBackoff = time.Second
 	maxOrderBackoff = 8 * time.Second
-	// idleCheckPeriod is the time between two checks whether an engine has work.
-	idleCheckPeriod = 300 * time.Millisecond
-	// idleTTL is how long an engine counts as idle after a check.
-	idleTTL = 100 * time.Millisecond
-	// idleCheckTimeout bounds one check.
-	idleCheckTimeout = time.Second
 )
 
 // Loader sends orders to engines. Its methods block.
@@ -50,8 +44,6 @@
 	// weight store. readBack is the version that was read back from the engine
 	// afterwards; 0 if none was.
 	Load(ctx context.Context, e Engine, o Order, source string, fence int64) (readBack core.Version, err error)
-	// IsIdle reports whether the engine has no work in progress and none queued.
-	IsIdle(ctx context.Context, e Engine) (bool, error)
 }
 
 // Store is the weight store. Its methods block.
@@ -98,15 +90,6 @@
 	loadEndedAt         time.Time
 	consecutiveFailures int       // of orders
 	backoffUntil        time.Time // no order is sent earlier
-	idleAt              time.Time // when a check last found the engine without work
-	nextIdleCheckAt     time.Time
-	isCheckingIdle      bool
-}
-
-// idleResult is the end of a check whether an engine has work.
-type idleResult struct {
-	engine core.ServerID
-	isIdle bool
 }
 
 // reportList is a set of engine reports. A complete list contains all engines.
@@ -129,7 +112,6 @@
 	leases         *ring.Ring[Lease]
 	results        *ring.Ring[orderResult]
 	latestVersions *ring.Ring[latestVersionResult]
-	idleResults    *ring.Ring[idleResult]
 
 	engines         map[core.ServerID]*trackedEngine
 	targets         map[string]core.Version // by model
@@ -158,7 +140,6 @@
 		leases:          ring.New[Lease]("weights.holdings", 16),
 		results:         ring.New[orderResult]("weights.ends", resultRingCapacity),
 		latestVersions:  ring.New[latestVersionResult]("weights.latest", resultRingCapacity),
-		idleResults:     ring.New[idleResult]("weights.idle", resultRingCapacity),
 		engines:         map[core.ServerID]*trackedEngine{},
 		targets:         map[string]core.Version{},
 		isReadingLatest: map[string]bool{},
@@ -169,7 +150,6 @@
 	duty.On(r.loop, r.reports, r.handleReports)
 	duty.On(r.loop, r.results, r.handleResult)
 	duty.On(r.loop, r.latestVersions, r.handleLatest)
-	duty.On(r.loop, r.idleResults, r.handleIdleResult)
 	r.loop.Every(tickPeriod, r.tick)
 	return r
 }
@@ -344,7 +324,6 @@
 	}
 	for r.startMostUrgentOrder() {
 	}
-	r.checkIdleEngines()
 }
 
 // startMostUrgentOrder starts at most one order and reports whether it did.
@@ -396,7 +375,6 @@
 			continue
 		}
 		engine := e.Engine
-		engine.IsBusy = r.isBusy(e, model)
 		if e.State == StateUnknown && !e.reportedAt.After(e.loadEndedAt) {
 			// The version is not read back yet: the engine counts as unavailable
 			// and gets no order.
@@ -407,52 +385,6 @@
 	return list
 }
 
-// isBusy reports whether a load would interrupt the engine's work for the newest
-// version of the model, or may do so because no check has found the engine idle.
-func (r *Rollout) isBusy(e *trackedEngine, model string) bool {
-	if !r.limits.LoadServingWhenIdle || !r.limits.isServing(e.Engine, r.targets[model]) {
-		return false
-	}
-	return r.loop.Clock().Now().Sub(e.idleAt) > idleTTL
-}
-
-// checkIdleEngines checks engines that wait for an order until they are idle, while
-// another load may start.
-func (r *Rollout) checkIdleEngines() {
-	free := r.limits.storeLoads(len(r.engines)) - len(r.inProgress)
-	if !r.limits.LoadServingWhenIdle || free <= 0 {
-		return
-	}
-	now := r.loop.Clock().Now()
-	for _, e := range r.engines {
-		isBehind := e.State == StateReady && e.Version < r.targets[e.Model]
-		if !isBehind || !r.isBusy(e, e.Model) || !r.mayOrder(e) || e.isCheckingIdle || now.Before(e.nextIdleCheckAt) {
-			continue
-		}
-		engine := e.Engine
-		e.isCheckingIdle = r.pool.TryGo(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), idleCheckTimeout)
-			defer cancel()
-			isIdle, err := r.loader.IsIdle(ctx, engine)
-			r.idleResults.TryPut(idleResult{engine: engine.ID, isIdle: isIdle && err == nil})
-		})
-	}
-}
-
-func (r *Rollout) handleIdleResult(result idleResult) {
-	e := r.engines[result.engine]
-	if e == nil {
-		return
-	}
-	now := r.loop.Clock().Now()
-	e.isCheckingIdle, e.nextIdleCheckAt = false, now.Add(idleCheckPeriod)
-	r.loop.After(idleCheckPeriod, r.startOrders)
-	if result.isIdle {
-		e.idleAt = now
-		r.startOrders()
-	}
-}
-
 // mayOrder reports whether the engine may get orders from this owner. An engine
 // that does not check fencing numbers may not while an order of the previous
 // owner can still be in flight.
--- a/internal/weights/weightshttp/client.go
+++ b/internal/weights/weightshttp/client.go
@@ -71,11 +71,3 @@
 	}, nil)
 	return 0, err
 }
-
-// IsIdle reads the engine's load report.
-func (c *Client) IsIdle(ctx context.Context, e weights.Engine) (bool, error) {
-	var m backendhttp.LoadMessage
-	x := transport.Exchange{Method: consts.MethodGet, URL: "http://" + e.Address + backendhttp.PathLoad}
-	_, err := c.pool.DoJSON(ctx, x, &m)
-	return m.Running+m.Waiting == 0, err
-}
