--- a/internal/server/hosted/peerlist.go
+++ b/internal/server/hosted/peerlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -49,18 +50,25 @@
 	return nil
 }
 
-// register writes the entry of this daemon and retries until the store has accepted
-// it. It runs on the store duty's goroutine.
-func (d *frontDaemon) register() {
+// register creates the entry of this daemon, or replaces that of an earlier run, and
+// retries until the store has accepted it. It runs on the store duty's goroutine.
+func (d *frontDaemon) register() { d.writeEntry(platform.Absent) }
+
+// writeEntry writes the entry if its version is ifVersion. A write without a condition
+// reads the entry first, which costs each daemon a call at its first start.
+func (d *frontDaemon) writeEntry(ifVersion int64) {
 	value, err := json.Marshal(daemonEntry{Address: d.hostSettings.PeerAddress})
 	if err != nil {
 		d.log.WithError(err).Error("entry of this daemon cannot be encoded")
 		return
 	}
 	op := platform.Op{
-		Kind: platform.OpPut, Key: kindDaemons + "/" + d.hostSettings.Host, Value: value, IfVersion: platform.AnyVersion, Timeout: registerTimeout,
+		Kind: platform.OpPut, Key: kindDaemons + "/" + d.hostSettings.Host, Value: value, IfVersion: ifVersion, Timeout: registerTimeout,
 		Reply: func(r platform.Result) {
-			if r.Err != nil {
+			switch {
+			case errors.Is(r.Err, platform.ErrConflict) && ifVersion == platform.Absent:
+				d.writeEntry(platform.AnyVersion)
+			case r.Err != nil:
 				d.log.WithError(r.Err).Warn("entry of this daemon could not be written")
 				d.store.Loop().After(registerRetryDelay, d.register)
 			}
--- a/internal/trainer/batch/cluster_test.go
+++ b/internal/trainer/batch/cluster_test.go
@@ -65,6 +65,7 @@
 	callsStall   bool // the calls of the daemon's items do not end
 	holdsResults bool // replies to writes of result parts are held back
 	heldReplies  []func()
+	storeOps     int
 	calls        []*core.Call
 	collections  []func()
 }
@@ -131,6 +132,7 @@
 // it, loses its reply, or loses the reply and executes the write later.
 func (d *testDaemon) Submit(op platform.Op) bool {
 	cluster := d.cluster
+	d.storeOps++
 	if d.disconnected {
 		op.Reply(platform.Result{Err: platform.ErrStoreDown})
 		return true
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -28,7 +28,7 @@
 	queryRingCapacity  = 1024
 	storeReplyCapacity = 4096 // store operations in flight
 	runEndCapacity     = 16384
-	maxKnownJobs       = 512 // in memory at once
+	maxKnownJobs       = 4096 // in memory at once; most belong to other daemons
 
 	// tickPeriod is the interval at which due items are launched, idle jobs have
 	// their ownership checked, and inactive jobs are removed from memory.
@@ -46,9 +46,13 @@
 	// was read or written. It is well below the time within which every daemon
 	// must return a published result.
 	confirmationTTL = 600 * time.Millisecond
-	// inactiveJobTTL is how long a job that has ended or that another daemon owns
-	// stays in memory after its last query.
+	// inactiveJobTTL is how long a job that has ended stays in memory after its last
+	// query.
 	inactiveJobTTL = 10 * time.Second
+	// knownOwnerTTL is how long a daemon remembers the owner of another daemon's job.
+	// It covers the time for which trainers read the results, so that a read at any
+	// daemon is relayed instead of loading the job from the store.
+	knownOwnerTTL = 2 * time.Minute
 	// storeTimeout bounds a store operation that a caller waits for.
 	storeTimeout = 1500 * time.Millisecond
 	// maxReplyTextBytes bounds the texts of one reply.
@@ -436,10 +440,15 @@
 			if now.Sub(e.lastQueryAt) > ownershipCheckPeriod && m.isOwnershipCheckDue(e) {
 				m.checkOwnership(e)
 			}
-		case phaseNotOwner, phaseEnded:
+		case phaseEnded:
 			if now.Sub(e.lastQueryAt) > inactiveJobTTL {
 				delete(m.jobs, id)
 			}
+		case phaseNotOwner:
+			e.job, e.published = nil, nil
+			if now.Sub(e.lastQueryAt) > knownOwnerTTL {
+				delete(m.jobs, id)
+			}
 		}
 	}
 }
--- a/internal/trainer/batch/manager_test.go
+++ b/internal/trainer/batch/manager_test.go
@@ -183,6 +183,22 @@
 	}
 }
 
+// Guards against a load from the store at each daemon that a trainer reads from: a
+// daemon that was told the owner relays reads to it, also long after the job has begun.
+func TestReadsAreRelayedToKnownOwner(t *testing.T) {
+	cluster := newCluster(t, 2, 13)
+	owner, other := cluster.daemons[0], cluster.daemons[1]
+	cluster.query(owner, submitQuery("a", 4))
+	other.manager.UpdateOwners([]Ownership{{Job: "a", Owner: owner.manager.self}})
+	for range int(30 * time.Second / stepDuration) {
+		cluster.step()
+	}
+	a := cluster.queryViaOwner(other, Query{Kind: QueryResults, ID: "a"})
+	if a.Status != StatusOK || len(a.Results) != 4 || other.storeOps != 0 {
+		t.Errorf("%v with %d results after %d store operations of the reader's daemon, want 4 after 0", a.Status, len(a.Results), other.storeOps)
+	}
+}
+
 // Guards against a query of a peer that makes the jobs duty panic or wait for ever: a
 // submission without a job, an unknown kind, a position or wait out of range.
 func TestMalformedQueriesAreRefused(t *testing.T) {
