Serve the callers of a data centre that is cut off elsewhere

Connections to both servers were refused, which used up the two attempts that the route allows; requests that came meanwhile waited for the end of a backoff of 500 ms, up to their deadline; and the daemon stayed ready, so that its callers were not sent elsewhere.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -16,18 +16,31 @@
 // waitForServer makes the call wait until a capable server is available again.
 // A call whose request is a crash suspect waits until another suspect has
 // finished.
+//
+// If no connection to any capable server can be opened, as in a data centre that is cut
+// off, a caller's request is refused at once, so that it can come back through another
+// daemon within its time.
 func (d *Dispatcher) waitForServer(s *callState) {
 	now := d.loop.Clock().Now()
 	var earliest time.Time
+	isAnyReachable := false
 	for _, c := range d.listed {
+		if !d.isCapable(s.call.Request, c) {
+			continue
+		}
+		isAnyReachable = isAnyReachable || !d.health.isUnreachable(c.Server.ID, now)
 		availableAt := d.health.availableAt(c.Server.ID, now)
-		if availableAt.IsZero() || !d.isCapable(s.call.Request, c) {
+		if availableAt.IsZero() {
 			continue
 		}
 		if earliest.IsZero() || availableAt.Before(earliest) {
 			earliest = availableAt
 		}
 	}
+	if !isAnyReachable && !earliest.IsZero() && s.call.Request.Class == core.ClassInteractive {
+		d.fail(s, &core.Error{Code: core.CodeUnavailable, Reason: "no connection to any backend server", RetryAfter: unreachableRetryAfter})
+		return
+	}
 	if earliest.IsZero() || d.health.suspects.IsSuspected(s.call.Request.Fingerprint, now) {
 		d.enqueueWaiting(s)
 		return
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -39,6 +39,7 @@
 type callState struct {
 	call            *core.Call
 	attempts        int
+	unreached       int                        // attempts that opened no connection
 	runningAttempts map[int]context.CancelFunc // cancel functions of attempts in progress, by number
 	tokens          []int32                    // tokens that the caller has received
 	verdict         core.Verdict
@@ -203,6 +204,9 @@
 	delete(s.runningAttempts, e.Attempt.Number)
 	s.tokens = append(s.tokens, e.Tokens...)
 	s.verdict = s.verdict.Combine(e.Verdict)
+	if e.Unreachable {
+		s.unreached++
+	}
 	if e.Err == nil {
 		d.finish(s, e.End)
 		return
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -48,6 +48,7 @@
 	crashBackoffUntil   time.Time // end of the backoff after a crash
 	retryAt             time.Time // end of the backoff after a refusal or a failed dial
 	consecutiveRefusals int       // refusal backoffs since the last success, without Retry-After
+	isUnreachable       bool      // the last attempt opened no connection
 }
 
 // health is the observed health of all servers. The dispatch duty owns it.
@@ -129,6 +130,7 @@
 	if h.runningByFingerprint[fingerprint] == 0 {
 		delete(h.runningByFingerprint, fingerprint)
 	}
+	state.isUnreachable = e.Unreachable
 	suspected := h.suspects.IsSuspected(fingerprint, now)
 	switch {
 	case e.Err == nil:
@@ -224,6 +226,13 @@
 	return at
 }
 
+// isUnreachable reports whether no connection to the server could be opened and the
+// backoff after that is in effect.
+func (h *health) isUnreachable(id core.ServerID, now time.Time) bool {
+	state := h.servers[id]
+	return state != nil && state.isUnreachable && now.Before(state.retryAt)
+}
+
 // mayRunSuspect isolates crash suspects: a suspect runs once at a time, and a
 // server runs at most one suspect at a time. Requests that are not suspects
 // always pass.
--- a/internal/backend/retry.go
+++ b/internal/backend/retry.go
@@ -12,6 +12,9 @@
 const (
 	// defaultMaxAttempts bounds the attempts of a request that sets no limit.
 	defaultMaxAttempts = 4
+	// maxUnreached bounds the attempts of a request that open no connection. They
+	// cost the servers nothing and do not count as attempts.
+	maxUnreached = 6
 	// retryShare is the number of retries that each first attempt adds to the
 	// budget, so that a failure of all servers does not multiply the load.
 	retryShare = 0.1
@@ -26,6 +29,9 @@
 	maxBackOff     = time.Second
 	backOffFactor  = 2
 	backOffJitter  = 0.5
+	// unreachableRetryAfter is the Retry-After of a refusal because no backend
+	// server can be reached from this daemon.
+	unreachableRetryAfter = 50 * time.Millisecond
 	// overloadedRetryAfter is the Retry-After of a refusal for lack of
 	// capacity.
 	overloadedRetryAfter = time.Second
@@ -74,7 +80,7 @@
 
 // canRetry reports whether a further attempt is safe and may succeed.
 func (s *callState) canRetry(e AttemptEnd) bool {
-	if s.attempts >= s.maxAttempts() || s.call.Context.Err() != nil {
+	if s.attempts-s.unreached >= s.maxAttempts() || s.unreached > maxUnreached || s.call.Context.Err() != nil {
 		return false
 	}
 	return e.Verdict == core.NotRun || s.call.Request.Repeatable
--- a/internal/daemon/daemonrpc/peerrequests.go
+++ b/internal/daemon/daemonrpc/peerrequests.go
@@ -107,6 +107,17 @@
 	return decodeWatchResponse(response.GetWatch())
 }
 
+// Ping opens a connection to the peer and closes it. It returns an error if the peer
+// does not accept it.
+func (p *PeerClient) Ping(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: peerDialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("connect to peer %s: %w", address, err)
+	}
+	return conn.Close()
+}
+
 // Close closes all sessions.
 func (p *PeerClient) Close() {
 	p.mu.Lock()
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -93,17 +93,16 @@
 }
 
 // probeStore adds a duty that probes the store. After an outage it lists all
-// watches again and calls onUp.
-func (b *base) probeStore(onUp func()) {
+// watches again. It passes each change to onChange.
+func (b *base) probeStore(onChange func(up bool)) {
 	p := platform.NewProbe(b.clock, b.storeClient, b.watchPool, func(up bool) {
 		b.log.WithField("up", up).Warn("store availability changed")
-		if !up {
-			return
+		if up {
+			for _, w := range b.watchers {
+				w.Relist()
+			}
 		}
-		for _, w := range b.watchers {
-			w.Relist()
-		}
-		onUp()
+		onChange(up)
 	})
 	b.loops = append(b.loops, p.Loop())
 }
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -11,6 +11,7 @@
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/caller"
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/daemon/daemonrpc"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
@@ -41,6 +42,8 @@
 	// stopReserve is the part of the stop grace that is reserved for the release of
 	// jobs and leases.
 	stopReserve = 1500 * time.Millisecond
+	// isolationPoolSize has room for two checks of the peers.
+	isolationPoolSize = 16
 	// minStopDuration is how long new connections are accepted after the stop signal:
 	// the load balancer removes a daemon after two failed readiness checks.
 	minStopDuration = 2500 * time.Millisecond
@@ -64,6 +67,7 @@
 	metrics    *settings.Metrics
 	isStopping atomic.Bool
 	isClosing  atomic.Bool // requests are no longer passed on to backend servers
+	isIsolated atomic.Bool // the store and most peers do not answer
 }
 
 // StartFront starts a daemon that serves callers and trainers. It returns once the
@@ -175,10 +179,28 @@
 
 func (d *frontDaemon) buildConfig() error {
 	d.watchKind(adapter.KindConfig, platform.WatcherOptions{}, d.handleConfig)
-	d.probeStore(d.jobManager.RecheckOwnership)
+	pool, err := d.pool("isolation", isolationPoolSize)
+	if err != nil {
+		return err
+	}
+	isolation := daemon.NewIsolation(d.clock, d.random(), d.peers, pool.TryGo, d.setIsolated)
+	d.loops = append(d.loops, isolation.Loop())
+	d.probeStore(func(up bool) {
+		isolation.SetStoreUp(up)
+		if up {
+			d.jobManager.RecheckOwnership()
+		}
+	})
 	return nil
 }
 
+// setIsolated records whether this daemon is cut off from the store and from most
+// peers. It runs on the goroutine of the isolation duty.
+func (d *frontDaemon) setIsolated(isolated bool) {
+	d.log.WithField("isolated", isolated).Warn("isolation changed")
+	d.isIsolated.Store(isolated)
+}
+
 // handleConfig applies a new configuration. It runs on the goroutine of the watch.
 func (d *frontDaemon) handleConfig(s platform.Snapshot) {
 	for _, o := range s.Objects {
@@ -237,9 +259,11 @@
 	d.notifier.addPeerOwnerships(list)
 }
 
-// isReady reports whether the daemon accepts new connections and jobs.
+// isReady reports whether the daemon accepts new connections and jobs. An isolated
+// daemon does not, so that the load balancer sends its callers to another data centre;
+// the requests that still reach it are served as far as that is possible.
 func (d *frontDaemon) isReady() bool {
-	return !d.isStopping.Load() && d.routes.Current() != nil
+	return !d.isStopping.Load() && !d.isIsolated.Load() && d.routes.Current() != nil
 }
 
 // Stop ends the daemon before the deadline of ctx. Open connections are served until
--- a/internal/server/hosted/store.go
+++ b/internal/server/hosted/store.go
@@ -26,7 +26,7 @@
 	}
 	d := &storeDaemon{base: b}
 	b.watchKind(adapter.KindRetirements, platform.WatcherOptions{}, d.handleRetirements)
-	b.probeStore(func() {})
+	b.probeStore(func(bool) {})
 	return d, b.startDuties()
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -58,7 +58,7 @@
 // DialConn opens a connection. The end of ctx aborts the dial, not the open
 // connection. The keep-alive time equals readTimeout.
 func DialConn(ctx context.Context, address string, readTimeout time.Duration) (*Conn, error) {
-	return dialWithKeepAlive(ctx, address, readTimeout, readTimeout)
+	return dialWithKeepAlive(ctx, address, readTimeout, readTimeout, DefaultDialTimeout)
 }
 
 // NewConn returns a Conn over an open socket. It changes no socket options.
@@ -68,9 +68,9 @@
 
 // dialWithKeepAlive opens a connection on which TCP keep-alive probes start after
 // the keepAlive time without data.
-func dialWithKeepAlive(ctx context.Context, address string, readTimeout, keepAlive time.Duration) (*Conn, error) {
+func dialWithKeepAlive(ctx context.Context, address string, readTimeout, keepAlive, dialTimeout time.Duration) (*Conn, error) {
 	dialer := net.Dialer{
-		Timeout:         DefaultDialTimeout,
+		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: time.Second, Count: keepAliveProbes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -28,6 +28,7 @@
 	keepAlive   time.Duration
 	now         func() time.Time
 	largeBodies *semaphore.Weighted
+	dialTimeout time.Duration
 	// maxBodyBytes bounds the body of a response that Do, Exchange or DoJSON reads.
 	maxBodyBytes int
 
@@ -43,7 +44,7 @@
 // probes after the keepAlive time without data, so that a dead connection is
 // detected while it waits for a response.
 func NewKeepAlivePool(readTimeout, keepAlive time.Duration) *Pool {
-	return &Pool{readTimeout: readTimeout, keepAlive: keepAlive, now: time.Now, largeBodies: newLargeBodies(DefaultMaxBodyBytes), maxBodyBytes: DefaultMaxBodyBytes, idle: map[string][]*Conn{}}
+	return &Pool{readTimeout: readTimeout, keepAlive: keepAlive, dialTimeout: DefaultDialTimeout, now: time.Now, largeBodies: newLargeBodies(DefaultMaxBodyBytes), maxBodyBytes: DefaultMaxBodyBytes, idle: map[string][]*Conn{}}
 }
 
 // LimitBodies sets the largest body of a response, in bytes, and returns the pool.
@@ -54,9 +55,16 @@
 	return p
 }
 
+// LimitDial sets the longest time that opening a connection may take, and returns the
+// pool. It is called before the pool is used.
+func (p *Pool) LimitDial(timeout time.Duration) *Pool {
+	p.dialTimeout = timeout
+	return p
+}
+
 // Dial opens a new connection, also when the pool has an idle one.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
-	c, err := dialWithKeepAlive(ctx, address, p.readTimeout, p.keepAlive)
+	c, err := dialWithKeepAlive(ctx, address, p.readTimeout, p.keepAlive, p.dialTimeout)
 	if err != nil {
 		return nil, err
 	}
