Poll a server without a description as soon as a local one

The report with the servers' descriptions reached the starting daemon before the host list, and was dropped; later reports leave the description out for 5 minutes, and a daemon polled a server of another data centre itself only after 60 s without reports. Counters of the failed run: one host list, 7 messages with reports, no poll, one empty table. Change: a server without a description counts as local, so it is polled after 3 s. A scenario that waits in vain prints the output, status and metrics of its programs.

--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -245,10 +245,12 @@
 
 // isDue reports whether this daemon polls the server now: the servers assigned
 // to it in each period, and those of other daemons once their reports have
-// stopped.
+// stopped. A server without a description cannot be used, and other daemons may
+// not send its description again for minutes, so it is polled as soon as a server
+// of this data centre.
 func (p *Poller) isDue(t *polledServer, now time.Time) bool {
 	period := pollPeriod
-	if t.server.DataCentre != p.dataCentre {
+	if t.server.DataCentre != p.dataCentre && t.server.Description.Incarnation != "" {
 		period = remotePollPeriod
 	}
 	if !t.polledAt.IsZero() && now.Sub(t.polledAt) < period {
--- a/internal/backend/poller_test.go
+++ b/internal/backend/poller_test.go
@@ -168,3 +168,27 @@
 		t.Errorf("view %+v, want two prefixes", view)
 	}
 }
+
+// Guards against a daemon that has no backend server for a minute after its start: the
+// report with a server's description arrived before the list that names the server, and
+// later reports do not repeat the description.
+func TestServerWithoutDescriptionIsPolledSoon(t *testing.T) {
+	b := newPollHarness(t, 0)
+	b.poller.SetDataCentre("here")
+	b.poller.SetAssignments(func(core.ServerID) bool { return false })
+	report := ServerReport{Server: "s000", Description: Description{Incarnation: "1"}, Load: Load{Running: 1}}
+	b.poller.AddPeerReports([]ServerReport{report})
+	b.advance(pollTick)
+	remote := namedServers(1)
+	remote[0].DataCentre = "elsewhere"
+	b.poller.SetServers(remote)
+	report.Description = Description{}
+	for range 2 {
+		b.poller.AddPeerReports([]ServerReport{report})
+		b.advance(maxMissedReports * pollPeriod / 2)
+	}
+	b.advance(pollTick)
+	if len(b.published) != 1 || b.polls["s000"] != 1 {
+		t.Errorf("%d servers published after %d polls, want 1 after 1", len(b.published), b.polls["s000"])
+	}
+}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -160,10 +160,33 @@
 		time.Sleep(retryInterval)
 	}
 	if err != nil {
+		logDaemons(ts)
 		ts.Fatalf("%s: %v", what, err)
 	}
 }
 
+// logDaemons writes the status and the output of each program of the scenario to the
+// test's log, from which a failure can be traced.
+func logDaemons(ts *testscript.TestScript) {
+	mu.Lock()
+	defer mu.Unlock()
+	for scoped := range processes {
+		name, isOwn := strings.CutPrefix(scoped, ts.Getenv("WORK")+"/")
+		if !isOwn {
+			continue
+		}
+		ts.Logf("output of %s:\n%s", name, ts.ReadFile(name+".log"))
+		operators := ts.Getenv(name + "_operators")
+		if operators == "" {
+			continue
+		}
+		status := send([]string{http.MethodGet, operators + "/v1/status"})
+		ts.Logf("status of %s: %v %s", name, status.err, status.body)
+		metrics := send([]string{http.MethodGet, operators + "/metrics"})
+		ts.Logf("metrics of %s: %v %s", name, metrics.err, metrics.body)
+	}
+}
+
 func findProcess(ts *testscript.TestScript, name string) *process {
 	mu.Lock()
 	defer mu.Unlock()
