--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -184,11 +184,11 @@
 
 // newBodyReader returns a reader of the body of the given length.
 func (c *Conn) newBodyReader(length int) io.Reader {
-	switch {
-	case length == chunkedLength:
+	switch length {
+	case chunkedLength:
 		buffered := bufio.NewReader(c)
 		return &chunkedBody{conn: c, buffered: buffered, chunks: httputil.NewChunkedReader(buffered)}
-	case length == untilConnectionClose:
+	case untilConnectionClose:
 		return c
 	default:
 		return &sizedBody{reader: c, left: length}
