Publish the last complete groups of a job at once, and encode a job once

A new job was encoded twice before it was stored, on hosts with a fifth of a core. Change: complete groups among the last eighth of a job's items are written after 30 ms; the encoded job is kept.

--- a/internal/trainer/batch/item_parts.go
+++ b/internal/trainer/batch/item_parts.go
@@ -77,7 +77,12 @@
 	if index == len(parts) {
 		header := *job
 		header.Items = nil
-		m.createJob(e, job, &header)
+		value, err := json.Marshal(&header)
+		if err != nil {
+			m.handleAccepted(e, job, platform.Result{Err: fmt.Errorf("%w: %w", platform.ErrRejected, err)})
+			return
+		}
+		m.createJob(e, job, value)
 		return
 	}
 	op := platform.Op{Kind: platform.OpPut, Key: fmt.Sprintf("%s%05d", job.itemPartsKey(), index), Value: parts[index], IfVersion: platform.Absent}
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -38,6 +38,11 @@
 	// complete groups, and each write costs a call of the store.
 	publishDelay     = 250 * time.Millisecond
 	slowPublishDelay = 800 * time.Millisecond
+	// finalPublishDelay applies to the complete groups among the last items of a
+	// job, one in finalShareDivisor. The trainer waits for these, and few are left to
+	// batch with.
+	finalPublishDelay = 30 * time.Millisecond
+	finalShareDivisor = 8
 	// ownershipCheckPeriod is how long an owner may run a job without a query, or
 	// answer queries about it, before it reads from the store whether it still owns
 	// the job.
@@ -315,18 +320,13 @@
 	case len(value) > m.maxObjectBytes:
 		m.storeItemParts(e, job)
 	default:
-		m.createJob(e, job, job)
+		m.createJob(e, job, value)
 	}
 }
 
-// createJob creates the job's object. stored is the job as it is written, without
-// its items if these have objects of their own.
-func (m *Manager) createJob(e *jobEntry, job, stored *Job) {
-	value, err := json.Marshal(stored)
-	if err != nil {
-		m.handleAccepted(e, job, platform.Result{Err: fmt.Errorf("%w: %w", platform.ErrRejected, err)})
-		return
-	}
+// createJob creates the job's object. value is the encoded job, without its items if
+// these have objects of their own.
+func (m *Manager) createJob(e *jobEntry, job *Job, value []byte) {
 	op := platform.Op{Kind: platform.OpPut, Key: jobPrefix + string(e.id), Value: value, IfVersion: platform.Absent}
 	m.submitToStore(op, func(r platform.Result) { m.handleAccepted(e, job, r) })
 }
--- a/internal/trainer/batch/results.go
+++ b/internal/trainer/batch/results.go
@@ -44,7 +44,10 @@
 		return
 	}
 	delay := slowPublishDelay
-	if e.completedGroups > 0 {
+	switch {
+	case e.completedGroups > 0 && e.remainingItems*finalShareDivisor <= len(e.job.Items):
+		delay = finalPublishDelay
+	case e.completedGroups > 0:
 		delay = publishDelay
 	}
 	due := m.now().Add(delay)
