--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -38,11 +38,6 @@
 	// complete groups, and each write costs a call of the store.
 	publishDelay     = 250 * time.Millisecond
 	slowPublishDelay = 800 * time.Millisecond
-	// finalPublishDelay applies to the complete groups among the last items of a
-	// job, one in finalShareDivisor. The trainer waits for these, and few are left to
-	// batch with.
-	finalPublishDelay = 30 * time.Millisecond
-	finalShareDivisor = 8
 	// ownershipCheckPeriod is how long an owner may run a job without a query, or
 	// answer queries about it, before it reads from the store whether it still owns
 	// the job.
--- a/internal/trainer/batch/results.go
+++ b/internal/trainer/batch/results.go
@@ -44,10 +44,7 @@
 		return
 	}
 	delay := slowPublishDelay
-	switch {
-	case e.completedGroups > 0 && e.remainingItems*finalShareDivisor <= len(e.job.Items):
-		delay = finalPublishDelay
-	case e.completedGroups > 0:
+	if e.completedGroups > 0 {
 		delay = publishDelay
 	}
 	due := m.now().Add(delay)
