Read an overdue lease often, also at distant candidates

When the close candidates have failed too, a distant one needs two of its periods of 8 s and more to see that renewals are missing; and the holder of the other group's lease is now no close candidate. Change: a contender that sees two renewals too few reads the lease twice per duration; three daemons are close candidates instead of two.

--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -23,6 +23,10 @@
 	renewDivisor           = 4 // renewals are sent each quarter of the duration
 	driftDivisor           = 8 // a contender waits the duration and another eighth
 	pollDivisor            = 3 // a contender reads the lease three times in a duration
+	// overdueRenewals is the number of renewals missing since a contender's last read
+	// from which it reads the lease at least overduePollDivisor times in a duration.
+	overdueRenewals    = 2
+	overduePollDivisor = 2
 )
 
 // ErrLeaseNotFound means that the lease manager does not follow the lease.
@@ -143,6 +147,7 @@
 	version       int64
 	versionSeenAt time.Time // when this version was first read or written
 	lastReadAt    time.Time // when the lease was last read
+	isOverdue     bool      // the last read showed that renewals are missing
 
 	lease    Lease // zero unless isHeld
 	isHeld   bool
@@ -177,12 +182,31 @@
 	return !claimAt.After(s.versionSeenAt) || s.lastReadAt.After(s.versionSeenAt)
 }
 
-// pollPeriod is the time between a contender's reads of the lease.
+// pollPeriod is the time between a contender's reads of the lease. A contender that
+// reads it rarely does so more often once renewals are missing. Otherwise it would need
+// two of its long periods to see that the holder has failed.
 func (s *leaseState) pollPeriod() time.Duration {
+	period := s.duration / pollDivisor
 	if s.pollPeriodOption != nil {
-		return s.pollPeriodOption()
+		period = s.pollPeriodOption()
 	}
-	return s.duration / pollDivisor
+	if s.isOverdue {
+		return min(period, s.duration/overduePollDivisor)
+	}
+	return period
+}
+
+// updateOverdue compares the renewals since the last read with those that a live holder
+// makes. It is called before the new record is stored.
+func (s *leaseState) updateOverdue(read leaseRecord, now time.Time) {
+	isSameHolder := s.isKnown && read.Holder != "" && read.Holder == s.record.Holder && read.Fence == s.record.Fence
+	interval := time.Duration(read.DurationMs) * time.Millisecond / renewDivisor
+	if !isSameHolder || interval <= 0 {
+		s.isOverdue = false
+		return
+	}
+	expected := int64(now.Sub(s.lastReadAt) / interval)
+	s.isOverdue = expected-(read.Renewals-s.record.Renewals) >= overdueRenewals
 }
 
 // MinTakeoverGap is the minimum time between the last use of a lease that expires
--- a/internal/platform/lease_manager_results.go
+++ b/internal/platform/lease_manager_results.go
@@ -53,6 +53,7 @@
 		s.retryAt = now.Add(s.retry.next())
 		return
 	}
+	s.updateOverdue(record, now)
 	if s.isKnown && o.Version <= s.version {
 		return
 	}
--- a/internal/platform/lease_manager_test.go
+++ b/internal/platform/lease_manager_test.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// Guards against a takeover that takes two long poll periods: all contenders that read
+// the lease often have failed with its holder.
+func TestDistantContenderReadsOverdueLeaseOften(t *testing.T) {
+	const pollPeriod = 8 * testLeaseDuration
+	api := newFakeAPI()
+	holder, distant := newContender(api, "a", 1), newContender(api, "b", 2)
+	holder.acquire()
+	runContenders(time.Second, holder, distant)
+	distant.manager.Acquire("x", LeaseOptions{Duration: testLeaseDuration, Listener: distant.listen, PollPeriod: func() time.Duration { return pollPeriod }})
+	runContenders(2*pollPeriod+time.Second, holder, distant)
+	reads := distant.manager.leases["x"].lastReadAt
+	if !holder.isHolder() || distant.manager.leases["x"].isOverdue {
+		t.Fatalf("the live holder has %+v, its lease is overdue: %v", holder.lease, distant.manager.leases["x"].isOverdue)
+	}
+	lost := time.Duration(0)
+	for ; !distant.isHolder() && lost < 4*pollPeriod; lost += leaseTestStep {
+		runContenders(leaseTestStep, distant)
+	}
+	if limit := pollPeriod + 2*testLeaseDuration; lost > limit {
+		t.Errorf("taken over %v after the holder's failure (last read %v), want at most %v", lost, reads, limit)
+	}
+}
+
 // Guards against a lease that is not renewed, not free after a release, or taken
 // from a live holder.
 func TestLeaseAcquireRenewReleaseObserve(t *testing.T) {
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -33,7 +33,7 @@
 	// candidates fail. Beyond rank distantPollPeriod/distantPollStep the period grows
 	// with the rank, so that the calls of the store hardly grow with the number of
 	// daemons.
-	closeCandidates   = 2
+	closeCandidates   = 3
 	distantPollPeriod = 8 * time.Second
 	distantPollStep   = 4 * time.Second
 	// candidateDelay per rank lets the daemons that rank first for a lease acquire it
