--- a/internal/daemon/isolation.go
+++ b/internal/daemon/isolation.go
@@ -35,10 +35,9 @@
 
 // Isolation is the duty that detects a daemon that is cut off together with a small
 // part of the system, such as its data centre. A daemon is isolated if neither the
-// store nor half of its peers answer. It answers the load pattern of a partition: the
-// callers of the smaller part are served by daemons elsewhere once the daemons of this
-// part report that they are not ready. An outage of the store alone isolates nobody,
-// since the peers answer.
+// store nor half of its peers answer. In a partition the callers of the smaller part
+// are served elsewhere once its daemons report that they are not ready. An outage of
+// the store alone isolates nobody, since the peers answer.
 type Isolation struct {
 	loop     *duty.Loop
 	random   *rand.Rand
