--- a/internal/backend/scorers.go
+++ b/internal/backend/scorers.go
@@ -14,10 +14,6 @@
 	// cached prefix deducts from a score. One more request per four slots
 	// outweighs it.
 	maxLocalityDiscount = 0.2
-	// batchedSlowdown is the share by which a step item takes longer on an engine
-	// whose slots are all in use than on an idle one: engines run the items of their
-	// slots in one batch.
-	batchedSlowdown = 0.25
 	// defaultServiceTime is the service time assumed for a kind of work that
 	// has not been measured.
 	defaultServiceTime = 10 * time.Millisecond
@@ -38,22 +34,12 @@
 	locality        *locality
 }
 
-// itemSlowdown returns how many times longer a step item takes on an engine with the
-// given work per slot than on an idle one. Beyond its slots an engine makes items wait.
-// A step of long items then goes to fast engines first, also if these have some work.
-func itemSlowdown(depth float64) float64 {
-	return 1 + batchedSlowdown*min(depth, 1) + max(0, depth-1)
-}
-
 // Score returns the expected completion time of the request on the server, in
 // seconds.
-func (s *completionScorer) Score(r *core.Request, c *Candidate) float64 {
+func (s *completionScorer) Score(_ *core.Request, c *Candidate) float64 {
 	depth := c.depth()
 	service := s.expectedSeconds * c.relativeTime.factor * c.slowdownFactor(s.now)
 	score := service * (1 + depth)
-	if r.Class == core.ClassRollout {
-		score = service * itemSlowdown(depth)
-	}
 	if s.prefixes.count > 0 && depth < 1 {
 		share := s.locality.cachedShare(c.Server.ID, &s.prefixes)
 		score -= service * maxLocalityDiscount * share * (1 - depth)
