--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -46,30 +46,39 @@
 	"announced length": {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", "a"},
 }
 
-// serveEndless answers each connection with a response that does not end, and
-// sends the error that ended the last write of each.
-func serveEndless(t *testing.T, start, repeated string) (address string, ended <-chan error) {
+// serveConnections calls serve for each connection to a listener, and closes the
+// connection afterwards. It returns the listener's address.
+func serveConnections(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	ends := make(chan error, 1024)
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go func() { ends <- writeEndless(c, start, repeated) }()
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c)
+			}()
 		}
 	}()
-	return l.Addr().String(), ends
+	return l.Addr().String()
+}
+
+// serveEndless answers each connection with a response that does not end, and
+// sends the error that ended the last write of each.
+func serveEndless(t *testing.T, start, repeated string) (address string, ended <-chan error) {
+	t.Helper()
+	ends := make(chan error, 1024)
+	return serveConnections(t, func(c net.Conn) { ends <- writeEndless(c, start, repeated) }), ends
 }
 
 func writeEndless(c net.Conn, start, repeated string) error {
-	defer func() { _ = c.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return err
 	}
@@ -165,24 +174,11 @@
 // serveResponse answers each connection with the response and closes it.
 func serveResponse(t *testing.T, response string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, response)
-			}
-			_ = c.Close()
+	return serveConnections(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a truncated body that looks complete.
