Count only peers that answered lately towards isolation

Cause, found by reading: entries of daemons that are gone for good stay in the list of daemons, so in an outage of the store a daemon of an old deployment could take them for the other side of a partition, and every daemon would report that it is not ready. Change: the sample is drawn from the peers that had answered a request in the minute before the store was lost.

--- a/internal/daemon/daemonrpc/peerrequests.go
+++ b/internal/daemon/daemonrpc/peerrequests.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 	peerIOTimeout = 3 * time.Second
 	// peerKeepAlivePeriod is how often an idle session is probed.
 	peerKeepAlivePeriod = 10 * time.Second
+	// recentAnswerPeriod is how long a peer counts as alive after an answer.
+	recentAnswerPeriod = time.Minute
 	// maxPeerMessageBytes is the largest peer request or response.
 	maxPeerMessageBytes = 4 << 20
 )
@@ -42,6 +45,7 @@
 	addresses func() []string
 	mu        sync.Mutex
 	sessions  map[string]*yamux.Session
+	answers   map[string]time.Time // last answer of each peer
 }
 
 var (
@@ -52,7 +56,7 @@
 // NewPeerClient returns a client without connections. addresses returns the
 // addresses of the known other daemons.
 func NewPeerClient(addresses func() []string) *PeerClient {
-	return &PeerClient{addresses: addresses, sessions: map[string]*yamux.Session{}}
+	return &PeerClient{addresses: addresses, sessions: map[string]*yamux.Session{}, answers: map[string]time.Time{}}
 }
 
 // Addresses returns the addresses of the known other daemons.
@@ -168,8 +172,27 @@
 	response, err := exchange(ctx, session, m)
 	if err != nil {
 		p.closeSession(address, session)
+		return nil, err
+	}
+	p.mu.Lock()
+	p.answers[address] = time.Now()
+	p.mu.Unlock()
+	return response, nil
+}
+
+// RecentPeers returns the addresses of the known peers that have answered a request
+// within recentAnswerPeriod.
+func (p *PeerClient) RecentPeers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.answers, func(_ string, at time.Time) bool { return time.Since(at) >= recentAnswerPeriod })
+	var recent []string
+	for _, address := range p.addresses() {
+		if _, ok := p.answers[address]; ok {
+			recent = append(recent, address)
+		}
 	}
-	return response, err
+	return recent
 }
 
 func exchange(ctx context.Context, session *yamux.Session, m *Question) (*JobAnswer, error) {
--- a/internal/daemon/isolation.go
+++ b/internal/daemon/isolation.go
@@ -23,8 +23,9 @@
 // PeerPinger checks whether a peer answers. Ping blocks.
 type PeerPinger interface {
 	Ping(ctx context.Context, address string) error
-	// Addresses returns the addresses of the known peers.
-	Addresses() []string
+	// RecentPeers returns the addresses of the peers that have answered lately. Peers
+	// that are gone for good would be taken for the other side of a partition.
+	RecentPeers() []string
 }
 
 // peerCheck is the result of the check of one peer.
@@ -50,10 +51,11 @@
 
 	isStoreUp  bool
 	isIsolated bool
-	number     uint64 // of the newest check
-	sampled    int    // peers of the newest check
-	answered   int    // results of the newest check
-	reached    int    // peers that answered the newest check
+	peers      []string // that had answered shortly before the store was lost
+	number     uint64   // of the newest check
+	sampled    int      // peers of the newest check
+	answered   int      // results of the newest check
+	reached    int      // peers that answered the newest check
 }
 
 // NewIsolation returns the duty. onChange is called on the duty's goroutine and must
@@ -83,17 +85,17 @@
 		i.setIsolated(false)
 		return
 	}
+	i.peers = append([]string{}, i.pinger.RecentPeers()...)
 	i.check()
 }
 
-// check pings a random sample of the peers while the store is down.
+// check pings a random sample of these peers while the store is down.
 func (i *Isolation) check() {
 	if i.isStoreUp {
 		return
 	}
-	peers := append([]string{}, i.pinger.Addresses()...)
-	i.random.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	peers = peers[:min(len(peers), maxCheckedPeers)]
+	i.random.Shuffle(len(i.peers), func(a, b int) { i.peers[a], i.peers[b] = i.peers[b], i.peers[a] })
+	peers := i.peers[:min(len(i.peers), maxCheckedPeers)]
 	i.number++
 	i.sampled, i.answered, i.reached = len(peers), 0, 0
 	number := i.number
--- a/internal/daemon/isolation_test.go
+++ b/internal/daemon/isolation_test.go
@@ -19,7 +19,7 @@
 	isPartitioned bool
 }
 
-func (p *partitionedPeers) Addresses() []string { return p.addresses }
+func (p *partitionedPeers) RecentPeers() []string { return p.addresses }
 
 func (p *partitionedPeers) Ping(_ context.Context, address string) error {
 	if p.isPartitioned && !strings.HasPrefix(address, "own-") {
