--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -164,6 +165,7 @@
 		return
 	}
 	e.checkingOwnership = true
+	sentAt := m.now()
 	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
 		e.checkingOwnership = false
 		if e.phase != phaseOwned {
@@ -176,11 +178,11 @@
 			m.handleStoreUnreachable(e)
 			return
 		}
-		m.handleOwnershipChecked(e)
+		m.handleOwnershipChecked(e, sentAt)
 	})
 }
 
-func (m *Manager) handleOwnershipChecked(e *jobEntry) {
+func (m *Manager) handleOwnershipChecked(e *jobEntry, sentAt time.Time) {
 	switch {
 	case e.state.Ended:
 		m.stopJob(e, phaseLoading)
@@ -190,7 +192,7 @@
 		m.stopJob(e, phaseNotOwner)
 		m.answerAwaitingLoad(e)
 	default:
-		e.ownershipCheckedAt, e.storeUnreachable = m.now(), false
+		e.ownershipCheckedAt, e.storeUnreachable = sentAt, false
 		if len(e.awaitingConfirmation) > 0 {
 			m.confirmList(e)
 		}
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -30,17 +30,18 @@
 	runEndCapacity     = 16384
 	maxKnownJobs       = 4096 // in memory at once; most belong to other daemons
 
-	// tickPeriod is the interval at which due items are launched, idle jobs have
-	// their ownership checked, and inactive jobs are removed from memory.
+	// tickPeriod is the interval at which due items are launched, open jobs have
+	// their ownership checked if that is due, and inactive jobs are removed from
+	// memory.
 	tickPeriod = 200 * time.Millisecond
 	// publishDelay batches results before they are written, once a group is
 	// complete, and slowPublishDelay while no group is: trainers wait for
 	// complete groups, and each write costs a call of the store.
 	publishDelay     = 250 * time.Millisecond
 	slowPublishDelay = 800 * time.Millisecond
-	// ownershipCheckPeriod is how long an owner may run a job without a query, or
-	// answer queries about it, before it reads from the store whether it still owns
-	// the job.
+	// ownershipCheckPeriod is the time between an owner's reads of the state of an
+	// open job. The items of a job that was ended through another daemon must not
+	// start some seconds later, whatever queries this daemon answers meanwhile.
 	ownershipCheckPeriod = 1200 * time.Millisecond
 	// confirmationTTL is how long the result list is considered complete after it
 	// was read or written. It is well below the time within which every daemon
@@ -432,7 +433,7 @@
 		switch e.phase {
 		case phaseOwned:
 			m.launchDueItems(e)
-			if now.Sub(e.lastQueryAt) > ownershipCheckPeriod && m.isOwnershipCheckDue(e) {
+			if m.isOwnershipCheckDue(e) {
 				m.checkOwnership(e)
 			}
 		case phaseEnded:
--- a/internal/trainer/batch/manager_test.go
+++ b/internal/trainer/batch/manager_test.go
@@ -247,6 +247,42 @@
 	}
 }
 
+// Guards against a former owner that does not notice for seconds that its job was ended
+// through another daemon, because readers keep asking it for results that it has.
+func TestEndedJobStopsBesideReaders(t *testing.T) {
+	const cancelBound = 3 * time.Second // after which no item may reach an engine
+	cluster := newCluster(t, 2, 15)
+	owner, other := cluster.daemons[0], cluster.daemons[1]
+	cluster.callStatus = func(c *core.Call) int {
+		if strings.HasSuffix(c.Request.Forward.ID, "a.0") {
+			return 0
+		}
+		return 503
+	}
+	cluster.query(owner, submitQuery("a", 4))
+	if a := cluster.query(owner, Query{Kind: QueryResults, ID: "a", MaxWait: 2 * time.Second}); len(a.Results) != 1 {
+		t.Fatalf("%d results, want 1", len(a.Results))
+	}
+	end := Query{Kind: QueryEndJob, ID: "a", Reload: true, ReplaceOwner: owner.manager.self}
+	a := cluster.query(other, end)
+	if a.Status == StatusNotOwner {
+		a = cluster.query(other, end)
+	}
+	if a.Status != StatusOK {
+		t.Fatalf("end answered %v", a.Status)
+	}
+	ended := cluster.clock.Now()
+	for cluster.clock.Now().Sub(ended) < cancelBound {
+		cluster.query(owner, Query{Kind: QueryResults, ID: "a", Relayed: true})
+		for range int(400 * time.Millisecond / stepDuration) {
+			cluster.step()
+		}
+	}
+	if owner.manager.countOpenJobs() != 0 {
+		t.Errorf("the former owner runs the job %v after its end", cluster.clock.Now().Sub(ended))
+	}
+}
+
 // Guards against items that continue to run after their job was ended while its
 // owner could not reach the store.
 func TestRecheckStopsEndedJobs(t *testing.T) {
