Use one piece of code for the end of an exchange

Change: Pool.Use decides it for all three; package transporttest serves raw connections; the default bounds of bodies are set in one place; holdsAny calls holdsAnother. backendhttp now closes a connection with unread bytes at once, which the pool refused to hand out before. Behaviour is meant to stay as it is, and no assertion is changed.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -1,7 +1,6 @@
 package backendhttp
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"time"
@@ -71,23 +70,15 @@
 		end.Unreachable = backend.ContextCause(a.Context) == nil
 		return end
 	}
-	// Closing the connection is the only way to end a blocked read immediately.
-	stopClosing := context.AfterFunc(a.Context, connection.Abort)
 	var end backend.AttemptEnd
-	var reusable bool
-	if a.Call.Request.IsModelCall() {
-		end, reusable = c.exchangeCompletion(a, connection, req, resp)
-	} else {
-		end, reusable = c.exchangeOperation(a, connection, req, resp)
-	}
-	switch {
-	case stopClosing() && reusable:
-		c.pool.Put(connection)
-	case end.Err != nil:
-		connection.Abort()
-	default:
-		connection.Close()
-	}
+	c.pool.Use(a.Context, connection, func() (reusable, failed bool) {
+		if a.Call.Request.IsModelCall() {
+			end, reusable = c.exchangeCompletion(a, connection, req, resp)
+		} else {
+			end, reusable = c.exchangeOperation(a, connection, req, resp)
+		}
+		return reusable, end.Err != nil
+	})
 	return end
 }
 
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -199,13 +199,14 @@
 	d.directory.UpdateModelStatus(nil)
 }
 
-// holdsAnother reports whether this daemon holds the lease of a group other than g.
+// holdsAnother reports whether this daemon holds the lease of a group other than g,
+// which may be nil.
 func (o *engineOrders) holdsAnother(g *orderGroup) bool {
 	return slices.ContainsFunc(o.groups[:], func(other *orderGroup) bool { return other != nil && other != g && other.isHolder.Load() })
 }
 
 func (o *engineOrders) holdsAny() bool {
-	return slices.ContainsFunc(o.groups[:], func(g *orderGroup) bool { return g.isHolder.Load() })
+	return o.holdsAnother(nil)
 }
 
 // releaseLeases releases the leases at a planned stop, leaseReleaseDelay after the
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/berylfall/berylfall/internal/transport/transporttest"
 )
 
 const (
@@ -46,36 +48,12 @@
 	"announced length": {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", "a"},
 }
 
-// serveConnections calls serve for each connection to a listener, and closes the
-// connection afterwards. It returns the listener's address.
-func serveConnections(t *testing.T, serve func(net.Conn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				serve(c)
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // serveEndless answers each connection with a response that does not end, and
 // sends the error that ended the last write of each.
 func serveEndless(t *testing.T, start, repeated string) (address string, ended <-chan error) {
 	t.Helper()
 	ends := make(chan error, 1024)
-	return serveConnections(t, func(c net.Conn) { ends <- writeEndless(c, start, repeated) }), ends
+	return transporttest.Serve(t, func(c net.Conn) { ends <- writeEndless(c, start, repeated) }), ends
 }
 
 func writeEndless(c net.Conn, start, repeated string) error {
@@ -174,7 +152,7 @@
 // serveResponse answers each connection with the response and closes it.
 func serveResponse(t *testing.T, response string) string {
 	t.Helper()
-	return serveConnections(t, func(c net.Conn) {
+	return transporttest.Serve(t, func(c net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			_, _ = io.WriteString(c, response)
 		}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -44,7 +44,8 @@
 // probes after the keepAlive time without data, so that a dead connection is
 // detected while it waits for a response.
 func NewKeepAlivePool(readTimeout, keepAlive time.Duration) *Pool {
-	return &Pool{readTimeout: readTimeout, keepAlive: keepAlive, dialTimeout: DefaultDialTimeout, now: time.Now, largeBodies: newLargeBodies(DefaultMaxBodyBytes), maxBodyBytes: DefaultMaxBodyBytes, idle: map[string][]*Conn{}}
+	p := &Pool{readTimeout: readTimeout, keepAlive: keepAlive, dialTimeout: DefaultDialTimeout, now: time.Now, idle: map[string][]*Conn{}}
+	return p.LimitBodies(DefaultMaxBodyBytes)
 }
 
 // LimitBodies sets the largest body of a response, in bytes, and returns the pool.
@@ -108,19 +109,30 @@
 	if err != nil {
 		return false, err
 	}
-	// Only closing the connection interrupts a blocked read immediately.
-	stopClosing := context.AfterFunc(ctx, c.Abort)
-	err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
+	p.Use(ctx, c, func() (reusable, failed bool) {
+		err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
+		return err == nil && !resp.ConnectionClose(), err != nil
+	})
 	sent = c.BytesWritten > 0
+	return sent, err
+}
+
+// Use calls exchange, which uses the connection. When ctx ends, the connection is reset
+// at once, since only that interrupts a blocked read. Afterwards Use returns a reusable
+// connection to the pool, resets a failed one, and closes any other.
+func (p *Pool) Use(ctx context.Context, c *Conn, exchange func() (reusable, failed bool)) {
+	stopAborting := context.AfterFunc(ctx, c.Abort)
+	reusable, failed := exchange()
 	switch {
-	case !stopClosing() || err != nil:
+	case !stopAborting():
 		c.Abort()
-	case resp.ConnectionClose() || c.Len() > 0:
-		c.Close()
-	default:
+	case reusable && c.Len() == 0:
 		p.Put(c)
+	case failed:
+		c.Abort()
+	default:
+		c.Close()
 	}
-	return sent, err
 }
 
 // DoJSON sends a JSON request to the host of x.URL and decodes the response into out
