Log the software version of backend servers and each stream that continues

The logs could not tell on which software version a text was generated: the decoder dropped the field, and attempts that succeed are not logged.

The entry's version is kept in the description of a server, each attempt and each chunk names it, and progress (the events that the reader has) carries the version that made them. New log line 'stream continued' with the versions before and after, counter continued_streams_total by same_software. Nothing decides by it yet.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -13,13 +13,15 @@
 	Call    *core.Call
 	Server  core.ServerID
 	Address string
+	// Software is the software version of the server when the attempt was sent.
+	Software core.SoftwareVersion
 	// Incarnation is the last known run of the server when the attempt was
 	// sent. A connection that is lost while the incarnation changes indicates a
 	// crash.
 	Incarnation string
 	Context     context.Context // cancelled when the attempt is no longer needed
-	// ResumeTokens are the tokens that the caller has already received.
-	ResumeTokens []int32
+	// Resume is the part of the answer that the caller has already received.
+	Resume core.Progress
 	// OnLoadReport receives the load that the server reports in the header of
 	// its answer. It must not block; nil disables it.
 	OnLoadReport func(Load)
@@ -94,9 +96,10 @@
 		Call:         s.call,
 		Server:       chosen.Server.ID,
 		Address:      chosen.Server.Address,
+		Software:     chosen.Server.Description.Software,
 		Incarnation:  d.health.incarnationOf(chosen.Server),
 		Context:      ctx,
-		ResumeTokens: s.tokens,
+		Resume:       s.progress,
 		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: chosen.Server.ID, load: l}) },
 		OnRateLimit:  d.rateLimitHandler(chosen),
 	}
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -105,7 +105,7 @@
 				Prompt:       r.Prompt,
 				MaxTokens:    r.MaxTokens,
 				Priority:     r.Class.Rank(),
-				ResumeTokens: a.ResumeTokens,
+				ResumeTokens: a.Resume.Tokens,
 				Sampling:     r.Sampling,
 			},
 		})
--- a/internal/backend/backendhttp/stream.go
+++ b/internal/backend/backendhttp/stream.go
@@ -31,7 +31,7 @@
 }
 
 func newStream(a backend.Attempt) *stream {
-	return &stream{attempt: a, nextPosition: len(a.ResumeTokens)}
+	return &stream{attempt: a, nextPosition: len(a.Resume.Tokens)}
 }
 
 // read copies the events into the answer until the last one. If isWhole is
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -190,7 +190,7 @@
 			delete(d.lapsedUntil, c.ID)
 			d.servers[c.ID] = c.Server
 			if !isListed || previous.Leaving != c.Server.Leaving || previous.Address != c.Server.Address {
-				log.WithFields(logrus.Fields{"service": c.Server.Description.Service, "address": c.Server.Address, "leaving": c.Server.Leaving}).Info("backend server changed")
+				log.WithFields(logrus.Fields{"service": c.Server.Description.Service, "address": c.Server.Address, "software": c.Server.Description.Software, "leaving": c.Server.Leaving}).Info("backend server changed")
 			}
 		case !isListed:
 		case !previous.Leaving && now.Before(d.lapseGraceUntil):
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -41,7 +40,7 @@
 	attempts        int
 	unreached       int                        // attempts that opened no connection
 	runningAttempts map[int]context.CancelFunc // cancel functions of attempts in progress, by number
-	tokens          []int32                    // tokens that the caller has received
+	progress        core.Progress              // what the caller has received
 	verdict         core.Verdict
 	tried           *attemptedServers
 	backOff         *backoff.ExponentialBackOff
@@ -169,7 +168,7 @@
 		c.Fail(core.NotRunError(core.CodeOverloaded, "too many requests in progress"))
 		return
 	}
-	s := &callState{call: c, verdict: core.NotRun, runningAttempts: map[int]context.CancelFunc{}, tokens: slices.Clone(c.Request.Resume), tried: &attemptedServers{servers: map[core.ServerID]bool{}}}
+	s := &callState{call: c, verdict: core.NotRun, runningAttempts: map[int]context.CancelFunc{}, progress: c.Request.Resume, tried: &attemptedServers{servers: map[core.ServerID]bool{}}}
 	d.callsInProgress[c.Request.ID] = s
 	d.retryBudget.creditFirstAttempt()
 	d.hedgeBudget.creditFirstAttempt(c.Request)
@@ -222,7 +221,7 @@
 
 func (d *Dispatcher) applyAttemptEnd(s *callState, e AttemptEnd) {
 	delete(s.runningAttempts, e.Attempt.Number)
-	s.tokens = append(s.tokens, e.Tokens...)
+	s.progress = s.progress.Append(e.Attempt.Software, e.Tokens)
 	s.verdict = s.verdict.Combine(e.Verdict)
 	if e.Unreachable {
 		s.unreached++
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -409,7 +409,7 @@
 	if known && e.Duration <= p95 && !e.Attempt.Call.Request.IsModelCall() {
 		c.ejection.consecutiveOverdue = 0
 	}
-	isResumed := len(e.Attempt.ResumeTokens) > 0
+	isResumed := len(e.Attempt.Resume.Tokens) > 0
 	if isResumed {
 		return
 	}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -42,6 +42,8 @@
 	Operations    []string           // plain services only
 	ChecksFence   bool               // rejects orders with an outdated fencing number
 	Slots         int                // requests that run concurrently
+	// Software is the version of the server's software; "" if the server names none.
+	Software core.SoftwareVersion `json:",omitempty"`
 }
 
 // ModelDescription is one model on an engine.
--- a/internal/core/answer.go
+++ b/internal/core/answer.go
@@ -13,7 +13,8 @@
 	Position int // position of the first token in the answer
 	Tokens   []int32
 	Text     string
-	Version  Version // weight version that the engine reported with the tokens
+	Version  Version         // weight version that the engine reported with the tokens
+	Software SoftwareVersion // of the backend server
 	Adapter  string
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -70,8 +70,8 @@
 	// hedging, 0 to 0.05; 0 permits none.
 	HedgeShare float64
 	Sampling   Sampling
-	// Resume holds the tokens of the answer that the caller already has.
-	Resume []int32
+	// Resume is the part of the answer that the caller already has.
+	Resume Progress
 	// MaxAttempts is the largest number of backend servers that the request is
 	// sent to; 0 takes the default of the dispatch duty.
 	MaxAttempts int
--- a/internal/server/hosted/observe.go
+++ b/internal/server/hosted/observe.go
@@ -19,6 +19,7 @@
 	service := settings.Label{Name: "service", Value: r.Service}
 	d.metrics.Observe("attempt_seconds", e.Duration, service)
 	d.metrics.Count("attempts_total", service, settings.Label{Name: "verdict", Value: e.Verdict.String()})
+	d.logContinuation(e)
 	if e.Err == nil {
 		return
 	}
@@ -28,10 +29,26 @@
 	d.metrics.Count("attempt_failures_total", service, settings.Label{Name: "code", Value: string(e.Err.Code)})
 	d.log.WithError(e.Err).WithFields(logrus.Fields{
 		"request": r.Forward.ID, "attempt": e.Attempt.Number, "service": r.Service, "model": r.Model,
-		"backend_server": e.Attempt.Server, "verdict": e.Verdict, "events": len(e.Tokens), "ms": e.Duration.Milliseconds(),
+		"backend_server": e.Attempt.Server, "software": e.Attempt.Software, "verdict": e.Verdict, "events": len(e.Tokens), "ms": e.Duration.Milliseconds(),
 	}).Info("attempt failed")
 }
 
+// logContinuation counts and logs an attempt that continued a stream: it shows whether
+// the servers before and after run the same software.
+func (d *frontDaemon) logContinuation(e backend.AttemptEnd) {
+	resume := e.Attempt.Resume
+	if resume.IsEmpty() || len(e.Tokens) == 0 {
+		return
+	}
+	isSame := e.Attempt.Software == resume.Software
+	d.metrics.Count("continued_streams_total", settings.Label{Name: "same_software", Value: strconv.FormatBool(isSame)})
+	r := e.Attempt.Call.Request
+	d.log.WithFields(logrus.Fields{
+		"request": r.Forward.ID, "service": r.Service, "backend_server": e.Attempt.Server, "software": e.Attempt.Software,
+		"software_before": resume.Software, "events_before": len(resume.Tokens), "events": len(e.Tokens),
+	}).Info("stream continued")
+}
+
 // countRequest counts a request that has ended. It runs on the goroutine of the
 // request's handler.
 func (d *frontDaemon) countRequest(route string, status int, verdict core.Verdict, took time.Duration) {
--- a/internal/trainer/batch/cluster_test.go
+++ b/internal/trainer/batch/cluster_test.go
@@ -215,7 +215,7 @@
 		return
 	}
 	cluster.runs[id]++
-	from := len(r.Resume)
+	from := len(r.Resume.Tokens)
 	broken := cluster.random.Float64() < cluster.faultRate/2
 	for at := from; at < eventsPerItem; at++ {
 		if broken && at > from {
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -33,9 +33,10 @@
 	number    int       // of the newest run, from 1
 	notBefore time.Time // earliest time of the next run
 
-	textEnd        *core.End // end of the answer, once the text is complete
-	events         []int32   // token ids received
-	texts          []string  // text of each chunk received
+	textEnd        *core.End            // end of the answer, once the text is complete
+	events         []int32              // token ids received
+	software       core.SoftwareVersion // of the servers that sent the events
+	texts          []string             // text of each chunk received
 	versions       []core.Version
 	failures       int // answers with statusItemFailed
 	rewardFailures int
@@ -51,7 +52,7 @@
 // discardText discards what was received, so that the next run generates the item
 // from its start.
 func (r *itemRun) discardText() {
-	r.textEnd, r.events, r.texts, r.versions = nil, nil, nil, nil
+	r.textEnd, r.events, r.software, r.texts, r.versions = nil, nil, "", nil, nil
 }
 
 // runEnd is the outcome of one run of an item or of its reward call.
@@ -62,6 +63,7 @@
 	reward          bool
 	callEnd         core.End
 	events          []int32
+	software        core.SoftwareVersion
 	texts           []string
 	versions        []core.Version
 	versionMismatch bool // the run was cancelled because of its weight version
@@ -182,7 +184,7 @@
 		Body:        r.item.Body,
 		MaxTokens:   r.item.MaxTokens,
 		Stream:      true,
-		Resume:      slices.Clone(r.events),
+		Resume:      core.Progress{Tokens: slices.Clone(r.events), Software: r.software},
 		MaxAttempts: maxAttemptsPerRun,
 		Forward: &core.ForwardedMessage{
 			ID: string(r.item.ID), Method: "POST", Target: r.item.Target, Host: e.job.Host, Headers: r.item.Headers,
@@ -281,6 +283,7 @@
 	}
 	c.lastVersion = chunk.Version
 	c.result.events = append(c.result.events, chunk.Tokens...)
+	c.result.software = chunk.Software
 	c.result.texts = append(c.result.texts, chunk.Text)
 	c.result.versions = mergeVersions(c.result.versions, chunk.Version)
 }
@@ -329,6 +332,9 @@
 		r.notBefore = m.now().Add(itemRetryDelay)
 		return
 	}
+	if len(end.events) > 0 {
+		r.software = end.software
+	}
 	r.events = append(r.events, end.events...)
 	r.texts = append(r.texts, end.texts...)
 	r.versions = mergeVersions(r.versions, end.versions...)
