Continue streams only on servers of the software version that began them

What callers saw: texts of batch items joined events that servers of two software versions had generated.

Cause: no part of a daemon knew the software version, so each path that continues a stream chose a server by load alone: retries, moves of slow streams, hedges, and later runs of an item.

Change: core.Progress, what a reader has received, holds the tokens and the software version together, and Progress.MayContinueOn is the one check. The router applies it to each candidate. If no server of the version is left the call ends at once as not-continued, after 2 s if none has room; an item then starts anew with none of its old text. A slow stream moves only if an engine of its own version has room.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -104,7 +104,7 @@
 		OnRateLimit:  d.rateLimitHandler(chosen),
 	}
 	if s.call.Request.Class == core.ClassRollout && number <= maxPaceMoves {
-		a.IsTooSlow = d.router.paceOf(s.call.Request.Service).isTooSlow
+		a.IsTooSlow = d.router.paceOf(s.call.Request.Service, a.Software).isTooSlow
 	}
 	for previous := 1; previous < number && len(s.runningAttempts) == 0; previous++ {
 		if s.call.Answer.Transfer(previous, number) {
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -10,7 +10,7 @@
 // missing names the requirement that no server meets, or is empty if capable
 // servers exist but none is available yet.
 func (d *Dispatcher) chooseServer(s *callState) (chosen *Candidate, missing string) {
-	return d.router.pick(s.call.Request, s.tried)
+	return d.router.pick(s.call.Request, s.progress, s.tried)
 }
 
 // waitForServer makes the call wait until a capable server is available again.
@@ -44,6 +44,11 @@
 		d.fail(s, &core.Error{Code: core.CodeUnavailable, Reason: "no connection to any backend server", RetryAfter: unreachableRetryAfter})
 		return
 	}
+	left := maxContinuationWait - now.Sub(s.waitingSince)
+	if !s.progress.IsEmpty() && !s.waitingSince.IsZero() && left <= 0 {
+		d.fail(s, notContinuedError(s.progress, "no backend server of its software version %q has room"))
+		return
+	}
 	if earliest.IsZero() || d.health.isSuspect(s.call.Request, now) {
 		d.enqueueWaiting(s)
 		return
--- a/internal/backend/continuation_test.go
+++ b/internal/backend/continuation_test.go
@@ -57,3 +57,95 @@
 		t.Errorf("%d of %d further attempts went to a server of another software version", crossed, calls*(attemptsPerCall-1))
 	}
 }
+
+// submitContinuation submits a request whose caller has an event of a stream of the
+// software version.
+func (b *dispatchHarness) submitContinuation(software core.SoftwareVersion, class core.Class) *core.Call {
+	b.nextID++
+	c := core.NewCall(context.Background(), &core.Request{
+		ID: core.RequestID(fmt.Sprint("r", b.nextID)), Service: "desk", Operation: "look", Repeatable: true, Class: class,
+		Resume: core.Progress{Tokens: []int32{1}, Software: software},
+	})
+	b.dispatch.Submit(c)
+	b.dispatch.loop.RunPending()
+	return c
+}
+
+// requireNotContinued fails the test unless the call ended because nothing can continue
+// its stream, with the proof that no server ran it.
+func requireNotContinued(t *testing.T, c *core.Call) {
+	t.Helper()
+	end := endOf(c)
+	if end == nil || end.Err == nil || end.Err.Code != core.CodeNotContinued || end.Verdict != core.NotRun || end.Err.Verdict != core.NotRun {
+		t.Errorf("the call ended with %+v, want %s and the verdict not run", end, core.CodeNotContinued)
+	}
+}
+
+// Guards against a caller that waits until its deadline for the rest of a stream whose
+// software version no server runs, and against another version that continues it.
+func TestStreamEndsWhenItsSoftwareVersionIsGone(t *testing.T) {
+	b := newDispatchHarness(t, 4, completed)
+	b.runTwoReleases()
+	requireNotContinued(t, b.submitContinuation("v0", core.ClassInteractive))
+	b.servers = b.servers[1:2] // one server of v2
+	b.servers[0].Leaving = true
+	b.servers = append(b.servers, Server{ID: "new", Description: b.servers[0].Description})
+	b.servers[1].Description.Software = "v3"
+	b.publish()
+	requireNotContinued(t, b.submitContinuation("v2", core.ClassInteractive))
+	if len(b.attempts)+len(b.pending) > 0 {
+		t.Errorf("%d attempts were made", len(b.attempts)+len(b.pending))
+	}
+}
+
+// Guards against an item that waits for a full server of the version that began its
+// text, while it could start anew at another one.
+func TestStreamWaitsBrieflyForRoomOnItsSoftwareVersion(t *testing.T) {
+	b := newDispatchHarness(t, 2, completed)
+	b.runTwoReleases()
+	const full = 100 // requests, far above the slots
+	b.dispatch.candidates["s0"].Outstanding = full
+	call := b.submitContinuation("v1", core.ClassRollout)
+	b.advance(maxContinuationWait / 2)
+	if end := endOf(call); end != nil {
+		t.Fatalf("the call ended with %+v before the wait is over", end)
+	}
+	b.advance(maxContinuationWait)
+	requireNotContinued(t, call)
+	call = b.submitContinuation("v1", core.ClassRollout)
+	b.dispatch.candidates["s0"].Outstanding = 0
+	b.advance(maxContinuationWait / 2)
+	if end := endOf(call); end == nil || end.Err != nil || len(b.attempts) != 1 || b.attempts[0].Server != "s0" {
+		t.Errorf("the call ended with %+v after %d attempts, want an answer of s0", end, len(b.attempts))
+	}
+}
+
+// Guards against a hedge at a server of another software version for a stream whose
+// first events the caller has.
+func TestHedgeOfContinuedStreamKeepsItsSoftwareVersion(t *testing.T) {
+	b := newDispatchHarness(t, 8, completed)
+	b.runTwoReleases()
+	progress := core.Progress{Tokens: []int32{1}, Software: "v2"}
+	for range 50 {
+		c := b.dispatch.router.pickHedgeServer(lookup(1), progress, nil)
+		if c == nil || c.Server.Description.Software != "v2" {
+			t.Fatalf("the hedge goes to %+v", c)
+		}
+	}
+}
+
+// Guards against a slow stream that is broken off although no engine of its software
+// version has room for it.
+func TestMoveTargetRunsTheSameSoftware(t *testing.T) {
+	b := newDispatchHarness(t, 2, completed)
+	b.runTwoReleases()
+	now := b.clock.Now()
+	g := b.dispatch.router.groups["desk"]
+	if !g.hasMoveTarget("v1", now) || g.hasMoveTarget("v3", now) {
+		t.Error("the move targets are not those of the software version")
+	}
+	b.dispatch.candidates["s0"].Outstanding = 4 // of 4 slots
+	if g.hasMoveTarget("v1", now) {
+		t.Error("an engine of another software version is a move target")
+	}
+}
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -168,7 +168,7 @@
 		c.Fail(core.NotRunError(core.CodeOverloaded, "too many requests in progress"))
 		return
 	}
-	s := &callState{call: c, verdict: core.NotRun, runningAttempts: map[int]context.CancelFunc{}, progress: c.Request.Resume, tried: &attemptedServers{servers: map[core.ServerID]bool{}}}
+	s := &callState{call: c, verdict: core.NotRun, runningAttempts: map[int]context.CancelFunc{}, progress: c.Request.Resume.Clone(), tried: &attemptedServers{servers: map[core.ServerID]bool{}}}
 	d.callsInProgress[c.Request.ID] = s
 	d.retryBudget.creditFirstAttempt()
 	d.hedgeBudget.creditFirstAttempt(c.Request)
@@ -185,6 +185,10 @@
 	if d.refuseQuarantined(s) {
 		return
 	}
+	if !d.router.canContinue(s.call.Request, s.progress) {
+		d.fail(s, notContinuedError(s.progress, "no backend server runs its software version %q any more"))
+		return
+	}
 	chosen, missing := d.chooseServer(s)
 	switch {
 	case chosen == nil && missing == "":
@@ -221,7 +225,7 @@
 
 func (d *Dispatcher) applyAttemptEnd(s *callState, e AttemptEnd) {
 	delete(s.runningAttempts, e.Attempt.Number)
-	s.progress = s.progress.Append(e.Attempt.Software, e.Tokens)
+	s.progress = s.progress.Append(e.Attempt.Software, e.Tokens...)
 	s.verdict = s.verdict.Combine(e.Verdict)
 	if e.Unreachable {
 		s.unreached++
--- a/internal/backend/hedging.go
+++ b/internal/backend/hedging.go
@@ -97,7 +97,7 @@
 	if !mayHedge {
 		return false
 	}
-	other := d.router.pickHedgeServer(r, s.tried)
+	other := d.router.pickHedgeServer(r, s.progress, s.tried)
 	if other == nil || !d.startAttempt(s, other) {
 		return false
 	}
--- a/internal/backend/locality_test.go
+++ b/internal/backend/locality_test.go
@@ -62,7 +62,7 @@
 	d.loop.RunPending()
 	countChosen := func() (n int) {
 		for range 100 {
-			if c, _ := d.router.pick(r, nil); c.Server.ID == "s0001" {
+			if c, _ := d.router.pick(r, core.Progress{}, nil); c.Server.ID == "s0001" {
 				n++
 			}
 		}
@@ -71,7 +71,7 @@
 	if n := countChosen(); n != 100 {
 		t.Errorf("the engine with the cached prompt got %d of 100 requests", n)
 	}
-	if n := testing.AllocsPerRun(1000, func() { d.router.pick(r, nil) }); n != 0 {
+	if n := testing.AllocsPerRun(1000, func() { d.router.pick(r, core.Progress{}, nil) }); n != 0 {
 		t.Errorf("%.1f allocations in a decision, want none", n)
 	}
 	var servers []Server
@@ -106,7 +106,7 @@
 	r := &core.Request{Service: "wear", Model: "wear", Prompt: prompt}
 	countChosen := func() (n int) {
 		for range 100 {
-			if c, _ := d.router.pick(r, nil); c.Server.ID == "s0007" {
+			if c, _ := d.router.pick(r, core.Progress{}, nil); c.Server.ID == "s0007" {
 				n++
 			}
 		}
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -1,8 +1,11 @@
 package backend
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
 )
 
 const (
@@ -26,7 +29,14 @@
 	maxPaceMoves = 2
 )
 
-// streamPace is the usual pace of the streams of one service. The dispatch duty
+// paceKey identifies the servers whose streams have a common pace: a stream moves only
+// between servers of one software version.
+type paceKey struct {
+	service  string
+	software core.SoftwareVersion
+}
+
+// streamPace is the usual pace of the streams of one paceKey. The dispatch duty
 // writes it, and the pool goroutines that read streams read the limit.
 type streamPace struct {
 	meanPerEvent time.Duration // 0 if unknown
@@ -63,10 +73,19 @@
 	return limit > 0 && events >= minPaceEvents && int64(took)/int64(events-1) > limit
 }
 
-// hasMoveTarget reports whether an engine of the group can take over a stream
-// from a slow engine.
-func (g *serviceGroup) hasMoveTarget(now time.Time) bool {
+// runs reports whether a server of the group runs the software version. A nil group has
+// no servers.
+func (g *serviceGroup) runs(software core.SoftwareVersion) bool {
+	return g != nil && slices.ContainsFunc(g.members, func(c *Candidate) bool { return c.Server.Description.Software == software })
+}
+
+// hasMoveTarget reports whether an engine of the software version can take over a
+// stream from a slow engine.
+func (g *serviceGroup) hasMoveTarget(software core.SoftwareVersion, now time.Time) bool {
 	for _, c := range g.members {
+		if c.Server.Description.Software != software {
+			continue
+		}
 		if c.ejection.ejectedUntil.IsZero() && !c.Server.Unreachable && c.depth() < maxMoveTargetDepth && c.slowdownFactor(now) <= maxMoveTargetSlowdown {
 			return true
 		}
--- a/internal/backend/pace_test.go
+++ b/internal/backend/pace_test.go
@@ -43,12 +43,12 @@
 	now := b.clock.Now()
 	g := b.dispatch.router.groups["desk"]
 	first, second := g.members[0], g.members[1]
-	if !g.hasMoveTarget(now) {
+	if !g.hasMoveTarget("", now) {
 		t.Fatal("an idle engine is no move target")
 	}
 	first.Outstanding = 4 // of 4 slots
 	second.Server.Load = Load{ReceivedAt: now, SlowdownFactor: 2}
-	if g.hasMoveTarget(now) {
+	if g.hasMoveTarget("", now) {
 		t.Error("a full or a slow engine is a move target")
 	}
 }
--- a/internal/backend/retry.go
+++ b/internal/backend/retry.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -32,6 +33,9 @@
 	// unreachableRetryAfter is the Retry-After of a refusal because no backend
 	// server can be reached from this daemon.
 	unreachableRetryAfter = 50 * time.Millisecond
+	// maxContinuationWait bounds how long a stream that has begun waits for a server
+	// that may continue it. Its reader waits for the next event meanwhile.
+	maxContinuationWait = 2 * time.Second
 	// overloadedRetryAfter is the Retry-After of a refusal for lack of
 	// capacity.
 	overloadedRetryAfter = time.Second
@@ -62,6 +66,12 @@
 	return true
 }
 
+// notContinuedError returns the error for an answer that no server can continue. format
+// contains the software version that began it.
+func notContinuedError(p core.Progress, format string) *core.Error {
+	return &core.Error{Code: core.CodeNotContinued, Reason: fmt.Sprintf("the stream cannot continue: "+format, p.Software), RetryAfter: overloadedRetryAfter}
+}
+
 func newBackOff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = initialBackOff
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -1,7 +1,9 @@
 package backend
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
@@ -86,13 +88,14 @@
 	locality       *locality
 	scorer         completionScorer
 	groups         map[string]*serviceGroup
-	streamPaces    map[string]*streamPace // by service
+	streamPaces    map[paceKey]*streamPace
 	candidateByID  func(core.ServerID) *Candidate
 
 	// Fields of the decision in progress. They are fields so that a decision
 	// allocates no closure.
 	request       *core.Request
 	class         *serverClass
+	progress      core.Progress // what the caller has received
 	tried         *attemptedServers
 	fallback      fallbackLevel
 	decisionTime  time.Time
@@ -111,7 +114,7 @@
 		serviceTimes: newServiceTimes(),
 		locality:     newLocality(),
 		groups:       map[string]*serviceGroup{},
-		streamPaces:  map[string]*streamPace{},
+		streamPaces:  map[paceKey]*streamPace{},
 
 		overdueAttempts: map[attemptKey]bool{},
 	}
@@ -147,6 +150,7 @@
 			delete(rt.groups, service)
 		}
 	}
+	maps.DeleteFunc(rt.streamPaces, func(key paceKey, _ *streamPace) bool { return !rt.groups[key.service].runs(key.software) })
 	rt.locality.removeUnknown(func(id core.ServerID) bool { return rt.candidateByID(id) != nil })
 }
 
@@ -155,34 +159,48 @@
 func (rt *router) refresh() {
 	now := rt.now()
 	rt.loads.estimateLag(rt.index.servers)
-	for service, g := range rt.groups {
+	for _, g := range rt.groups {
 		rt.loads.refresh(g.members, now)
 		g.refresh(now)
-		if p := rt.streamPaces[service]; p != nil {
-			p.setMoveAllowed(g.hasMoveTarget(now))
-		}
+	}
+	for key, p := range rt.streamPaces {
+		g := rt.groups[key.service]
+		p.setMoveAllowed(g != nil && g.hasMoveTarget(key.software, now))
 	}
 }
 
-// paceOf returns the stream pace of the service.
-func (rt *router) paceOf(service string) *streamPace {
-	p := rt.streamPaces[service]
+// paceOf returns the stream pace of the servers of the software version.
+func (rt *router) paceOf(service string, software core.SoftwareVersion) *streamPace {
+	key := paceKey{service, software}
+	p := rt.streamPaces[key]
 	if p == nil {
 		p = &streamPace{}
-		rt.streamPaces[service] = p
+		rt.streamPaces[key] = p
 	}
 	return p
 }
 
+// canContinue reports whether a capable server may continue an answer of which the
+// caller has received the progress. It is true for a request that no server can run.
+func (rt *router) canContinue(r *core.Request, progress core.Progress) bool {
+	if progress.IsEmpty() {
+		return true
+	}
+	class := rt.index.classFor(r)
+	return class.missingRequirement != "" || slices.ContainsFunc(class.all, func(c *Candidate) bool {
+		return progress.MayContinueOn(c.Server.Description.Software)
+	})
+}
+
 // pick returns the server for the next attempt. If it returns nil, missing
 // names the requirement that no server meets, or is empty if the call has to
 // wait for a server.
-func (rt *router) pick(r *core.Request, tried *attemptedServers) (chosen *Candidate, missing string) {
+func (rt *router) pick(r *core.Request, progress core.Progress, tried *attemptedServers) (chosen *Candidate, missing string) {
 	class := rt.index.classFor(r)
 	if class.missingRequirement != "" {
 		return nil, class.missingRequirement
 	}
-	rt.beginDecision(r, class, tried)
+	rt.beginDecision(r, class, progress, tried)
 	for level := healthyUntried; level <= anyServer; level++ {
 		if level > anyUntried && tried.isEmpty() {
 			break
@@ -197,9 +215,9 @@
 
 // pickHedgeServer returns a healthy server with a free slot that was not tried,
 // or nil.
-func (rt *router) pickHedgeServer(r *core.Request, tried *attemptedServers) *Candidate {
+func (rt *router) pickHedgeServer(r *core.Request, progress core.Progress, tried *attemptedServers) *Candidate {
 	class := rt.index.classFor(r)
-	rt.beginDecision(r, class, tried)
+	rt.beginDecision(r, class, progress, tried)
 	rt.fallback = healthyUntried
 	c := rt.pickNearest(class)
 	if c == nil || c.depth() >= 1 {
@@ -210,8 +228,8 @@
 
 // beginDecision prepares a decision. It reads the clock once for all checks of
 // the decision.
-func (rt *router) beginDecision(r *core.Request, class *serverClass, tried *attemptedServers) {
-	rt.request, rt.class, rt.tried = r, class, tried
+func (rt *router) beginDecision(r *core.Request, class *serverClass, progress core.Progress, tried *attemptedServers) {
+	rt.request, rt.class, rt.progress, rt.tried = r, class, progress, tried
 	rt.decisionTime = rt.now()
 	rt.decisionCount++
 	rt.scorer.now = rt.decisionTime
@@ -323,7 +341,7 @@
 
 // isUsable checks the conditions that change between table updates.
 func (rt *router) isUsable(c *Candidate) bool {
-	if !rt.acceptsRequest(rt.request, c, rt.decisionTime) {
+	if !rt.progress.MayContinueOn(c.Server.Description.Software) || !rt.acceptsRequest(rt.request, c, rt.decisionTime) {
 		return false
 	}
 	if !c.hasRoomFor(rt.request.Class, rt.decisionTime) {
@@ -415,7 +433,7 @@
 	}
 	w.observe(e.Duration)
 	if r := e.Attempt.Call.Request; r.Class == core.ClassRollout {
-		rt.paceOf(r.Service).observe(len(e.Tokens), e.Duration)
+		rt.paceOf(r.Service, e.Attempt.Software).observe(len(e.Tokens), e.Duration)
 	}
 	// The relative service time is that of the host's normal state, so the
 	// slowdown that the server itself reports is divided out.
--- a/internal/backend/routing_bench_test.go
+++ b/internal/backend/routing_bench_test.go
@@ -165,7 +165,7 @@
 		decide := func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if c, _ := d.router.pick(r, nil); c == nil {
+				if c, _ := d.router.pick(r, core.Progress{}, nil); c == nil {
 					b.Fatal("no server")
 				}
 			}
@@ -175,7 +175,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				clear(d.router.index.classes)
-				if c, _ := d.router.pick(r, nil); c == nil {
+				if c, _ := d.router.pick(r, core.Progress{}, nil); c == nil {
 					b.Fatal("no server")
 				}
 			}
--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -41,7 +41,7 @@
 		b.servers = []Server{s}
 		b.publish()
 		for range 2 { // the second decision uses the cached class of the first
-			if chosen, missing := b.dispatch.router.pick(&r, nil); missing != c.reason || (chosen == nil) != (c.reason != "") {
+			if chosen, missing := b.dispatch.router.pick(&r, core.Progress{}, nil); missing != c.reason || (chosen == nil) != (c.reason != "") {
 				t.Errorf("missing %q, want %q", missing, c.reason)
 			}
 		}
@@ -64,7 +64,7 @@
 		b.publish()
 		b.advance(slowStartPeriod + time.Second)
 		for range 100 {
-			if c, _ := b.dispatch.router.pick(lookup(1), nil); c.Server.DataCentre == "brandon" {
+			if c, _ := b.dispatch.router.pick(lookup(1), core.Progress{}, nil); c.Server.DataCentre == "brandon" {
 				percent++
 			}
 		}
@@ -115,7 +115,7 @@
 		}
 		b.publish()
 		for i := range picks {
-			c, _ := b.dispatch.router.pick(lookup(uint64(i)), nil)
+			c, _ := b.dispatch.router.pick(lookup(uint64(i)), core.Progress{}, nil)
 			counts[c.Server.ID]++
 		}
 	}
@@ -227,7 +227,7 @@
 	share := func() float64 {
 		recovered := 0
 		for i := range 1000 {
-			if c, _ := b.dispatch.router.pick(lookup(uint64(i)), nil); c.ejection.ejections > 0 {
+			if c, _ := b.dispatch.router.pick(lookup(uint64(i)), core.Progress{}, nil); c.ejection.ejections > 0 {
 				recovered++
 			}
 		}
@@ -317,7 +317,7 @@
 	b.publish()
 	n := 0
 	for i := range 1000 {
-		if c, _ := b.dispatch.router.pick(lookup(uint64(i)), nil); c.Server.ID == "s0" {
+		if c, _ := b.dispatch.router.pick(lookup(uint64(i)), core.Progress{}, nil); c.Server.ID == "s0" {
 			n++
 		}
 	}
@@ -330,7 +330,7 @@
 func TestDecisionAllocatesNothing(t *testing.T) {
 	d := newDispatcherWithEngines(t, 1000)
 	r := &core.Request{Service: "wear", Model: "wear", Adapter: "b", Prompt: string(make([]byte, 2000)), BackendKinds: []string{"gpu"}}
-	if n := testing.AllocsPerRun(1000, func() { d.router.pick(r, nil) }); n != 0 {
+	if n := testing.AllocsPerRun(1000, func() { d.router.pick(r, core.Progress{}, nil) }); n != 0 {
 		t.Errorf("%.1f allocations in a decision, want none", n)
 	}
 }
@@ -349,7 +349,7 @@
 	for last := range servers {
 		tried := &attemptedServers{servers: servers, last: last}
 		for range 100 {
-			if c, _ := b.dispatch.router.pick(r, tried); c == nil || c.Server.ID == last {
+			if c, _ := b.dispatch.router.pick(r, core.Progress{}, tried); c == nil || c.Server.ID == last {
 				t.Fatalf("picked %v after an attempt on %s had just failed", c, last)
 			}
 		}
@@ -410,7 +410,7 @@
 	slow.Server.Load = Load{ReceivedAt: now, SlowdownFactor: 3.5}
 	item := &core.Request{ID: "i", Service: "desk", Operation: "look", Class: core.ClassRollout, Repeatable: true}
 	for range 20 {
-		if c, _ := d.router.pick(item, nil); c == nil || c == slow {
+		if c, _ := d.router.pick(item, core.Progress{}, nil); c == nil || c == slow {
 			t.Fatalf("picked %+v, want the engine on the normal host", c)
 		}
 	}
--- a/internal/backend/tail_test.go
+++ b/internal/backend/tail_test.go
@@ -53,7 +53,7 @@
 		t.Errorf("servers %s and %s, losing attempt cancelled: %v", first.Server, second.Server, first.Context.Err() != nil)
 	}
 	for range 100 {
-		if c := b.dispatch.router.pickHedgeServer(lookup(1), &attemptedServers{servers: map[core.ServerID]bool{"s0": true, "s1": true}}); c == nil || c.Server.ID != "s2" {
+		if c := b.dispatch.router.pickHedgeServer(lookup(1), core.Progress{}, &attemptedServers{servers: map[core.ServerID]bool{"s0": true, "s1": true}}); c == nil || c.Server.ID != "s2" {
 			t.Fatalf("a hedge after attempts on s0 and s1 went to %+v, want s2", c)
 		}
 	}
@@ -133,7 +133,7 @@
 	}
 	countPicks := func() (n int) {
 		for i := range 100 {
-			if c, _ := b.dispatch.router.pick(lookup(uint64(i)), nil); c == slow {
+			if c, _ := b.dispatch.router.pick(lookup(uint64(i)), core.Progress{}, nil); c == slow {
 				n++
 			}
 		}
--- a/internal/core/errors.go
+++ b/internal/core/errors.go
@@ -28,6 +28,7 @@
 	CodeQuarantined    Code = "quarantined"     // the request is rejected because it crashes backend servers
 	CodeCancelled      Code = "cancelled"       // the caller cancelled the request or disconnected
 	CodeAlreadyStarted Code = "already-started" // an earlier attempt under the same key may have run
+	CodeNotContinued   Code = "not-continued"   // no backend server can continue the answer that has begun
 	CodeInternal       Code = "internal"        // an internal error of berylfall
 )
 
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // SoftwareVersion names the version of the software that a backend server runs. It
-// is independent of the weight version; "" is unknown.
+// is independent of the weight version; "" is the version of a server that names none.
 type SoftwareVersion string
 
 // Progress is the part of an answer that its reader has received.
@@ -12,14 +12,26 @@
 	Software SoftwareVersion // of the servers that produced the tokens
 }
 
+// IsEmpty reports whether the reader has received nothing.
+func (p Progress) IsEmpty() bool { return len(p.Tokens) == 0 }
+
+// MayContinueOn reports whether a server of the software version may produce the rest of
+// the answer. Streams of two versions do not fit together, and servers do not check it.
+func (p Progress) MayContinueOn(software SoftwareVersion) bool {
+	return p.IsEmpty() || p.Software == software
+}
+
 // Append returns the progress after a server of the software version has sent more
-// tokens. It leaves p unchanged.
-func (p Progress) Append(software SoftwareVersion, tokens []int32) Progress {
+// tokens. Like the built-in append, it may use the memory of p.
+func (p Progress) Append(software SoftwareVersion, tokens ...int32) Progress {
 	if len(tokens) == 0 {
 		return p
 	}
-	return Progress{Tokens: append(slices.Clip(p.Tokens), tokens...), Software: software}
+	return Progress{Tokens: append(p.Tokens, tokens...), Software: software}
 }
 
-// IsEmpty reports whether the reader has received nothing.
-func (p Progress) IsEmpty() bool { return len(p.Tokens) == 0 }
+// Clone returns a copy with its own memory.
+func (p Progress) Clone() Progress {
+	p.Tokens = slices.Clone(p.Tokens)
+	return p
+}
--- a/internal/trainer/batch/cluster_test.go
+++ b/internal/trainer/batch/cluster_test.go
@@ -85,8 +85,9 @@
 	rewardRules    RewardRules
 	runs           map[string]int // by item
 	rewards        map[string]int
-	firstReadAt    map[int]time.Time      // time of the first read, by position
-	callStatus     func(c *core.Call) int // HTTP status of a call; 0 is success
+	firstReadAt    map[int]time.Time       // time of the first read, by position
+	callStatus     func(c *core.Call) int  // HTTP status of a call; 0 is success
+	endOverride    func(c *core.Call) bool // ends an item's call and returns true; nil ends none
 }
 
 func newCluster(t *testing.T, daemons int, seed uint64) *testCluster {
@@ -214,6 +215,9 @@
 		c.End(core.End{Verdict: core.Ran, Status: 200, Signature: "score-" + id})
 		return
 	}
+	if cluster.endOverride != nil && cluster.endOverride(c) {
+		return
+	}
 	cluster.runs[id]++
 	from := len(r.Resume.Tokens)
 	broken := cluster.random.Float64() < cluster.faultRate/2
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -33,10 +33,9 @@
 	number    int       // of the newest run, from 1
 	notBefore time.Time // earliest time of the next run
 
-	textEnd        *core.End            // end of the answer, once the text is complete
-	events         []int32              // token ids received
-	software       core.SoftwareVersion // of the servers that sent the events
-	texts          []string             // text of each chunk received
+	textEnd        *core.End     // end of the answer, once the text is complete
+	progress       core.Progress // events received
+	texts          []string      // text of each chunk received
 	versions       []core.Version
 	failures       int // answers with statusItemFailed
 	rewardFailures int
@@ -52,7 +51,7 @@
 // discardText discards what was received, so that the next run generates the item
 // from its start.
 func (r *itemRun) discardText() {
-	r.textEnd, r.events, r.software, r.texts, r.versions = nil, nil, "", nil, nil
+	r.textEnd, r.progress, r.texts, r.versions = nil, core.Progress{}, nil, nil
 }
 
 // runEnd is the outcome of one run of an item or of its reward call.
@@ -62,11 +61,10 @@
 	run             int
 	reward          bool
 	callEnd         core.End
-	events          []int32
-	software        core.SoftwareVersion
+	progress        core.Progress // with the events of earlier runs
 	texts           []string
 	versions        []core.Version
-	versionMismatch bool // the run was cancelled because of its weight version
+	versionMismatch bool // the run was cancelled because of its weight or software version
 }
 
 // startJob makes this daemon run the items of a job that it owns.
@@ -161,7 +159,7 @@
 }
 
 func (m *Manager) abandonItem(e *jobEntry, r *itemRun, reason string) {
-	fields := logrus.Fields{"job": e.id, "request": r.item.ID, "reason": reason, "events": len(r.events), "failures": r.failures}
+	fields := logrus.Fields{"job": e.id, "request": r.item.ID, "reason": reason, "events": len(r.progress.Tokens), "failures": r.failures}
 	if r.item.Reward != nil {
 		fields["reward_request"], fields["reward_failures"] = r.item.Reward.ID, r.rewardFailures
 	}
@@ -184,7 +182,7 @@
 		Body:        r.item.Body,
 		MaxTokens:   r.item.MaxTokens,
 		Stream:      true,
-		Resume:      core.Progress{Tokens: slices.Clone(r.events), Software: r.software},
+		Resume:      r.progress.Clone(),
 		MaxAttempts: maxAttemptsPerRun,
 		Forward: &core.ForwardedMessage{
 			ID: string(r.item.ID), Method: "POST", Target: r.item.Target, Host: e.job.Host, Headers: r.item.Headers,
@@ -229,7 +227,7 @@
 	ctx, cancel := request.WithDeadline(context.Background())
 	c := answerCollector{
 		call: core.NewCall(ctx, request), singleVersion: singleVersion, minVersion: request.MinVersion, cancel: cancel,
-		result: runEnd{job: e.id, item: r.item.ID, run: r.number, reward: r.textEnd != nil},
+		result: runEnd{job: e.id, item: r.item.ID, run: r.number, reward: r.textEnd != nil, progress: r.progress.Clone()},
 	}
 	if n := len(r.versions); n > 0 {
 		c.lastVersion = r.versions[n-1]
@@ -276,14 +274,13 @@
 func (c *answerCollector) acceptChunk(chunk core.Chunk) {
 	stale := chunk.Version < c.minVersion
 	mixed := c.singleVersion && c.lastVersion != 0 && c.lastVersion != chunk.Version
-	if stale || mixed {
+	if stale || mixed || !c.result.progress.MayContinueOn(chunk.Software) {
 		c.result.versionMismatch = true
 		c.cancel()
 		return
 	}
 	c.lastVersion = chunk.Version
-	c.result.events = append(c.result.events, chunk.Tokens...)
-	c.result.software = chunk.Software
+	c.result.progress = c.result.progress.Append(chunk.Software, chunk.Tokens...)
 	c.result.texts = append(c.result.texts, chunk.Text)
 	c.result.versions = mergeVersions(c.result.versions, chunk.Version)
 }
@@ -332,14 +329,14 @@
 		r.notBefore = m.now().Add(itemRetryDelay)
 		return
 	}
-	if len(end.events) > 0 {
-		r.software = end.software
-	}
-	r.events = append(r.events, end.events...)
+	r.progress = end.progress
 	r.texts = append(r.texts, end.texts...)
 	r.versions = mergeVersions(r.versions, end.versions...)
-	log := m.log.WithFields(logrus.Fields{"job": e.id, "request": r.item.ID, "run": r.number, "backend_server": end.callEnd.Server, "events": len(r.events)})
+	log := m.log.WithFields(logrus.Fields{"job": e.id, "request": r.item.ID, "run": r.number, "backend_server": end.callEnd.Server, "events": len(r.progress.Tokens)})
 	switch {
+	case end.callEnd.Err != nil && end.callEnd.Err.Code == core.CodeNotContinued:
+		log.WithError(end.callEnd.Err).Info("item starts anew")
+		r.discardText()
 	case end.callEnd.Err != nil:
 		if end.callEnd.Attempts == 0 {
 			// No attempt failed that would be in the log.
--- a/internal/trainer/batch/manager_test.go
+++ b/internal/trainer/batch/manager_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strings"
@@ -261,7 +262,7 @@
 func TestStaleVersionIsRejected(t *testing.T) {
 	c := answerCollector{minVersion: 3, cancel: func() {}}
 	c.acceptChunk(core.Chunk{Version: 2, Tokens: []int32{1}})
-	if !c.result.versionMismatch || len(c.result.events) != 0 {
+	if !c.result.versionMismatch || !c.result.progress.IsEmpty() {
 		t.Errorf("tokens of version 2 were accepted for a job with minimum version 3: %+v", c.result)
 	}
 	c = answerCollector{singleVersion: true, cancel: func() {}}
@@ -290,6 +291,36 @@
 	}
 }
 
+// Guards against a result whose text joins events of two software versions, and
+// against an item that waits for a version that no server runs any more.
+func TestItemStartsAnewWhenItsSoftwareVersionIsGone(t *testing.T) {
+	cluster := newCluster(t, 1, 1)
+	var resumed []core.Progress
+	cluster.endOverride = func(c *core.Call) bool {
+		resumed = append(resumed, c.Request.Resume)
+		switch len(resumed) {
+		case 1:
+			c.Answer.Append(context.Background(), core.Chunk{Attempt: 1, Tokens: []int32{1}, Text: "old", Version: 2, Software: "v1"})
+			c.Fail(core.MayHaveRunError(core.CodeBackendFailure, "broken"))
+		case 2:
+			c.Fail(core.NotRunError(core.CodeNotContinued, "no server"))
+		default:
+			return false
+		}
+		return true
+	}
+	if a := cluster.query(cluster.daemons[0], submitQuery("a", 1)); a.Status != StatusOK {
+		t.Fatal(a.Status)
+	}
+	r := cluster.readAll(cluster.daemons[0], "a", 1)[0]
+	if err := checkResult(r); err != nil {
+		t.Errorf("result %+v: %v", r, err)
+	}
+	if len(resumed) != 3 || len(resumed[1].Tokens) != 1 || resumed[1].Software != "v1" || !resumed[2].IsEmpty() {
+		t.Errorf("runs resumed %+v, want none, one event of v1, none", resumed)
+	}
+}
+
 // Guards against a long item that starts after shorter ones and delays the step.
 func TestLongItemsLaunchFirst(t *testing.T) {
 	got := launchOrder([]Item{{ID: "a", LengthHint: 5}, {ID: "b", LengthHint: 90}, {ID: "c"}, {ID: "d", LengthHint: 90}})
