Forward callers' streams event by event and resume them on their software version

What callers saw: the answer on a route of type stream was read whole before the first byte went out, so callers left; what they took up again, with Last-Event-Id, went to any server of the service.

Change: whole events are passed on as they arrive, byte for byte, with the head of the first server. If the stream breaks off and may be resumed, a server of the same software version continues it within the answer; nothing else that a server answers gets into the stream. If none can, or the stream may not be resumed, the connection is closed without the mark of the end.

A caller that comes back names the request that began its stream. The new duty origins (caller.StreamOrigins) holds the service and the software version of each stream in memory, sends them to two other daemons chosen by rendezvous hashing when the first event arrives, and asks eight when one comes back. Unknown is refused as not run, never guessed. No call of the store is used.

Weighed: a version computed from the request's id (wrong as soon as two daemons see different servers), an object in the store for each stream (no calls to spare), a record before the first event with an acknowledgement (a round trip for each stream, for a case that a refusal covers).

Tests, each of which failed on the code before: streams_test.go on raw sockets (forwarding, continuation, eleven answers of a next server, resumption through another daemon), streamorigins_test.go in simulation with 7, 75 and 250 daemons.

--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -110,6 +111,11 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// leadsTo reports whether the route sends requests to the service.
+func (r *Route) leadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // RouteTable holds the newest routing configuration. Its version never decreases
 // during the life of the process, in whatever order updates arrive.
 type RouteTable struct {
--- a/internal/core/answer.go
+++ b/internal/core/answer.go
@@ -7,7 +7,13 @@
 	"github.com/berylfall/berylfall/internal/ring"
 )
 
-// Chunk is a piece of an engine's answer.
+// AnswerHead is the head of a backend server's answer to a forwarded message.
+type AnswerHead struct {
+	Status  int // HTTP status
+	Headers []Header
+}
+
+// Chunk is a piece of a streamed answer.
 type Chunk struct {
 	Attempt  int // attempt of the request that produced the chunk
 	Position int // position of the first token in the answer
@@ -16,6 +22,10 @@
 	Version  Version         // weight version that the engine reported with the tokens
 	Software SoftwareVersion // of the backend server
 	Adapter  string
+	// Head is the head of the answer. It is set on the first chunk of each attempt that
+	// streams the answer to a forwarded message; the Text of such chunks is the bytes of
+	// an event.
+	Head *AnswerHead
 }
 
 // End is the last event of an answer.
--- a/internal/daemon/daemonrpc/peerclient.go
+++ b/internal/daemon/daemonrpc/peerclient.go
@@ -14,6 +14,8 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
 )
@@ -119,6 +121,33 @@
 	return decodePermitGrant(r.Server, response.GetPermits())
 }
 
+// SendOrigins implements caller.OriginPeers.
+func (p *PeerClient) SendOrigins(ctx context.Context, address string, origins []caller.StreamOrigin) error {
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return err
+	}
+	_, err = p.request(ctx, address, session, encodeOrigins(origins))
+	return err
+}
+
+// FindOrigin implements caller.OriginPeers.
+func (p *PeerClient) FindOrigin(ctx context.Context, address string, stream core.RequestID) (caller.StreamOrigin, bool, error) {
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return caller.StreamOrigin{}, false, err
+	}
+	response, err := p.request(ctx, address, session, &Question{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(stream)}}})
+	if err != nil || response.GetOrigin() == nil {
+		return caller.StreamOrigin{}, false, err
+	}
+	o := decodeOrigin(response.GetOrigin())
+	if o.Stream != stream {
+		return caller.StreamOrigin{}, false, ErrMalformed
+	}
+	return o, true, nil
+}
+
 // Ping opens a connection to the peer and closes it. It returns an error if the peer
 // does not accept it.
 func (p *PeerClient) Ping(ctx context.Context, address string) error {
--- a/internal/daemon/daemonrpc/peerserver.go
+++ b/internal/daemon/daemonrpc/peerserver.go
@@ -14,6 +14,8 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
@@ -38,6 +40,9 @@
 	HandleWatchRequest func(ctx context.Context, after int64) (platform.Listing, error)
 	// HandlePermitRequest may block.
 	HandlePermitRequest func(context.Context, backend.PermitRequest) (backend.PermitGrant, error)
+	HandleOrigins       func([]caller.StreamOrigin) // must not block
+	// HandleOriginQuestion may block.
+	HandleOriginQuestion func(context.Context, core.RequestID) (caller.OriginLookup, error)
 }
 
 // ListenPeers opens the listener. The pool runs one goroutine for each session
@@ -130,6 +135,13 @@
 	if p := m.GetPermits(); p != nil {
 		return s.handlePermitRequest(p)
 	}
+	if o := m.GetOrigins(); o != nil {
+		s.handlers.HandleOrigins(decodeOrigins(o))
+		return &JobAnswer{}, nil
+	}
+	if o := m.GetOrigin(); o != nil {
+		return s.handleOriginQuestion(core.RequestID(o.GetStream()))
+	}
 	q, err := decodeJobRequest(m.GetJob())
 	if err != nil {
 		return nil, err
@@ -137,6 +149,19 @@
 	return encodeJobResponse(s.handlers.HandleJobRequest(context.Background(), q)), nil
 }
 
+func (s *PeerServer) handleOriginQuestion(stream core.RequestID) (*JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerIOTimeout)
+	defer cancel()
+	lookup, err := s.handlers.HandleOriginQuestion(ctx, stream)
+	if err != nil {
+		return nil, err
+	}
+	if !lookup.IsKnown {
+		return &JobAnswer{}, nil
+	}
+	return &JobAnswer{Origin: encodeOrigin(lookup.Origin)}, nil
+}
+
 func (s *PeerServer) handlePermitRequest(m *PermitQuestion) (*JobAnswer, error) {
 	r, err := decodePermitRequest(m)
 	if err != nil {
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -62,6 +62,7 @@
 	peerList    *peerList
 	notifier    *notifier
 	relay       *platform.Relay
+	origins     *caller.StreamOrigins
 	orders      *engineOrders
 	callers     *transport.Server
 	readiness   *transport.Server
@@ -82,7 +83,7 @@
 	d.peers = daemonrpc.NewPeerClient(d.peerList.otherAddresses)
 	d.metrics = settings.NewMetrics(func() []*duty.Loop { return d.runner.Loops() })
 	for _, step := range []func() error{
-		d.buildStore, d.buildPeerList, d.buildBackend, d.buildRateLimiter, d.buildNotifier, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
+		d.buildStore, d.buildPeerList, d.buildBackend, d.buildRateLimiter, d.buildStreamOrigins, d.buildNotifier, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
 	} {
 		if err := step(); err != nil {
 			return nil, err
@@ -220,7 +221,7 @@
 
 func (d *frontDaemon) buildListeners() error {
 	jobRouter := batch.NewRouter(d.jobManager, d.peers, d.log)
-	front := &adapter.RequestHandler{Routes: d.routes, Calls: d.dispatch, Jobs: jobRouter, Log: d.log, IsReady: d.isReady, IsClosing: d.isClosing.Load, OnRequestEnd: d.countRequest, WriteMetrics: d.writeMetrics}
+	front := &adapter.RequestHandler{Routes: d.routes, Calls: d.dispatch, Jobs: jobRouter, Streams: d.origins, Log: d.log, IsReady: d.isReady, IsClosing: d.isClosing.Load, OnRequestEnd: d.countRequest, WriteMetrics: d.writeMetrics}
 	var err error
 	if d.callers, err = transport.Listen(d.hostSettings.Callers, transport.ServerOptions{MaxBodyBytes: maxBody, MaxHeaderBytes: maxHeader, IdleTimeout: callerIdleTimeout}); err != nil {
 		return err
@@ -234,7 +235,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := daemonrpc.ListenPeers(d.hostSettings.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{HandleJobRequest: jobRouter.HandleRelayed, HandleEngineNotifications: d.directory.UpdateModelStatus, HandleOwnerNotifications: d.updateOwners, HandleWatchRequest: d.relay.Watch, HandlePermitRequest: d.rateLimiter.HandlePeer, HandleRateLimits: d.dispatch.UpdateRateLimits})
+	jobs, err := daemonrpc.ListenPeers(d.hostSettings.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{HandleJobRequest: jobRouter.HandleRelayed, HandleEngineNotifications: d.directory.UpdateModelStatus, HandleOwnerNotifications: d.updateOwners, HandleWatchRequest: d.relay.Watch, HandlePermitRequest: d.rateLimiter.HandlePeer, HandleRateLimits: d.dispatch.UpdateRateLimits, HandleOrigins: d.origins.Receive, HandleOriginQuestion: d.origins.FindHeld})
 	if err != nil {
 		return err
 	}
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -23,7 +23,7 @@
 // testTimeout bounds the waits of a test, which usually end much earlier.
 const testTimeout = 10 * time.Second
 
-var deployment = standin.Deployment{Host: "h", Engines: "model", Plain: "desk", Model: "m", Slots: 4}
+var deployment = standin.Deployment{Host: "h", Engines: "model", Plain: "desk", Streams: "advice", Model: "m", Slots: 4}
 
 // fleet is a set of daemons that run on stand-ins of the platform.
 type fleet struct {
