Send no new requests to a server that says in its answers that it is leaving

What callers saw: nothing yet. A server that leaves says so in all its answers (Server-Leaving), before or without its entry in the store; no code read the header, so a daemon went on sending requests to it.

Change: the exchange reports the header, the directory keeps the notice for that run of the server, and it publishes the server as leaving at once. An entry that is ready, or that disappears and comes back, does not lift it; a later run of the server is not affected.

Tests, both failed before: TestServerThatSaysItIsLeavingGetsNoNewRequests of the directory and of the daemon on raw servers.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -28,6 +28,9 @@
 	// OnRateLimit receives the rate limit that the server declares in the header of
 	// its answer, also if it declares none. It must not block; nil disables it.
 	OnRateLimit func(RateLimit)
+	// OnLeaving is called if the server says with its answer that it is leaving. It must
+	// not block; nil disables it.
+	OnLeaving func()
 	// IsTooSlow reports whether a stream that produced this number of events in
 	// the time since its first event should continue on another server. Nil
 	// disables the check.
@@ -102,6 +105,7 @@
 		Resume:       s.progress,
 		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: chosen.Server.ID, load: l}) },
 		OnRateLimit:  d.rateLimitHandler(chosen),
+		OnLeaving:    d.leavingHandler(chosen.Server),
 	}
 	if s.call.Request.Class == core.ClassRollout && number <= maxPaceMoves {
 		a.IsTooSlow = d.router.paceOf(s.call.Request.Service, a.Software).isTooSlow
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -72,9 +72,11 @@
 	changes           *ring.Ring[[]ServerChange]
 	storeAvailability *ring.Ring[bool]
 	modelStatus       *ring.Ring[[]ModelStatus]
+	leavingNotices    *ring.Ring[LeavingNotice]
 
 	servers     map[core.ServerID]Server
 	modelStates map[modelKey]modelState
+	leaving     map[LeavingNotice]time.Time // when the notice arrived
 	lapsedUntil map[core.ServerID]time.Time // when a server with a lapsed entry is removed unless its entry is renewed
 	// lapseGraceUntil is the end of the time in which a lapsed entry may be
 	// renewed.
@@ -93,7 +95,9 @@
 		changes:           ring.New[[]ServerChange]("directory.changes", directoryRingCapacity),
 		storeAvailability: ring.New[bool]("directory.store", directoryRingCapacity),
 		modelStatus:       ring.New[[]ModelStatus]("directory.notices", directoryRingCapacity),
+		leavingNotices:    ring.New[LeavingNotice]("directory.leaving", directoryRingCapacity),
 		servers:           map[core.ServerID]Server{},
+		leaving:           map[LeavingNotice]time.Time{},
 		modelStates:       map[modelKey]modelState{},
 		lapsedUntil:       map[core.ServerID]time.Time{},
 		isStoreAvailable:  true,
@@ -101,7 +105,9 @@
 	duty.On(d.loop, d.storeAvailability, d.handleStoreAvailability)
 	duty.On(d.loop, d.changes, d.handleChanges)
 	duty.On(d.loop, d.modelStatus, d.handleModelStatus)
+	duty.On(d.loop, d.leavingNotices, d.handleLeavingNotice)
 	d.loop.Every(republishPeriod, d.publish)
+	d.loop.Every(leavingNoticeTTL, d.forgetOldNotices)
 	return d
 }
 
@@ -238,6 +244,7 @@
 	now := d.loop.Clock().Now()
 	list := make([]Server, 0, len(d.servers))
 	for _, s := range d.servers {
+		s.Leaving = d.isLeaving(&s)
 		list = append(list, d.withModelStates(s, now))
 	}
 	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -159,3 +159,31 @@
 		t.Errorf("%d deliveries, the last engine is at version %d", deliveries, b.published["e0199"].Description.Models[0].Version)
 	}
 }
+
+// Guards against new requests to a server that said with an answer that it is leaving,
+// whatever its entry says, and against a later run of it that gets none.
+func TestServerThatSaysItIsLeavingGetsNoNewRequests(t *testing.T) {
+	b := newDirectoryHarness()
+	b.change(engineEntry("a", 1), engineEntry("b", 1))
+	b.directory.AddLeavingNotice(LeavingNotice{Server: "a", Incarnation: "a@1"})
+	b.directory.Loop().RunPending()
+	requireLeaving := func(when string, want bool) {
+		t.Helper()
+		if b.published["a"].Leaving != want || b.published["b"].Leaving {
+			t.Errorf("%s: leaving %v and %v, want %v and false", when, b.published["a"].Leaving, b.published["b"].Leaving, want)
+		}
+	}
+	requireLeaving("after the notice", true)
+	b.change(engineEntry("a", 2))
+	requireLeaving("after an entry that is ready", true)
+	b.change(ServerChange{ID: "a", Removed: true})
+	b.change(engineEntry("a", 2))
+	requireLeaving("after the entry has come back", true)
+	restarted := engineEntry("a", 2)
+	restarted.Server.Description.Incarnation = "a@2"
+	b.change(restarted)
+	requireLeaving("after a restart", false)
+	b.directory.AddLeavingNotice(LeavingNotice{Server: "a", Incarnation: "a@1"})
+	b.directory.Loop().RunPending()
+	requireLeaving("after a late answer of the earlier run", false)
+}
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -89,6 +89,7 @@
 	deliverSuspectReport    func(SuspectReport)
 	deliverOwnWork          func([]OwnWork)
 	onAttemptEnd            func(AttemptEnd)
+	onLeaving               func(LeavingNotice)
 	rateLimitObserver       RateLimitObserver
 	permitSource            PermitSource
 	permitRequestsScheduled bool
--- a/internal/server/hosted/faults_test.go
+++ b/internal/server/hosted/faults_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/berylfall/berylfall/platform/standin"
@@ -88,3 +93,36 @@
 	}
 	f.stop(t)
 }
+
+// Guards against new requests to a server that says in its answers that it is leaving,
+// while its entry still says that it is ready.
+func TestServerThatSaysItIsLeavingGetsNoNewRequests(t *testing.T) {
+	f, _, _ := newServingFleet(t, 1)
+	var requests atomic.Int64
+	for id, header := range map[string]string{"advice-0": "Server-Leaving: 1\r\n", "advice-1": "Server-Leaving: 0\r\n"} {
+		f.addServer(t, "advice", id, "v1", func(_ *http.Request, _ int, c net.Conn) {
+			if id == "advice-0" {
+				requests.Add(1)
+			}
+			_, _ = io.WriteString(c, strings.Replace(streamHead, "Server-Stamp", header+"Server-Stamp", 1))
+			writeChunk(c, event("v1", 1))
+			endChunks(c)
+		})
+	}
+	before := 0
+	waitFor(t, "answer of the leaving server", func() bool {
+		before++
+		s := openStream(t, f.callers[0], standin.StreamPrefix, fmt.Sprint("before-", before))
+		return s.header.Get("Server-Leaving") == "1"
+	})
+	f.awaitLine(t, "backend server says that it is leaving", "backend_server", "advice-0")
+	for i := range 20 {
+		if s := openStream(t, f.callers[0], standin.StreamPrefix, fmt.Sprint("after-", i)); s.status != http.StatusOK || s.header.Get("Server-Leaving") == "1" {
+			t.Errorf("request %d: status %d with %v", i, s.status, s.header)
+		}
+	}
+	if n := requests.Load(); n != 1 {
+		t.Errorf("the leaving server got %d requests", n)
+	}
+	f.stop(t)
+}
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -122,6 +122,7 @@
 	d.dispatch.SetAttemptEndHandler(d.logAttempt)
 	d.dispatch.SetRateLimitObserver(backend.RateLimitObserver{OnChange: d.logRateLimit, OnUsage: d.logRateUsage})
 	d.directory = backend.NewDirectory(d.clock, d.log, d.setServers)
+	d.dispatch.SetLeavingHandler(d.directory.AddLeavingNotice)
 	d.loops = append(d.loops, d.dispatch.Loop(), d.directory.Loop())
 	d.watchServers()
 	return nil
