Refuse new requests from 3 s after the stop signal, and answer those that are left

What callers saw: a daemon that was stopped while a long request kept it busy passed new requests on until 1.5 s of the grace were left, and those that took longer were cut without an answer at its end, also ones that may not be repeated.

Cause: the refusal of new requests waited until no request was in progress.

Change: new requests are refused as not run from 3 s after the signal on, however busy the daemon is. Jobs are released when 1.5 s are left, without waiting for callers.

TestPlannedStopCutsNoRequest failed before: the late request was passed on and got no answer, nor did the one in progress at the end.

--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -42,6 +42,14 @@
 	// stopReserve is the part of the stop grace that is reserved for the release of
 	// jobs and leases.
 	stopReserve = 1500 * time.Millisecond
+	// answerReserve is the last part of the stop grace, in which requests that are still
+	// in progress get an answer.
+	answerReserve = 700 * time.Millisecond
+	// jobReleaseDelay is how long the release of jobs takes.
+	jobReleaseDelay = 500 * time.Millisecond
+	// maxAcceptDuration is how long new requests are passed on after the stop signal. A
+	// later one may take longer than what is left of the grace.
+	maxAcceptDuration = 3 * time.Second
 	// isolationPoolSize has room for two checks of the peers.
 	isolationPoolSize = 16
 	// minStopDuration is how long new connections are accepted after the stop signal:
@@ -69,6 +77,7 @@
 	metrics     *settings.Metrics
 	isStopping  atomic.Bool
 	isClosing   atomic.Bool // requests are no longer passed on to backend servers
+	endRequests func()      // ends the requests in progress with an answer
 	isIsolated  atomic.Bool // the store and most peers do not answer
 }
 
@@ -222,7 +231,9 @@
 
 func (d *frontDaemon) buildListeners() error {
 	jobRouter := batch.NewRouter(d.jobManager, d.peers, d.log)
-	front := &adapter.RequestHandler{Routes: d.routes, Calls: d.dispatch, Jobs: jobRouter, Streams: d.origins, Log: d.log, IsReady: d.isReady, IsClosing: d.isClosing.Load, OnRequestEnd: d.countRequest, WriteMetrics: d.writeMetrics}
+	stopping, endRequests := context.WithCancel(context.Background())
+	d.endRequests = endRequests
+	front := &adapter.RequestHandler{Routes: d.routes, Calls: d.dispatch, Jobs: jobRouter, Streams: d.origins, Log: d.log, IsReady: d.isReady, IsClosing: d.isClosing.Load, Stopping: stopping, OnRequestEnd: d.countRequest, WriteMetrics: d.writeMetrics}
 	var err error
 	if d.callers, err = transport.Listen(d.hostSettings.Callers, transport.ServerOptions{MaxBodyBytes: maxBody, MaxHeaderBytes: maxHeader, IdleTimeout: callerIdleTimeout}); err != nil {
 		return err
@@ -270,24 +281,32 @@
 	return !d.isStopping.Load() && !d.isIsolated.Load() && d.routes.Current() != nil
 }
 
-// Stop ends the daemon before the deadline of ctx. Open connections are served until
-// the end; jobs run until stopReserve is left, then other daemons take them over.
+// Stop ends the daemon before the deadline of ctx. New requests are passed on for
+// maxAcceptDuration and then refused as not run, however busy the daemon is: one that is
+// passed on late would be cut off at the end. Jobs run until stopReserve is left, then
+// other daemons take them over. Requests that still run when answerReserve is left end
+// with an answer.
 func (d *frontDaemon) Stop(ctx context.Context) {
+	deadline, _ := ctx.Deadline()
+	working, cancelWorking := context.WithDeadline(ctx, deadline.Add(-stopReserve))
+	defer cancelWorking()
+	accepting, cancelAccepting := context.WithTimeout(working, maxAcceptDuration)
+	defer cancelAccepting()
 	d.isStopping.Store(true)
 	d.callers.Drain()
-	d.orders.releaseLeases(ctx)
-	deadline, _ := ctx.Deadline()
-	working, cancel := context.WithDeadline(ctx, deadline.Add(-stopReserve))
-	defer cancel()
-	_ = duty.Sleep(working, minStopDuration-leaseReleaseDelay)
+	d.orders.releaseLeases(accepting)
+	_ = duty.Sleep(accepting, minStopDuration-leaseReleaseDelay)
+	d.callers.WaitIdle(accepting)
+	d.isClosing.Store(true)
 	d.jobManager.WaitIdle(working)
 	d.callers.WaitIdle(working)
-	// From here on requests are refused. The second wait covers those that arrived
-	// between the first wait and the refusal.
-	d.isClosing.Store(true)
-	d.callers.WaitIdle(ctx)
 	d.jobManager.ReleaseJobs()
-	_ = duty.Sleep(ctx, stopReserve/3)
+	_ = duty.Sleep(ctx, jobReleaseDelay)
+	answering, cancelAnswering := context.WithDeadline(ctx, deadline.Add(-answerReserve))
+	defer cancelAnswering()
+	d.callers.WaitIdle(answering)
+	d.endRequests()
+	d.callers.WaitIdle(ctx)
 	d.runner.Stop(ctx)
 	d.peers.Close()
 	d.releasePools()
