--- a/internal/caller/streamorigins_test.go
+++ b/internal/caller/streamorigins_test.go
@@ -224,3 +224,23 @@
 		d.origins.loop.RunPending()
 	}
 }
+
+// BenchmarkRecordOrigin measures the time that the handler of a stream spends on its origin
+// before the first event goes out.
+func BenchmarkRecordOrigin(b *testing.B) {
+	s := newOriginCluster(1).daemons[0].origins
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Record(StreamOrigin{Stream: "a", Service: "s", Software: "v1"})
+		s.recorded.TryTake()
+	}
+}
+
+// BenchmarkHeldOrigins measures the memory of one held origin.
+func BenchmarkHeldOrigins(b *testing.B) {
+	s := newOriginCluster(1).daemons[0].origins
+	b.ReportAllocs()
+	for i := range b.N {
+		s.hold(StreamOrigin{Stream: core.RequestID(fmt.Sprintf("%016x", i)), Service: "model-service", Software: "v1.1"})
+	}
+}
--- a/internal/transport/json.go
+++ b/internal/transport/json.go
@@ -64,6 +64,7 @@
 	core.CodeDeadline:       consts.StatusGatewayTimeout,
 	core.CodeBackendFailure: consts.StatusBadGateway,
 	core.CodeQuarantined:    consts.StatusUnprocessableEntity,
+	core.CodeNotContinued:   consts.StatusServiceUnavailable,
 	core.CodeCancelled:      499, // the client closed the request
 	core.CodeAlreadyStarted: consts.StatusConflict,
 }
