Play random crashes, refusals and releases against software versions

The stand-ins name their software version and say in their answers that they are leaving, as the published protocol has it.

--- a/internal/backend/continuation_test.go
+++ b/internal/backend/continuation_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
 )
@@ -149,3 +151,71 @@
 		t.Error("an engine of another software version is a move target")
 	}
 }
+
+// Guards against any path that continues a stream on another software version, while
+// servers crash, leave, are replaced and refuse in random order, and against streams that
+// are given up although servers of their version serve.
+func TestRandomFaultsNeverJoinSoftwareVersions(t *testing.T) {
+	const seeds, steps, servers = 20, 150, 8
+	continued, givenUp := 0, 0
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 25))
+		received := map[core.RequestID]core.Progress{}
+		b := newDispatchHarness(t, servers, func(a Attempt) AttemptEnd {
+			id := a.Call.Request.ID
+			if p := received[id]; len(p.Tokens) != len(a.Resume.Tokens) || (len(p.Tokens) > 0 && p.Software != a.Software) {
+				t.Errorf("seed %d: %s has %+v and goes on at %s (%s) after %+v", seed, id, p, a.Server, a.Software, a.Resume)
+			}
+			if len(a.Resume.Tokens) > 0 {
+				continued++
+			}
+			switch random.IntN(4) {
+			case 0:
+				return refused(a)
+			case 1:
+				return completed(a)
+			default:
+				end := broken(a)
+				end.Tokens = []int32{1}
+				end.Crashed = random.IntN(4) == 0
+				received[id] = received[id].Append(a.Software, 1)
+				return end
+			}
+		})
+		b.runTwoReleases()
+		var calls []*core.Call
+		for step := range steps {
+			i := random.IntN(servers)
+			switch random.IntN(4) {
+			case 0:
+				b.servers[i].Leaving = !b.servers[i].Leaving
+			case 1:
+				b.servers[i].ID = core.ServerID(fmt.Sprintf("s%d-%d", i, step))
+				b.servers[i].Description.Software = core.SoftwareVersion(fmt.Sprint("v", 1+random.IntN(2)))
+			default:
+				class := []core.Class{core.ClassInteractive, core.ClassRollout}[random.IntN(2)]
+				c := core.NewCall(context.Background(), &core.Request{
+					ID: core.RequestID(fmt.Sprint("r", step)), Service: "desk", Operation: "look", Repeatable: true, Class: class, MaxAttempts: 6,
+				})
+				b.dispatch.Submit(c)
+				calls = append(calls, c)
+			}
+			b.publish()
+			b.advance(time.Duration(random.IntN(300)) * time.Millisecond)
+		}
+		b.advance(2 * maxContinuationWait)
+		for _, c := range calls {
+			end := endOf(c)
+			if end == nil {
+				t.Fatalf("seed %d: %s has not ended", seed, c.Request.ID)
+			}
+			if end.Err != nil && end.Err.Code == core.CodeNotContinued {
+				givenUp++
+			}
+		}
+	}
+	t.Logf("%d attempts continued a stream, %d streams were given up for their version", continued, givenUp)
+	if continued < givenUp {
+		t.Errorf("%d streams were given up and %d attempts continued one", givenUp, continued)
+	}
+}
