--- a/internal/caller/streamorigins.go
+++ b/internal/caller/streamorigins.go
@@ -20,7 +20,7 @@
 	// exceeds originReplicas, since replicas move on when a daemon does not answer.
 	originLookupFanout = 8
 	// originCallTimeout bounds one message to another daemon. Callers wait for a lookup.
-	originCallTimeout = 300 * time.Millisecond
+	originCallTimeout = 500 * time.Millisecond
 	// maxOriginBatch bounds the origins of one message, and maxQueuedOrigins those that
 	// wait for one daemon.
 	maxOriginBatch   = 512
--- a/internal/daemon/daemonrpc/peerclient.go
+++ b/internal/daemon/daemonrpc/peerclient.go
@@ -69,15 +69,11 @@
 
 // SendQuery sends the query to the daemon at the address and returns its reply.
 func (p *PeerClient) SendQuery(ctx context.Context, address string, q batch.Query) (batch.Reply, error) {
-	session, err := p.session(ctx, address)
-	if err != nil {
-		return batch.Reply{}, err
-	}
 	request, err := encodeJobRequest(q)
 	if err != nil {
 		return batch.Reply{}, fmt.Errorf("encode peer request: %w", err)
 	}
-	response, err := p.request(ctx, address, session, request)
+	response, err := p.request(ctx, address, request)
 	if err != nil {
 		return batch.Reply{}, err
 	}
@@ -87,21 +83,13 @@
 // Notify sends the notifications to the daemon at the address and waits until
 // it has received them.
 func (p *PeerClient) Notify(ctx context.Context, address string, n Notifications) error {
-	session, err := p.session(ctx, address)
-	if err != nil {
-		return err
-	}
-	_, err = p.request(ctx, address, session, encodeNotifications(n))
+	_, err := p.request(ctx, address, encodeNotifications(n))
 	return err
 }
 
 // WatchRelay requests the changes of servers after the revision from a relay.
 func (p *PeerClient) WatchRelay(ctx context.Context, address string, after int64) (platform.Listing, error) {
-	session, err := p.session(ctx, address)
-	if err != nil {
-		return platform.Listing{}, err
-	}
-	response, err := p.request(ctx, address, session, &Question{Kind: &Question_Watch{Watch: &WatchQuestion{After: after}}})
+	response, err := p.request(ctx, address, &Question{Kind: &Question_Watch{Watch: &WatchQuestion{After: after}}})
 	if err != nil {
 		return platform.Listing{}, err
 	}
@@ -110,11 +98,7 @@
 
 // RequestPermits asks the daemon at the address for permits.
 func (p *PeerClient) RequestPermits(ctx context.Context, address string, r backend.PermitRequest) (backend.PermitGrant, error) {
-	session, err := p.session(ctx, address)
-	if err != nil {
-		return backend.PermitGrant{}, err
-	}
-	response, err := p.request(ctx, address, session, encodePermitRequest(r))
+	response, err := p.request(ctx, address, encodePermitRequest(r))
 	if err != nil {
 		return backend.PermitGrant{}, err
 	}
@@ -123,21 +107,13 @@
 
 // SendOrigins implements caller.OriginPeers.
 func (p *PeerClient) SendOrigins(ctx context.Context, address string, origins []caller.StreamOrigin) error {
-	session, err := p.session(ctx, address)
-	if err != nil {
-		return err
-	}
-	_, err = p.request(ctx, address, session, encodeOrigins(origins))
+	_, err := p.request(ctx, address, encodeOrigins(origins))
 	return err
 }
 
 // FindOrigin implements caller.OriginPeers.
 func (p *PeerClient) FindOrigin(ctx context.Context, address string, stream core.RequestID) (caller.StreamOrigin, bool, error) {
-	session, err := p.session(ctx, address)
-	if err != nil {
-		return caller.StreamOrigin{}, false, err
-	}
-	response, err := p.request(ctx, address, session, &Question{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(stream)}}})
+	response, err := p.request(ctx, address, &Question{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(stream)}}})
 	if err != nil || response.GetOrigin() == nil {
 		return caller.StreamOrigin{}, false, err
 	}
@@ -203,9 +179,13 @@
 	_ = session.Close()
 }
 
-// request sends a request on a stream of the session, and closes the session
-// if that fails.
-func (p *PeerClient) request(ctx context.Context, address string, session *yamux.Session, m *Question) (*JobAnswer, error) {
+// request sends a request to the daemon at the address on a stream of its session, and
+// closes the session if that fails.
+func (p *PeerClient) request(ctx context.Context, address string, m *Question) (*JobAnswer, error) {
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	response, err := exchange(ctx, session, m)
 	if err != nil {
 		p.closeSession(address, session)
