--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -44,8 +44,7 @@
 		d.fail(s, &core.Error{Code: core.CodeUnavailable, Reason: "no connection to any backend server", RetryAfter: unreachableRetryAfter})
 		return
 	}
-	left := maxContinuationWait - now.Sub(s.waitingSince)
-	if !s.progress.IsEmpty() && !s.waitingSince.IsZero() && left <= 0 {
+	if d.isContinuationOverdue(s, now) {
 		d.fail(s, notContinuedError(s.progress, "no backend server of its software version %q has room"))
 		return
 	}
@@ -53,7 +52,11 @@
 		d.enqueueWaiting(s)
 		return
 	}
-	d.scheduleAttempt(s, earliest.Sub(now))
+	delay := earliest.Sub(now)
+	if left := s.interruptedAt.Add(maxContinuationWait).Sub(now); left > 0 {
+		delay = min(delay, left)
+	}
+	d.scheduleAttempt(s, delay)
 }
 
 func (d *Dispatcher) isCapable(r *core.Request, c *Candidate) bool {
@@ -64,3 +67,17 @@
 	}
 	return true
 }
+
+// isContinuationOverdue reports whether the call's answer, which has begun, has waited too
+// long for a server that may continue it. An item that could not start anew either keeps
+// waiting: nothing would be gained by discarding its events.
+func (d *Dispatcher) isContinuationOverdue(s *callState, now time.Time) bool {
+	if s.progress.IsEmpty() || now.Sub(s.interruptedAt) < maxContinuationWait {
+		return false
+	}
+	if s.call.Request.Class != core.ClassRollout {
+		return true
+	}
+	anew, _ := d.router.pick(s.call.Request, core.Progress{}, nil)
+	return anew != nil
+}
--- a/internal/backend/continuation_test.go
+++ b/internal/backend/continuation_test.go
@@ -122,6 +122,41 @@
 	}
 }
 
+// Guards against an item whose events are discarded although it could not start anew, as
+// all servers are full; a caller does not wait as long.
+func TestItemKeepsItsEventsWhileAllServersAreFull(t *testing.T) {
+	b := newDispatchHarness(t, 2, completed)
+	b.runTwoReleases()
+	const full = 100 // requests, far above the slots
+	b.dispatch.candidates["s0"].Outstanding, b.dispatch.candidates["s1"].Outstanding = full, full
+	call := b.submitContinuation("v1", core.ClassRollout)
+	b.advance(3 * maxContinuationWait)
+	if end := endOf(call); end != nil {
+		t.Fatalf("the call ended with %+v", end)
+	}
+	b.dispatch.candidates["s0"].Outstanding = 0
+	b.advance(maxContinuationWait)
+	if end := endOf(call); end == nil || end.Err != nil || len(b.attempts) != 1 || b.attempts[0].Server != "s0" {
+		t.Errorf("the call ended with %+v after %d attempts, want an answer of s0", end, len(b.attempts))
+	}
+}
+
+// Guards against a caller whose stream is tried for long at the only server of its
+// version, which cannot be reached: each attempt would begin the wait again.
+func TestStreamIsGivenUpWhenItsServerCannotBeReached(t *testing.T) {
+	b := newDispatchHarness(t, 2, func(a Attempt) AttemptEnd {
+		end := refused(a)
+		end.Unreachable = true
+		return end
+	})
+	b.runTwoReleases()
+	call := b.submitContinuation("v1", core.ClassInteractive)
+	b.advance(maxContinuationWait + maxBackOff)
+	if end := endOf(call); end == nil || end.Err == nil || end.Verdict != core.NotRun {
+		t.Errorf("the call ended with %+v", end)
+	}
+}
+
 // Guards against a hedge at a server of another software version for a stream whose
 // first events the caller has.
 func TestHedgeOfContinuedStreamKeepsItsSoftwareVersion(t *testing.T) {
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -41,6 +41,7 @@
 	unreached       int                        // attempts that opened no connection
 	runningAttempts map[int]context.CancelFunc // cancel functions of attempts in progress, by number
 	progress        core.Progress              // what the caller has received
+	interruptedAt   time.Time                  // when the attempt that brought the newest events ended; zero before
 	verdict         core.Verdict
 	tried           *attemptedServers
 	backOff         *backoff.ExponentialBackOff
@@ -170,6 +171,9 @@
 		return
 	}
 	s := &callState{call: c, verdict: core.NotRun, runningAttempts: map[int]context.CancelFunc{}, progress: c.Request.Resume.Clone(), tried: &attemptedServers{servers: map[core.ServerID]bool{}}}
+	if !s.progress.IsEmpty() {
+		s.interruptedAt = d.loop.Clock().Now()
+	}
 	d.callsInProgress[c.Request.ID] = s
 	d.retryBudget.creditFirstAttempt()
 	d.hedgeBudget.creditFirstAttempt(c.Request)
@@ -226,7 +230,9 @@
 
 func (d *Dispatcher) applyAttemptEnd(s *callState, e AttemptEnd) {
 	delete(s.runningAttempts, e.Attempt.Number)
-	s.progress = s.progress.Append(e.Attempt.Software, e.Tokens...)
+	if len(e.Tokens) > 0 {
+		s.progress, s.interruptedAt = s.progress.Append(e.Attempt.Software, e.Tokens...), d.loop.Clock().Now()
+	}
 	s.verdict = s.verdict.Combine(e.Verdict)
 	if e.Unreachable {
 		s.unreached++
