Try: calls whose answers have begun go first and may wait in an engine

Change: calls whose answers have begun come before others in the wait queue, and an item with events may wait in an engine up to twice its slots.

--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -84,7 +84,7 @@
 
 	health                  *health
 	retryBudget             *retryBudget
-	waitQueue               []*callState
+	waiting                 waitQueue
 	slotsUpdatePending      bool
 	deliverSlots            func([]ServiceSlots)
 	deliverSuspectReport    func(SuspectReport)
--- a/internal/backend/waiting.go
+++ b/internal/backend/waiting.go
@@ -18,7 +18,7 @@
 // caller cancels.
 func (d *Dispatcher) enqueueWaiting(s *callState) {
 	d.beginWait(s)
-	d.waitQueue = append(d.waitQueue, s)
+	d.waiting.add(s)
 }
 
 // beginWait marks the call as waiting and watches its context. The returned
@@ -57,22 +57,17 @@
 	}
 }
 
-// retryOldestWaiting starts the next attempt of the n calls that have waited
-// longest.
+// retryOldestWaiting starts the next attempt of the n calls of each kind that have
+// waited longest.
 func (d *Dispatcher) retryOldestWaiting(n int) {
-	n = min(n, len(d.waitQueue))
-	oldest := d.waitQueue[:n:n]
-	d.waitQueue = d.waitQueue[n:]
-	for _, s := range oldest {
+	for _, s := range d.waiting.take(n) {
 		d.endWait(s, s.waitGeneration)
 	}
 }
 
 // retryAllWaiting starts the next attempt of every call in the wait queue.
 func (d *Dispatcher) retryAllWaiting() {
-	waiting := d.waitQueue
-	d.waitQueue = nil
-	for _, s := range waiting {
+	for _, s := range d.waiting.takeAll() {
 		d.endWait(s, s.waitGeneration)
 	}
 }
--- a/internal/backend/waiting_test.go
+++ b/internal/backend/waiting_test.go
@@ -87,3 +87,46 @@
 		t.Errorf("of %d requests %d were served and %d refused at once", calls, served, atOnce)
 	}
 }
+
+// Guards against calls without events that take the room for which a call waits whose
+// caller has events: those are lost when it waits too long.
+func TestCallsThatHaveBegunGoFirst(t *testing.T) {
+	b := newDispatchHarness(t, 1, completed)
+	b.runTwoReleases()
+	const full = 100 // requests, far above the slots
+	b.dispatch.candidates["s0"].Outstanding = full
+	var others []*core.Call
+	for range 3 {
+		c := core.NewCall(context.Background(), &core.Request{
+			ID: core.RequestID(fmt.Sprint("other", len(others))), Service: "desk", Operation: "look", Repeatable: true, Class: core.ClassRollout,
+		})
+		b.dispatch.Submit(c)
+		b.dispatch.loop.RunPending()
+		others = append(others, c)
+	}
+	begun := b.submitContinuation("v1", core.ClassRollout)
+	b.dispatch.candidates["s0"].Outstanding = 4 // room for one more call without events
+	b.advance(routingPeriod)
+	if len(b.attempts) == 0 || b.attempts[0].Call != begun {
+		t.Errorf("%d attempts, the first is not the one that continues an answer", len(b.attempts))
+	}
+	for i, c := range others {
+		b.advance(routingPeriod)
+		if endOf(c) == nil {
+			t.Errorf("call %d has not ended", i)
+		}
+	}
+}
+
+// Guards against an item whose events are generated again because the only engine of its
+// software version is a little too full for new items.
+func TestItemWithEventsMayWaitInAnEngine(t *testing.T) {
+	c := &Candidate{Outstanding: 6}
+	c.Server.Description.Slots = 4
+	if c.hasRoomFor(core.ClassRollout, false, time.Time{}) || !c.hasRoomFor(core.ClassRollout, true, time.Time{}) {
+		t.Error("an engine with 6 items on 4 slots must have room for an item with events only")
+	}
+	if c.Outstanding = 8; c.hasRoomFor(core.ClassRollout, true, time.Time{}) {
+		t.Error("an engine with 8 items on 4 slots has room")
+	}
+}
