--- a/internal/backend/candidate.go
+++ b/internal/backend/candidate.go
@@ -19,23 +19,17 @@
 	tableVersion  uint64 // version of the last table update that listed the server
 }
 
-// hasRoomFor reports whether a request of the class may be sent to the server now. isBegun
-// is set if its reader has received a part of the answer, which is lost if the server has
-// no room.
+// hasRoomFor reports whether a request of the class may be sent to the server now.
 // Work that no user waits for waits in the daemon rather than in the server's queue,
 // where it would delay users. A server without work of this daemon always has room,
 // because the estimate of other daemons' work may be stale.
-func (c *Candidate) hasRoomFor(class core.Class, isBegun bool, now time.Time) bool {
+func (c *Candidate) hasRoomFor(class core.Class, now time.Time) bool {
 	switch {
 	case c.Outstanding == 0:
 		return true
 	case class == core.ClassRollout:
 		// A slow engine gets fewer items, because a step waits for its last item.
-		limit := maxRolloutDepth
-		if isBegun {
-			limit = maxContinuationDepth
-		}
-		return c.depth()*c.slowdownFactor(now) < limit
+		return c.depth()*c.slowdownFactor(now) < maxRolloutDepth
 	case class == core.ClassBackground:
 		return c.depth() < maxBackgroundDepth
 	default:
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -84,7 +84,7 @@
 
 	health                  *health
 	retryBudget             *retryBudget
-	waiting                 waitQueue
+	waitQueue               []*callState
 	slotsUpdatePending      bool
 	deliverSlots            func([]ServiceSlots)
 	deliverSuspectReport    func(SuspectReport)
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -156,7 +156,7 @@
 	if !rt.progress.MayContinueOn(c.Server.Description.Software) || !rt.acceptsRequest(rt.request, c, rt.decisionTime) {
 		return false
 	}
-	if !c.hasRoomFor(rt.request.Class, !rt.progress.IsEmpty(), rt.decisionTime) {
+	if !c.hasRoomFor(rt.request.Class, rt.decisionTime) {
 		return false
 	}
 	if rt.tried.excludes(c.Server.ID, rt.fallback) {
--- a/internal/backend/ratepermits.go
+++ b/internal/backend/ratepermits.go
@@ -208,7 +208,7 @@
 }
 
 func (d *Dispatcher) hasWaitingUser(service string) bool {
-	return slices.ContainsFunc(d.waiting.all(), func(s *callState) bool {
+	return slices.ContainsFunc(d.waitQueue, func(s *callState) bool {
 		return s.call.Request.Service == service && s.call.Request.Class == core.ClassInteractive
 	})
 }
@@ -217,7 +217,7 @@
 // service that wait, those of one class in the order of their arrival.
 func (d *Dispatcher) runWaitingForPermits(service string, n int) {
 	var waiting []*callState
-	for _, s := range d.waiting.all() {
+	for _, s := range d.waitQueue {
 		if s.call.Request.Service == service {
 			waiting = append(waiting, s)
 		}
@@ -229,7 +229,7 @@
 		return a.waitingSince.Compare(b.waitingSince)
 	})
 	for _, s := range waiting[:min(n, len(waiting))] {
-		d.waiting.remove(s)
+		d.waitQueue = slices.DeleteFunc(d.waitQueue, func(other *callState) bool { return other == s })
 		d.endWait(s, s.waitGeneration)
 	}
 }
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -26,9 +26,6 @@
 	// a step is sent to it. Items wait in the daemon rather than in the
 	// engine's queue, so that they can go to whichever engine has room first.
 	maxRolloutDepth = 1.25
-	// maxContinuationDepth is the same for an item that has events: to wait in an
-	// engine's queue costs less than to generate them again.
-	maxContinuationDepth = 2.0
 	// maxBackgroundDepth is the work per slot of a server above which no background
 	// request is sent to it.
 	maxBackgroundDepth = 1
--- a/internal/backend/routing_test.go
+++ b/internal/backend/routing_test.go
@@ -363,16 +363,16 @@
 	c := &Candidate{}
 	c.Server.Description.Slots = 4
 	for c.Outstanding = range 5 {
-		if !c.hasRoomFor(core.ClassRollout, false, time.Time{}) {
+		if !c.hasRoomFor(core.ClassRollout, time.Time{}) {
 			t.Errorf("an engine with %d of 4 slots in use has no room", c.Outstanding)
 		}
 	}
 	c.Outstanding = 5
-	if c.hasRoomFor(core.ClassRollout, false, time.Time{}) {
+	if c.hasRoomFor(core.ClassRollout, time.Time{}) {
 		t.Error("an engine with 5 items on 4 slots has room")
 	}
 	c.Outstanding, c.load.estimatedPeerWork = 0, 100
-	if !c.hasRoomFor(core.ClassRollout, false, time.Time{}) {
+	if !c.hasRoomFor(core.ClassRollout, time.Time{}) {
 		t.Error("an engine without own work has no room because of peer work")
 	}
 	const items = 40
@@ -415,11 +415,11 @@
 		}
 	}
 	slow.Outstanding = 2 // of 4 slots: 0.5 x 3.5 exceeds maxRolloutDepth
-	if slow.hasRoomFor(core.ClassRollout, false, now) {
+	if slow.hasRoomFor(core.ClassRollout, now) {
 		t.Error("a half-full engine on a slow host has room")
 	}
 	later := now.Add(slowdownFactorTTL + time.Millisecond)
-	if !slow.hasRoomFor(core.ClassRollout, false, later) || slow.slowdownFactor(later) != 1 {
+	if !slow.hasRoomFor(core.ClassRollout, later) || slow.slowdownFactor(later) != 1 {
 		t.Error("an engine with an expired slowdown report is avoided")
 	}
 }
--- a/internal/backend/waiting.go
+++ b/internal/backend/waiting.go
@@ -18,7 +18,7 @@
 // caller cancels.
 func (d *Dispatcher) enqueueWaiting(s *callState) {
 	d.beginWait(s)
-	d.waiting.add(s)
+	d.waitQueue = append(d.waitQueue, s)
 }
 
 // beginWait marks the call as waiting and watches its context. The returned
@@ -57,17 +57,22 @@
 	}
 }
 
-// retryOldestWaiting starts the next attempt of the n calls of each kind that have
-// waited longest.
+// retryOldestWaiting starts the next attempt of the n calls that have waited
+// longest.
 func (d *Dispatcher) retryOldestWaiting(n int) {
-	for _, s := range d.waiting.take(n) {
+	n = min(n, len(d.waitQueue))
+	oldest := d.waitQueue[:n:n]
+	d.waitQueue = d.waitQueue[n:]
+	for _, s := range oldest {
 		d.endWait(s, s.waitGeneration)
 	}
 }
 
 // retryAllWaiting starts the next attempt of every call in the wait queue.
 func (d *Dispatcher) retryAllWaiting() {
-	for _, s := range d.waiting.takeAll() {
+	waiting := d.waitQueue
+	d.waitQueue = nil
+	for _, s := range waiting {
 		d.endWait(s, s.waitGeneration)
 	}
 }
