--- a/internal/server/hosted/streams_test.go
+++ b/internal/server/hosted/streams_test.go
@@ -269,3 +269,42 @@
 	}
 	f.stop(t)
 }
+
+// Guards against a stream whose recorded origin is a server that sent only a comment before
+// it broke off, while another version sent the events, and against events without an ID
+// that come twice because the stream is begun anew.
+func TestOriginIsTheServerOfTheFirstEvent(t *testing.T) {
+	f, _, _ := newServingFleet(t, 2)
+	const comment = ": queued\n\n"
+	for i := range 4 {
+		software := fmt.Sprint("v", 1+i%2)
+		f.addServer(t, "advice", fmt.Sprint("advice-", i), software, func(r *http.Request, last int, c net.Conn) {
+			_, _ = io.WriteString(c, streamHead)
+			switch {
+			case last > 0:
+				writeChunk(c, eventsFrom(software, last, streamEvents))
+				endChunks(c)
+			case software == "v1" && r.Header.Get("Comment") != "":
+				writeChunk(c, comment)
+			case software == "v1":
+				writeChunk(c, "data: without ID\n\n")
+			default:
+				writeChunk(c, comment+eventsFrom(software, 0, streamEvents))
+				endChunks(c)
+			}
+		})
+	}
+	for i := range 8 {
+		id := fmt.Sprint("s", i)
+		s := openStream(t, f.callers[0], standin.StreamPrefix, id, []string{"Other: 1", "Comment: 1"}[i%2])
+		body, err := io.ReadAll(s.body)
+		if err != nil || string(body) != comment+eventsFrom("v2", 0, streamEvents) {
+			t.Errorf("stream %d: %q, %v", i, body, err)
+		}
+		resumed := openStream(t, f.callers[1], standin.StreamPrefix, id+"-again", "Resumes: "+id, "Last-Event-Id: 2")
+		if rest, err := io.ReadAll(resumed.body); err != nil || string(rest) != eventsFrom("v2", 2, streamEvents) {
+			t.Errorf("stream %d goes on with %q, %v", i, rest, err)
+		}
+	}
+	f.stop(t)
+}
