--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -233,7 +233,18 @@
 	jobRouter := batch.NewRouter(d.jobManager, d.peers, d.log)
 	stopping, endRequests := context.WithCancel(context.Background())
 	d.endRequests = endRequests
-	front := &adapter.RequestHandler{Routes: d.routes, Calls: d.dispatch, Jobs: jobRouter, Streams: d.origins, Log: d.log, IsReady: d.isReady, IsClosing: d.isClosing.Load, Stopping: stopping, OnRequestEnd: d.countRequest, WriteMetrics: d.writeMetrics}
+	front := &adapter.RequestHandler{
+		Routes:       d.routes,
+		Calls:        d.dispatch,
+		Jobs:         jobRouter,
+		Streams:      d.origins,
+		Log:          d.log,
+		IsReady:      d.isReady,
+		IsClosing:    d.isClosing.Load,
+		Stopping:     stopping,
+		OnRequestEnd: d.countRequest,
+		WriteMetrics: d.writeMetrics,
+	}
 	var err error
 	if d.callers, err = transport.Listen(d.hostSettings.Callers, transport.ServerOptions{MaxBodyBytes: maxBody, MaxHeaderBytes: maxHeader, IdleTimeout: callerIdleTimeout}); err != nil {
 		return err
@@ -247,7 +258,16 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := daemonrpc.ListenPeers(d.hostSettings.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{HandleJobRequest: jobRouter.HandleRelayed, HandleEngineNotifications: d.directory.UpdateModelStatus, HandleOwnerNotifications: d.updateOwners, HandleWatchRequest: d.relay.Watch, HandlePermitRequest: d.rateLimiter.HandlePeer, HandleRateLimits: d.dispatch.UpdateRateLimits, HandleOrigins: d.origins.Receive, HandleOriginQuestion: d.origins.FindHeld})
+	jobs, err := daemonrpc.ListenPeers(d.hostSettings.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{
+		HandleJobRequest:          jobRouter.HandleRelayed,
+		HandleEngineNotifications: d.directory.UpdateModelStatus,
+		HandleOwnerNotifications:  d.updateOwners,
+		HandleWatchRequest:        d.relay.Watch,
+		HandlePermitRequest:       d.rateLimiter.HandlePeer,
+		HandleRateLimits:          d.dispatch.UpdateRateLimits,
+		HandleOrigins:             d.origins.Receive,
+		HandleOriginQuestion:      d.origins.FindHeld,
+	})
 	if err != nil {
 		return err
 	}
