Take no job from its owner because a connection broke or a caller left

What callers saw: steps of trainers that took longer. When connections were reset, the daemon that relayed a trainer's read took the job over at once from an owner that lived, and up to 100 items started anew. It did the same when the caller of a long poll left.

Cause: any error of a relayed query counted as an owner that does not answer.

Change: after an error that is no time-out the owner is asked once more on a new connection, without the wait of the query. A query whose caller has left takes nothing over and is not delegated.

--- a/internal/trainer/batch/router.go
+++ b/internal/trainer/batch/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -50,7 +51,7 @@
 func (r *Router) HandleQuery(ctx context.Context, q Query) Reply {
 	reply := r.answerByOwner(ctx, q)
 	needsDelegate := reply.Status == StatusUnavailable || reply.StoreUnreachable
-	if q.Delegated || !needsDelegate {
+	if q.Delegated || !needsDelegate || ctx.Err() != nil {
 		return reply
 	}
 	q.Delegated = true
@@ -76,11 +77,15 @@
 			return reply
 		}
 		owner := reply.Owner
-		peerReply, err := r.relayQuery(ctx, owner, q)
+		peerReply, err := r.relayToOwner(ctx, owner, q)
 		isConclusive := err == nil && (peerReply.Status == StatusOK || peerReply.Status == StatusNotFound)
 		if isConclusive && !peerReply.StoreUnreachable {
 			return peerReply
 		}
+		if ctx.Err() != nil {
+			// The query ended because its caller left, which says nothing about the owner.
+			return Reply{Status: StatusUnavailable}
+		}
 		r.log.WithError(err).WithFields(logrus.Fields{
 			"job": q.ID, "owner": owner.Address, "answer": peerReply.Status.String(), "cut_off": peerReply.StoreUnreachable,
 		}).Info("owner of a job does not answer or cannot write")
@@ -145,6 +150,23 @@
 	return reply
 }
 
+// relayToOwner relays the query to the owner. If the connection breaks, it asks once more
+// on a new one: a takeover from an owner that lives discards what its items have
+// generated. An owner that does not respond is not asked again.
+func (r *Router) relayToOwner(ctx context.Context, owner Owner, q Query) (Reply, error) {
+	reply, err := r.relayQuery(ctx, owner, q)
+	if err == nil || isTimeout(err) || ctx.Err() != nil {
+		return reply, err
+	}
+	q.MaxWait = 0
+	return r.relayQuery(ctx, owner, q)
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 func (r *Router) relayQuery(ctx context.Context, owner Owner, q Query) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+q.MaxWait)
 	defer cancel()
