--- a/internal/daemon/daemonrpc/fuzz_test.go
+++ b/internal/daemon/daemonrpc/fuzz_test.go
@@ -13,6 +13,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/caller"
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
 )
@@ -76,6 +78,16 @@
 		}
 		f.Add(data)
 	}
+	for _, q := range []*Question{
+		encodeOrigins([]caller.StreamOrigin{testOrigin, {}}),
+		{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(testOrigin.Stream)}}},
+	} {
+		data, err := proto.Marshal(q)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
 	data, err := proto.Marshal(&JobAnswer{Status: 77, Total: -1})
 	if err != nil {
 		f.Fatal(err)
@@ -86,8 +98,18 @@
 			HandleEngineNotifications: func([]backend.ModelStatus) {},
 			HandleOwnerNotifications:  func([]batch.Ownership) {},
 			HandleRateLimits:          func([]backend.ServerRateLimit) {},
-			HandleWatchRequest:        func(context.Context, int64) (platform.Listing, error) { return platform.Listing{}, nil },
-			HandleJobRequest:          func(context.Context, batch.Query) batch.Reply { return batch.Reply{} },
+			HandleOrigins: func(origins []caller.StreamOrigin) {
+				for _, o := range origins {
+					if o.Stream == "" {
+						t.Error("an origin without a stream")
+					}
+				}
+			},
+			HandleOriginQuestion: func(context.Context, core.RequestID) (caller.OriginLookup, error) {
+				return caller.OriginLookup{Origin: testOrigin, IsKnown: true}, nil
+			},
+			HandleWatchRequest: func(context.Context, int64) (platform.Listing, error) { return platform.Listing{}, nil },
+			HandleJobRequest:   func(context.Context, batch.Query) batch.Reply { return batch.Reply{} },
 			HandlePermitRequest: func(_ context.Context, r backend.PermitRequest) (backend.PermitGrant, error) {
 				if r.Urgent < 0 || r.Urgent > backend.MaxWantedPermits || !(r.Limit.PerSecond >= 0) || r.LimitAge < 0 {
 					t.Errorf("accepted request %+v", r)
