--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -105,7 +105,7 @@
 		Resume:       s.progress,
 		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: chosen.Server.ID, load: l}) },
 		OnRateLimit:  d.rateLimitHandler(chosen),
-		OnLeaving:    d.leavingHandler(chosen.Server),
+		OnLeaving:    d.leavingHandler(&chosen.Server),
 	}
 	if s.call.Request.Class == core.ClassRollout && number <= maxPaceMoves {
 		a.IsTooSlow = d.router.paceOf(s.call.Request.Service, a.Software).isTooSlow
--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -50,9 +50,10 @@
 func (d *Dispatcher) SetLeavingHandler(f func(LeavingNotice)) { d.onLeaving = f }
 
 // leavingHandler returns the function for the answers of one attempt at the server.
-func (d *Dispatcher) leavingHandler(s Server) func() {
+func (d *Dispatcher) leavingHandler(s *Server) func() {
 	if d.onLeaving == nil {
 		return nil
 	}
-	return func() { d.onLeaving(LeavingNotice{Server: s.ID, Incarnation: s.Description.Incarnation}) }
+	notice := LeavingNotice{Server: s.ID, Incarnation: s.Description.Incarnation}
+	return func() { d.onLeaving(notice) }
 }
--- a/internal/caller/streamorigins.go
+++ b/internal/caller/streamorigins.go
@@ -27,7 +27,7 @@
 	maxQueuedOrigins = 4096
 	// originTTL is longer than a stream lasts.
 	originTTL = 5 * time.Minute
-	// maxHeldOrigins bounds the memory, at about 200 bytes each.
+	// maxHeldOrigins bounds the memory.
 	maxHeldOrigins    = 65536
 	originPrunePeriod = 5 * time.Second
 )
@@ -50,10 +50,10 @@
 	FindOrigin(ctx context.Context, address string, stream core.RequestID) (o StreamOrigin, found bool, err error)
 }
 
-// heldOrigin is an origin with the time at which it is removed.
-type heldOrigin struct {
-	origin  StreamOrigin
-	expires time.Time
+// originExpiry is the time at which the origin of a stream is removed.
+type originExpiry struct {
+	stream core.RequestID
+	at     time.Time
 }
 
 // queuedOrigin is an origin on its way to one of its holders.
@@ -104,8 +104,8 @@
 	peers OriginPeers
 	tryGo func(func()) bool // runs a blocking function on a pool
 
-	held   map[core.RequestID]heldOrigin
-	byAge  []heldOrigin // oldest first
+	held   map[core.RequestID]StreamOrigin
+	byAge  []originExpiry // of all held origins, oldest first
 	queues map[string]*originQueue
 
 	recorded *ring.Ring[StreamOrigin]
@@ -120,7 +120,7 @@
 func NewStreamOrigins(clock duty.Clock, peers OriginPeers, tryGo func(func()) bool) *StreamOrigins {
 	s := &StreamOrigins{
 		loop: duty.New("origins", clock), peers: peers, tryGo: tryGo,
-		held: map[core.RequestID]heldOrigin{}, queues: map[string]*originQueue{},
+		held: map[core.RequestID]StreamOrigin{}, queues: map[string]*originQueue{},
 		recorded: ring.New[StreamOrigin]("origins.recorded", originRingCapacity),
 		received: ring.New[[]StreamOrigin]("origins.received", originRingCapacity),
 		sent:     ring.New[originBatchEnd]("origins.sent", originRingCapacity),
@@ -161,8 +161,8 @@
 }
 
 func (s *StreamOrigins) find(stream core.RequestID) OriginLookup {
-	h, ok := s.held[stream]
-	return OriginLookup{Origin: h.origin, IsKnown: ok}
+	o, ok := s.held[stream]
+	return OriginLookup{Origin: o, IsKnown: ok}
 }
 
 // hold keeps the origin. A stream that is known already keeps its first origin.
@@ -170,22 +170,21 @@
 	if _, ok := s.held[o.Stream]; ok {
 		return
 	}
-	h := heldOrigin{origin: o, expires: s.loop.Clock().Now().Add(originTTL)}
-	s.held[o.Stream] = h
-	s.byAge = append(s.byAge, h)
+	s.held[o.Stream] = o
+	s.byAge = append(s.byAge, originExpiry{stream: o.Stream, at: s.loop.Clock().Now().Add(originTTL)})
 	if len(s.byAge) > maxHeldOrigins {
 		s.removeOldest()
 	}
 }
 
 func (s *StreamOrigins) removeOldest() {
-	delete(s.held, s.byAge[0].origin.Stream)
+	delete(s.held, s.byAge[0].stream)
 	s.byAge = s.byAge[1:]
 }
 
 func (s *StreamOrigins) prune() {
 	now := s.loop.Clock().Now()
-	for len(s.byAge) > 0 && !now.Before(s.byAge[0].expires) {
+	for len(s.byAge) > 0 && !now.Before(s.byAge[0].at) {
 		s.removeOldest()
 	}
 	for address, q := range s.queues {
