Add a type for a right that is known to hold at a time and relied upon for a term

Ownership of a job, like other rights that rest on an answer of the store, is used for as long as nothing contradicts it: no place says how old the knowledge is, or when it is too old to act on. core.Lease holds the time of the newest confirmation and the term; whoever acts checks it right before the act. Nothing uses it yet.

--- a/internal/core/errors.go
+++ b/internal/core/errors.go
@@ -29,6 +29,7 @@
 	CodeCancelled      Code = "cancelled"       // the caller cancelled the request or disconnected
 	CodeAlreadyStarted Code = "already-started" // an earlier attempt under the same key may have run
 	CodeNotContinued   Code = "not-continued"   // no backend server can continue the answer that has begun
+	CodeLeaseExpired   Code = "lease-expired"   // the right to send the request was not confirmed recently
 	CodeInternal       Code = "internal"        // an internal error of berylfall
 )
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -78,6 +78,8 @@
 	// Accepted marks a part of a job that was accepted for later. It must be
 	// completed, and it is never taken for the cause of a server's crash.
 	Accepted bool
+	// Lease is checked before each attempt is sent; nil needs no check.
+	Lease *Lease
 	// Forward is set for a message that is sent to the backend server unchanged.
 	Forward *ForwardedMessage
 	// Fingerprint identifies the content of the request independently of its ID,
