Log how old an owner's knowledge is, and what refused its checks

The incident's hypotheses could not be told apart: a failed check of ownership was not logged, nor what refused it, a former owner that read that its job had ended stopped without a line, and nothing said on how old a knowledge an item was sent.

- The first failed check in a row and each new reason are logged with the age of the last confirmation and the number of running items, and so is the first check that succeeds again, with the number of failures.
- 'job has ended at another daemon' and 'job is owned elsewhere' carry the same fields.
- Each attempt of an item records the age of its lease: lease_age_seconds in the metrics, lease_age_ms in 'attempt failed'.

The age is counted from the time at which the confirming question was sent, on a clock that includes the time for which the host is suspended. Nothing is refused yet. One change in behaviour: a job whose result list took long to load is checked earlier, since the age now counts from the read of its state.

Measured: tests of internal/trainer/batch, internal/server and internal/server/hosted pass.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -20,6 +20,9 @@
 	// crash.
 	Incarnation string
 	Context     context.Context // cancelled when the attempt is no longer needed
+	// LeaseAge is the age of the last confirmation of the request's lease when the
+	// attempt was sent; 0 for a request without a lease.
+	LeaseAge time.Duration
 	// Resume is the part of the answer that the caller has already received.
 	Resume core.Progress
 	// OnLoadReport receives the load that the server reports in the header of
@@ -102,6 +105,7 @@
 		Software:     chosen.Server.Description.Software,
 		Incarnation:  d.health.incarnationOf(chosen.Server),
 		Context:      ctx,
+		LeaseAge:     leaseAge(s.call.Request),
 		Resume:       s.progress,
 		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: chosen.Server.ID, load: l}) },
 		OnRateLimit:  d.rateLimitHandler(chosen),
@@ -131,6 +135,14 @@
 	return true
 }
 
+func leaseAge(r *core.Request) time.Duration {
+	if r.Lease == nil {
+		return 0
+	}
+	age, _ := r.Lease.Age()
+	return age
+}
+
 func (s *callState) cancelAttempts() {
 	for _, cancel := range s.runningAttempts {
 		cancel()
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -180,7 +180,8 @@
 	d.jobManager = batch.NewManager(batch.Options{
 		Clock: d.clock, Log: d.log, Store: d.store, Calls: d.dispatch, Pool: collectors,
 		Routes: jobRoutes{table: d.routes}, OnOwned: d.notifier.addOwnership,
-		Self: batch.Owner{Address: d.hostSettings.PeerAddress, Run: d.runName()},
+		Self:     batch.Owner{Address: d.hostSettings.PeerAddress, Run: d.runName()},
+		LeaseNow: duty.NewBootClock().Now,
 	})
 	sweeper := batch.NewSweeper(batch.SweeperOptions{
 		Clock: d.clock, Log: d.log, Store: d.store, Retention: d.hostSettings.Bounds.KeepResults,
--- a/internal/server/hosted/observe.go
+++ b/internal/server/hosted/observe.go
@@ -19,6 +19,9 @@
 	service := settings.Label{Name: "service", Value: r.Service}
 	d.metrics.Observe("attempt_seconds", e.Duration, service)
 	d.metrics.Count("attempts_total", service, settings.Label{Name: "verdict", Value: e.Verdict.String()})
+	if r.Lease != nil {
+		d.metrics.Observe("lease_age_seconds", e.Attempt.LeaseAge, service)
+	}
 	d.logContinuation(e)
 	if e.Err == nil {
 		return
@@ -30,6 +33,7 @@
 	d.log.WithError(e.Err).WithFields(logrus.Fields{
 		"request": r.Forward.ID, "attempt": e.Attempt.Number, "service": r.Service, "model": r.Model,
 		"backend_server": e.Attempt.Server, "software": e.Attempt.Software, "verdict": e.Verdict, "events": len(e.Tokens), "ms": e.Duration.Milliseconds(),
+		"lease_age_ms": e.Attempt.LeaseAge.Milliseconds(),
 	}).Info("attempt failed")
 }
 
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -70,7 +70,7 @@
 // startJob makes this daemon run the items of a job that it owns.
 func (m *Manager) startJob(e *jobEntry) {
 	e.phase = phaseOwned
-	e.lastQueryAt, e.ownershipCheckedAt = m.now(), m.now()
+	e.lastQueryAt = m.now()
 	done := map[ItemID]bool{}
 	for _, r := range e.published {
 		done[r.Item] = true
@@ -179,6 +179,7 @@
 		Class:       core.ClassRollout,
 		Repeatable:  true,
 		Accepted:    true,
+		Lease:       e.lease,
 		Body:        r.item.Body,
 		MaxTokens:   r.item.MaxTokens,
 		Stream:      true,
@@ -211,6 +212,7 @@
 		Class:       core.ClassBackground,
 		Repeatable:  true,
 		Accepted:    true,
+		Lease:       e.lease,
 		Body:        reward.Body,
 		Deadline:    m.now().Add(timeout),
 		MaxAttempts: 1,
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -52,6 +51,7 @@
 }
 
 func (m *Manager) loadState(e *jobEntry) {
+	e.lease = m.newLease(m.leaseNow())
 	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
 		if err := m.applyState(e, r); err != nil {
 			m.failLoad(e, err)
@@ -105,6 +105,7 @@
 		return
 	}
 	op := platform.Op{Kind: platform.OpPut, Key: statePrefix + string(e.id), Value: value, IfVersion: e.stateVersion}
+	e.lease = m.newLease(m.leaseNow())
 	m.submitToStore(op, func(r platform.Result) {
 		switch {
 		case r.Err == nil:
@@ -151,54 +152,6 @@
 	e.resultParts++
 }
 
-// isOwnershipCheckDue reports whether this daemon last read the owner of the job
-// longer than ownershipCheckPeriod ago.
-func (m *Manager) isOwnershipCheckDue(e *jobEntry) bool {
-	return m.now().Sub(e.ownershipCheckedAt) > ownershipCheckPeriod
-}
-
-// checkOwnership reads from the store whether this daemon still owns the job and
-// whether the job has ended. If queries wait for a confirmed result list, it then
-// confirms the list.
-func (m *Manager) checkOwnership(e *jobEntry) {
-	if e.checkingOwnership || e.phase != phaseOwned {
-		return
-	}
-	e.checkingOwnership = true
-	sentAt := m.now()
-	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
-		e.checkingOwnership = false
-		if e.phase != phaseOwned {
-			return
-		}
-		if err := m.applyState(e, r); err != nil {
-			// The store is unreachable. The job continues, because conditional
-			// writes still publish each result only once.
-			m.log.WithError(err).WithField("job", e.id).Debug("ownership could not be checked")
-			m.handleStoreUnreachable(e)
-			return
-		}
-		m.handleOwnershipChecked(e, sentAt)
-	})
-}
-
-func (m *Manager) handleOwnershipChecked(e *jobEntry, sentAt time.Time) {
-	switch {
-	case e.state.Ended:
-		m.stopJob(e, phaseLoading)
-		m.loadResults(e, phaseEnded)
-	case e.state.Owner != m.self:
-		m.log.WithFields(logrus.Fields{"job": e.id, "owner": e.state.Owner.Address}).Info("job is owned elsewhere")
-		m.stopJob(e, phaseNotOwner)
-		m.answerAwaitingLoad(e)
-	default:
-		e.ownershipCheckedAt, e.storeUnreachable = sentAt, false
-		if len(e.awaitingConfirmation) > 0 {
-			m.confirmList(e)
-		}
-	}
-}
-
 // handleStoreUnreachable records that the owner cannot use the store, and answers
 // the queries that wait for a confirmed result list.
 func (m *Manager) handleStoreUnreachable(e *jobEntry) {
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -103,8 +103,11 @@
 	awaitingConfirmation []pendingQuery // queries that wait until the result list is known to be complete
 	confirmedAt          time.Time      // when the result list was last known to be complete
 	lastQueryAt          time.Time
-	ownershipCheckedAt   time.Time
-	checkingOwnership    bool // the state is being read from the store
+	// lease is the right to run the items: the ownership as last confirmed by the store.
+	// Each ownership has a lease of its own.
+	lease             *core.Lease
+	checkingOwnership bool          // the state is being read from the store
+	checkFailures     checkFailures // since the last successful check
 
 	items            map[ItemID]*itemRun
 	launchOrder      []ItemID
@@ -130,6 +133,8 @@
 	pool   Pool
 	routes Routes
 	self   Owner
+	// leaseNow is the clock of the leases.
+	leaseNow func() time.Time
 	// onOwned is called for each job that this daemon starts to own.
 	onOwned func(Ownership)
 	// maxObjectBytes bounds the size of one store object of a job.
@@ -154,6 +159,9 @@
 	Pool   Pool
 	Routes Routes
 	Self   Owner
+	// LeaseNow returns the time by which the age of an ownership is measured. It must
+	// include the time for which the host is suspended; nil takes Clock.
+	LeaseNow func() time.Time
 	// OnOwned is called on the duty's goroutine for each job that this daemon
 	// starts to own. It must not wait.
 	OnOwned func(Ownership)
@@ -167,6 +175,9 @@
 	if o.MaxObjectBytes <= 0 {
 		o.MaxObjectBytes = defaultObjectBytes
 	}
+	if o.LeaseNow == nil {
+		o.LeaseNow = o.Clock.Now
+	}
 	m := &Manager{
 		loop:    duty.New("jobs", o.Clock),
 		log:     o.Log,
@@ -177,6 +188,7 @@
 		self:    o.Self,
 		onOwned: o.OnOwned,
 
+		leaseNow:       o.LeaseNow,
 		maxObjectBytes: o.MaxObjectBytes,
 
 		ownerUpdates:  ring.New[[]Ownership]("jobs.owners", queryRingCapacity),
@@ -324,6 +336,7 @@
 // these have objects of their own.
 func (m *Manager) createJob(e *jobEntry, job *Job, value []byte) {
 	op := platform.Op{Kind: platform.OpPut, Key: jobPrefix + string(e.id), Value: value, IfVersion: platform.Absent}
+	e.lease = m.newLease(m.leaseNow())
 	m.submitToStore(op, func(r platform.Result) { m.handleAccepted(e, job, r) })
 }
 
--- /dev/null
+++ b/internal/trainer/batch/ownership.go
@@ -0,0 +1,119 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
+)
+
+// ownershipTerm is how long an owner relies on the store's last confirmation.
+const ownershipTerm = 2500 * time.Millisecond
+
+// newLease returns the lease of an ownership that the answer to a question sent at the
+// time at shows.
+func (m *Manager) newLease(at time.Time) *core.Lease {
+	l := core.NewLease(ownershipTerm, m.leaseNow)
+	l.Confirm(at)
+	return l
+}
+
+// checkFailures are the checks of ownership that have failed in a row.
+type checkFailures struct {
+	count  int
+	reason string // of the last one
+	since  time.Time
+}
+
+// isOwnershipCheckDue reports whether the store has confirmed the owner of the job
+// longer than ownershipCheckPeriod ago.
+func (m *Manager) isOwnershipCheckDue(e *jobEntry) bool {
+	age, ok := e.lease.Age()
+	return !ok || age > ownershipCheckPeriod
+}
+
+// checkOwnership reads from the store whether this daemon still owns the job and
+// whether the job has ended. If queries wait for a confirmed result list, it then
+// confirms the list.
+func (m *Manager) checkOwnership(e *jobEntry) {
+	if e.checkingOwnership || e.phase != phaseOwned {
+		return
+	}
+	e.checkingOwnership = true
+	sentAt := m.leaseNow()
+	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
+		e.checkingOwnership = false
+		if e.phase != phaseOwned {
+			return
+		}
+		if err := m.applyState(e, r); err != nil {
+			// The store is unreachable. The job continues, because conditional
+			// writes still publish each result only once.
+			m.recordCheckFailure(e, err)
+			m.handleStoreUnreachable(e)
+			return
+		}
+		m.handleOwnershipChecked(e, sentAt)
+	})
+}
+
+func (m *Manager) handleOwnershipChecked(e *jobEntry, sentAt time.Time) {
+	m.endCheckFailures(e)
+	switch {
+	case e.state.Ended:
+		m.ownershipLog(e).Info("job has ended at another daemon")
+		m.stopJob(e, phaseLoading)
+		m.loadResults(e, phaseEnded)
+	case e.state.Owner != m.self:
+		m.ownershipLog(e).WithField("owner", e.state.Owner.Address).Info("job is owned elsewhere")
+		m.stopJob(e, phaseNotOwner)
+		m.answerAwaitingLoad(e)
+	default:
+		e.lease.Confirm(sentAt)
+		e.storeUnreachable = false
+		if len(e.awaitingConfirmation) > 0 {
+			m.confirmList(e)
+		}
+	}
+}
+
+// ownershipLog returns a log entry with the age of the job's last confirmation.
+func (m *Manager) ownershipLog(e *jobEntry) *logrus.Entry {
+	age, _ := e.lease.Age()
+	return m.log.WithFields(logrus.Fields{"job": e.id, "confirmed_ms_ago": age.Milliseconds(), "running": e.runningItems()})
+}
+
+func (e *jobEntry) runningItems() int {
+	n := 0
+	for _, r := range e.items {
+		if r.running {
+			n++
+		}
+	}
+	return n
+}
+
+// recordCheckFailure logs the first failed check in a row and each new reason.
+func (m *Manager) recordCheckFailure(e *jobEntry, err error) {
+	f := &e.checkFailures
+	if f.count == 0 {
+		f.since = m.now()
+	}
+	f.count++
+	if reason := err.Error(); reason != f.reason {
+		f.reason = reason
+		m.ownershipLog(e).WithError(err).WithField("failures", f.count).Info("ownership of a job could not be checked")
+	}
+}
+
+// endCheckFailures logs how long checks have failed, if they have.
+func (m *Manager) endCheckFailures(e *jobEntry) {
+	f := e.checkFailures
+	if f.count == 0 {
+		return
+	}
+	e.checkFailures = checkFailures{}
+	m.ownershipLog(e).WithFields(logrus.Fields{"failures": f.count, "ms": m.now().Sub(f.since).Milliseconds()}).Info("ownership of a job is checked again")
+}
--- a/internal/transport/json.go
+++ b/internal/transport/json.go
@@ -60,6 +60,7 @@
 	core.CodeLimited:        consts.StatusTooManyRequests,
 	core.CodeOverloaded:     consts.StatusServiceUnavailable,
 	core.CodeDraining:       consts.StatusServiceUnavailable,
+	core.CodeLeaseExpired:   consts.StatusServiceUnavailable,
 	core.CodeUnavailable:    consts.StatusServiceUnavailable,
 	core.CodeDeadline:       consts.StatusGatewayTimeout,
 	core.CodeBackendFailure: consts.StatusBadGateway,
