Send items only while the store's confirmation of their job's ownership is recent

What callers saw: an item reached a backend server 3.4 s after the acknowledged end of its job, sent by a former owner whose data centre had been cut off.

Cause: ownership was read every 1.2 s, but an answer that did not come left the job running, and nothing bounded in time what an owner might still send on old knowledge. Items that waited in dispatch for a slot, a retry or a move from a slow stream, and reward calls, passed no check at all. From the takeover on, two daemons acted as the owner. The class: a lease that is not checked at the point of use.

Fix: the ownership of a job is a core.Lease. It is confirmed by the time at which the question was sent that the store answered, on a clock that includes suspension, and is relied upon for 2.5 s. The jobs duty checks it before it starts a run, dispatch before each attempt (first ones, retries, hedges), and the exchangers right before they write. Runs in progress go on after it; a slow stream then stays where it is. Stopping a job revokes its lease, so that whatever still waits anywhere is refused as not run. Once the store confirms the ownership again, the items that waited start at once. An owner that is told to relinquish a job and can use the store now asks it at once, and a recheck that meets a check in progress repeats it if that one fails.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -112,7 +112,7 @@
 		OnLeaving:    d.leavingHandler(&chosen.Server),
 	}
 	if s.call.Request.Class == core.ClassRollout && number <= maxPaceMoves {
-		a.IsTooSlow = d.router.paceOf(s.call.Request.Service, a.Software).isTooSlow
+		a.IsTooSlow = d.slowStreamCheck(s.call.Request, a.Software)
 	}
 	for previous := 1; previous < number && len(s.runningAttempts) == 0; previous++ {
 		if s.call.Answer.Transfer(previous, number) {
@@ -135,6 +135,23 @@
 	return true
 }
 
+// slowStreamCheck returns the check that moves a slow stream to another server. A stream
+// stays where it is while the lease of its request does not allow another attempt.
+func (d *Dispatcher) slowStreamCheck(r *core.Request, software core.SoftwareVersion) func(events int, took time.Duration) bool {
+	pace := d.router.paceOf(r.Service, software)
+	return func(events int, took time.Duration) bool { return r.Lease.IsValid() && pace.isTooSlow(events, took) }
+}
+
+// CheckSend returns an error if the attempt must not be sent any more: it was cancelled,
+// or the lease of its request has expired, since it was started. Exchangers call it
+// right before they write the request.
+func (a *Attempt) CheckSend() *core.Error {
+	if cause := ContextCause(a.Context); cause != nil {
+		return ContextError(cause, core.NotRun, "before the request was sent")
+	}
+	return a.Call.Request.Lease.Check()
+}
+
 func leaseAge(r *core.Request) time.Duration {
 	if r.Lease == nil {
 		return 0
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -70,6 +70,10 @@
 		end.Unreachable = backend.ContextCause(a.Context) == nil
 		return end
 	}
+	if err := a.CheckSend(); err != nil {
+		c.pool.Put(connection)
+		return backend.FailedAttempt(err)
+	}
 	var end backend.AttemptEnd
 	c.pool.Use(a.Context, connection, func() (reusable, failed bool) {
 		if a.Call.Request.IsModelCall() {
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -187,6 +187,10 @@
 		d.fail(s, ContextError(err, s.verdict, "before an attempt"))
 		return
 	}
+	if err := s.call.Request.Lease.Check(); err != nil {
+		d.fail(s, err)
+		return
+	}
 	if d.refuseQuarantined(s) {
 		return
 	}
--- a/internal/backend/hedging.go
+++ b/internal/backend/hedging.go
@@ -92,7 +92,7 @@
 // whether it did.
 func (d *Dispatcher) tryHedge(s *callState, reserve float64) bool {
 	r := s.call.Request
-	mayHedge := r.Repeatable && !s.isWaiting && s.attempts == 1 && s.maxAttempts() > 1 && s.call.Context.Err() == nil &&
+	mayHedge := r.Repeatable && !s.isWaiting && s.attempts == 1 && s.maxAttempts() > 1 && s.call.Context.Err() == nil && r.Lease.IsValid() &&
 		d.hedgeBudget.allows(r, reserve) && d.router.hasHedgeRoom(r)
 	if !mayHedge {
 		return false
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -134,7 +134,8 @@
 }
 
 // launchDueItems starts the items that are due, and abandons all unfinished items
-// once the job's time limit has passed.
+// once the job's time limit has passed. While the lease of the job is not valid, runs in
+// progress go on, but nothing starts.
 func (m *Manager) launchDueItems(e *jobEntry) {
 	if e.phase != phaseOwned || m.released {
 		return
@@ -151,7 +152,7 @@
 			m.abandonItem(e, r, "time limit of the job has passed")
 			continue
 		}
-		if !ok || r.running || now.Before(r.notBefore) {
+		if !ok || r.running || now.Before(r.notBefore) || !e.lease.IsValid() {
 			continue
 		}
 		m.launchItem(e, r, rules)
@@ -339,6 +340,8 @@
 	case end.callEnd.Err != nil && end.callEnd.Err.Code == core.CodeNotContinued:
 		log.WithError(end.callEnd.Err).Info("item starts anew")
 		r.discardText()
+	case end.callEnd.Err != nil && end.callEnd.Err.Code == core.CodeLeaseExpired:
+		log.WithError(end.callEnd.Err).Info("item waits until the ownership of its job is confirmed")
 	case end.callEnd.Err != nil:
 		if end.callEnd.Attempts == 0 {
 			// No attempt failed that would be in the log.
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -107,6 +107,7 @@
 	// Each ownership has a lease of its own.
 	lease             *core.Lease
 	checkingOwnership bool          // the state is being read from the store
+	recheckOwnership  bool          // it is to be read again, since the store may answer again
 	checkFailures     checkFailures // since the last successful check
 
 	items            map[ItemID]*itemRun
@@ -239,6 +240,7 @@
 func (m *Manager) RecheckOwnership() {
 	m.storeReplies.TryPut(func() {
 		for _, e := range m.jobs {
+			e.recheckOwnership = e.checkingOwnership
 			m.checkOwnership(e)
 		}
 	})
@@ -395,9 +397,10 @@
 	}
 }
 
-// stopJob cancels the runs of a job's items and moves the queries that wait for
+// stopJob revokes the lease of a job, cancels the runs of its items and moves the queries that wait for
 // results to awaitingLoad.
 func (m *Manager) stopJob(e *jobEntry, next phase) {
+	e.lease.Revoke()
 	for _, item := range e.items {
 		item.cancelRun()
 	}
--- a/internal/trainer/batch/ownership.go
+++ b/internal/trainer/batch/ownership.go
@@ -9,7 +9,9 @@
 	"github.com/berylfall/berylfall/internal/platform"
 )
 
-// ownershipTerm is how long an owner relies on the store's last confirmation.
+// ownershipTerm is how long an owner relies on the store's last confirmation when it
+// sends an item. It leaves time for the item to arrive within 3 s of the end of its job,
+// and time for one failed check and the next.
 const ownershipTerm = 2500 * time.Millisecond
 
 // newLease returns the lease of an ownership that the answer to a question sent at the
@@ -49,10 +51,15 @@
 			return
 		}
 		if err := m.applyState(e, r); err != nil {
-			// The store is unreachable. The job continues, because conditional
-			// writes still publish each result only once.
+			// The store is unreachable. Runs in progress continue, because conditional
+			// writes still publish each result only once, and the lease bounds how
+			// long new ones start.
 			m.recordCheckFailure(e, err)
 			m.handleStoreUnreachable(e)
+			if e.recheckOwnership {
+				e.recheckOwnership = false
+				m.checkOwnership(e)
+			}
 			return
 		}
 		m.handleOwnershipChecked(e, sentAt)
@@ -71,14 +78,24 @@
 		m.stopJob(e, phaseNotOwner)
 		m.answerAwaitingLoad(e)
 	default:
-		e.lease.Confirm(sentAt)
-		e.storeUnreachable = false
+		m.confirmOwnership(e, sentAt)
 		if len(e.awaitingConfirmation) > 0 {
 			m.confirmList(e)
 		}
 	}
 }
 
+// confirmOwnership records that this daemon owned the job at the time sentAt, and starts
+// the items that have waited for that.
+func (m *Manager) confirmOwnership(e *jobEntry, sentAt time.Time) {
+	wasValid := e.lease.IsValid()
+	e.lease.Confirm(sentAt)
+	e.storeUnreachable = false
+	if !wasValid {
+		m.launchDueItems(e)
+	}
+}
+
 // ownershipLog returns a log entry with the age of the job's last confirmation.
 func (m *Manager) ownershipLog(e *jobEntry) *logrus.Entry {
 	age, _ := e.lease.Age()
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -72,7 +72,7 @@
 }
 
 // relinquishJob stops the runs of a job that another daemon has taken over
-// because this one could not reach the store.
+// because this one could not reach the store. If it can, it asks the store at once.
 func (m *Manager) relinquishJob(e *jobEntry, request duty.Query[Query, Reply]) {
 	if e.phase == phaseOwned && e.storeUnreachable {
 		m.log.WithField("job", e.id).Info("job yielded to another daemon")
@@ -81,6 +81,7 @@
 		delete(m.jobs, e.id)
 		m.replyToAll(e, Reply{Status: StatusUnavailable})
 	}
+	m.checkOwnership(e)
 	request.Reply(Reply{Status: StatusOK})
 }
 
