Count the time for which a host is suspended towards all leases

What callers would see: after its host was suspended for longer than a lease, an owner of a trainer hands out deliveries and starts samples, the owner of limit shares grants them, and the holder of the weights lease sends orders, though other daemons took over meanwhile.

Cause: the daemon of the own interface measured leases on the monotonic clock, which stands still while the host is suspended. The programs on the users' platform already used the boot clock for orders. Now the lease manager, the shares, the roll-out and the trainer's check of its lease use the boot clock in both compositions.

Evidence: TestSuspendedOwnerDoesNotUseItsLease fails without the change ('1 samples were started after the lease', '1 deliveries were handed out after the lease'). TestSuspendedOwnerAsksBeforeItSends shows the same for batch jobs: it fails if the age of an ownership does not count the suspension ('the owner sends items of an ended job after it was suspended').

--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -25,6 +25,9 @@
 	server   *Server
 	settings *settings.Daemon
 	clock    duty.Clock
+	// leaseClock includes the time for which the host is suspended. A lease that expired
+	// meanwhile must not be used.
+	leaseClock duty.Clock
 
 	platformClient *platformhttp.Client
 	storePool      *duty.Pool
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -77,7 +77,7 @@
 // the owner of the shares.
 func (b *builder) buildShares(peers *daemon.Peers) *daemon.Shares {
 	log := b.server.log.WithField("duty", "shares")
-	shares := daemon.NewShares(b.identity, b.clock, log, peers, b.store, b.setLimitShare)
+	shares := daemon.NewShares(b.identity, b.leaseClock, log, peers, b.store, b.setLimitShare)
 	b.admission.EnableLimitSharing(func(customer core.CustomerID, limit caller.Limit, amount float64) {
 		shares.ReportDemand(customer, daemonLimits[limit], amount)
 	})
--- a/internal/server/build_platform.go
+++ b/internal/server/build_platform.go
@@ -32,7 +32,7 @@
 		Budget: b.budget,
 		Random: b.random(),
 	})
-	b.leaseManager = platform.NewLeaseManager(b.clock, b.store, string(b.daemonID()), b.random())
+	b.leaseManager = platform.NewLeaseManager(b.leaseClock, b.store, string(b.daemonID()), b.random())
 	b.leaseReporter = &leaseStatusReporter{status: b.status, held: map[string]operator.LeaseStatus{}}
 	b.start(b.store.Loop(), b.leaseManager.Loop())
 	return nil
--- a/internal/server/build_trainer.go
+++ b/internal/server/build_trainer.go
@@ -30,6 +30,7 @@
 		Runner:          trainer.PoolRunner{Submitter: b.admission, Pool: samples},
 		Store:           b.store,
 		Leases:          b.leaseManager,
+		LeaseNow:        b.leaseClock.Now,
 		Scorer:          scores,
 		MaxInFlight:     b.settings.Samples,
 	}
--- a/internal/server/build_weights.go
+++ b/internal/server/build_weights.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	log := b.server.log.WithField("duty", "weights")
-	b.versionRollout = weights.NewRollout(b.clock, log, client, client, pool, weights.DefaultLimits(), b.trainers.SetLatestVersion)
+	b.versionRollout = weights.NewRollout(b.leaseClock, log, client, client, pool, weights.DefaultLimits(), b.trainers.SetLatestVersion)
 	candidate := &leaseCandidate{
 		leaseManager: b.leaseManager,
 		reporter:     b.leaseReporter,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	server := &Server{log: log, runner: runner, drainGrace: s.DrainGrace}
-	b := &builder{server: server, settings: s, clock: duty.SystemClock{}}
+	b := &builder{server: server, settings: s, clock: duty.SystemClock{}, leaseClock: duty.NewBootClock()}
 	if err := b.build(); err != nil {
 		server.Stop(context.Background())
 		return nil, err
--- a/internal/trainer/batch/cluster_test.go
+++ b/internal/trainer/batch/cluster_test.go
@@ -67,7 +67,8 @@
 	holds        func(op platform.Op) bool // replies to these operations are held back; nil holds none
 	heldReplies  []func()
 	storeOps     int
-	lastSubmit   time.Time // of a call
+	suspended    time.Duration // for which the host stood still; the cluster's clock does not count it
+	lastSubmit   time.Time     // of a call
 	calls        []*core.Call
 	collections  []func()
 }
@@ -122,6 +123,7 @@
 	d.manager = NewManager(Options{
 		Clock: d.cluster.clock, Log: logrus.NewEntry(log), Store: d, Calls: callRecorder{d}, Pool: d, Routes: d.cluster,
 		MaxObjectBytes: d.cluster.maxObjectBytes,
+		LeaseNow:       func() time.Time { return d.cluster.clock.Now().Add(d.suspended) },
 		Self:           Owner{Address: d.address, Run: fmt.Sprintf("%s/%d", d.address, d.starts)},
 	})
 }
--- a/internal/trainer/batch/ownership_test.go
+++ b/internal/trainer/batch/ownership_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -91,3 +92,25 @@
 		t.Errorf("items are sent %v after the state of their job was read", ownershipTerm)
 	}
 }
+
+// Guards against an owner that sends items right after its host was suspended, before it
+// has asked whether it still owns their job: all its timers are due then.
+func TestSuspendedOwnerAsksBeforeItSends(t *testing.T) {
+	cluster := newCluster(t, 2, 4)
+	former, other := cluster.daemons[0], cluster.daemons[1]
+	cluster.callStatus = func(*core.Call) int { return 503 }
+	cluster.query(former, submitQuery("a", 4))
+	value, err := json.Marshal(state{Owner: other.manager.self, Ended: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cluster.store.apply(platform.Op{Kind: platform.OpPut, Key: statePrefix + "a", Value: value, IfVersion: platform.Absent})
+	former.suspended, former.lastSubmit = 5*time.Second, time.Time{}
+	cluster.wait(time.Second)
+	if !former.lastSubmit.IsZero() {
+		t.Error("the owner sends items of an ended job after it was suspended")
+	}
+	if former.manager.countOpenJobs() != 0 {
+		t.Error("the owner does not learn that the job has ended")
+	}
+}
--- a/internal/trainer/manager.go
+++ b/internal/trainer/manager.go
@@ -64,6 +64,9 @@
 
 // Options configure a Manager. Scorer and BulkStore may be nil.
 type Options struct {
+	// LeaseNow is the clock of Leases, which must include the time for which the host is
+	// suspended; nil takes the duty's clock.
+	LeaseNow func() time.Time
 	// RedirectAddress returns the address of this daemon for redirects. It is
 	// called only after the first request from a trainer.
 	RedirectAddress func() string
@@ -139,6 +142,9 @@
 	if o.MaxSampleBytes <= 0 {
 		o.MaxSampleBytes = defaultMaxSampleBytes
 	}
+	if o.LeaseNow == nil {
+		o.LeaseNow = clock.Now
+	}
 	t := &Manager{
 		loop:            duty.New("trainer", clock),
 		options:         o,
--- a/internal/trainer/owner.go
+++ b/internal/trainer/owner.go
@@ -91,7 +91,7 @@
 // isOwner reports whether this daemon holds a valid lease on the trainer and has
 // claimed its ledger.
 func (m *Manager) isOwner(s *stream) bool {
-	return s.phase == phaseOwner && s.lease.IsValidAt(m.now())
+	return s.phase == phaseOwner && s.lease.IsValidAt(m.options.LeaseNow())
 }
 
 // awaitOwner keeps a query until this daemon is the owner or knows the owner's
--- a/internal/trainer/owner_test.go
+++ b/internal/trainer/owner_test.go
@@ -18,6 +18,7 @@
 type harness struct {
 	t             testing.TB
 	clock         *duty.ManualClock
+	suspended     time.Duration // for which the host stood still; clock does not count it
 	manager       *trainer.Manager
 	objects       map[string]platform.Object
 	nextWriteErr  error // error of the next write, which still takes effect
@@ -36,6 +37,7 @@
 	}
 	h.manager = trainer.New(h.clock, trainer.Options{
 		RedirectAddress: func() string { return "10.0.0.1:7300" }, Runner: h, Store: h, Leases: h, Scorer: fakeScorer{h}, MaxInFlight: limit, MaxSampleBytes: 4000,
+		LeaseNow: func() time.Time { return h.clock.Now().Add(h.suspended) },
 	})
 	h.manager.SetContracts(&core.ContractSet{Contracts: map[core.CustomerID]core.StoredContract{
 		contract.Customer: {Customer: contract.Customer, Version: 1, Contract: &contract},
@@ -162,6 +164,28 @@
 	return (*replies)[0]
 }
 
+// Guards against an owner that hands out deliveries or starts samples after its host was
+// suspended for longer than its lease: another daemon owns the trainer since.
+func TestSuspendedOwnerDoesNotUseItsLease(t *testing.T) {
+	h := newHarness(t, testContract("t1"), 1)
+	opened := h.open("t1", 1, 3, 1)
+	h.gainLease("t1", 1)
+	h.requireReply("open", opened)
+	h.suspended = 2 * time.Hour
+	if len(h.runs) != 1 {
+		t.Fatalf("%d samples in progress, want 1", len(h.runs))
+	}
+	h.finishRuns(1)
+	replies := h.fetch(context.Background(), "t1")
+	h.advance(5 * time.Second)
+	if len(h.runs) > 0 {
+		t.Errorf("%d samples were started after the lease", len(h.runs))
+	}
+	if len(*replies) > 0 && len((*replies)[0].Deliveries) > 0 {
+		t.Errorf("%d deliveries were handed out after the lease", len((*replies)[0].Deliveries))
+	}
+}
+
 // Guards against a ledger that can no longer be written after a write with an
 // unknown outcome, and against a former owner that gains the lease again and
 // overwrites acknowledgements that another owner recorded meanwhile.
