Tell the store duty at once that the store answers again

Callers saw: after a cut, reads with FailFast were refused with ErrStoreDown for up to 1.4 s after the store answered again, and the first answer came up to 1.6 s after it. A read submitted because the probe had seen the store come back was refused as well. A former owner of a job so learnt late that the job had ended.

Cause: the probe, the store duty and the watches each held a belief of their own whether the store answers. A call sent just before the return hung for its 0.8 s, then the store duty paused for up to 0.7 s more, whatever pings and watches had seen.

Fix: one rule (availability) decides from the ends of all calls whether the store answers. The probe duty owns the view; the store duty and the watches report their calls to it, and pings and watches report to the store duty through a ring. An answer to any of them ends the store duty's pause; a call without an answer shows an outage only if nothing else was answered since it began. Short outages in which only lost calls were made are still found, so hanging watches are still listed again.

--- a/internal/platform/probe_test.go
+++ b/internal/platform/probe_test.go
@@ -35,7 +35,7 @@
 func TestProbeDetectsOutages(t *testing.T) {
 	clock, pool, pinger := duty.NewManualClock(time.Unix(0, 0)), &deferredPool{}, &fakePinger{}
 	var seen []bool
-	p := NewProbe(clock, pinger, pool, func(up bool) { seen = append(seen, up) })
+	p := NewProbe(clock, pinger, pool, func(c AvailabilityChange) { seen = append(seen, c.Up) })
 	second := func(answered bool) {
 		clock.Advance(ProbePeriod)
 		p.Loop().RunPending()
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -148,7 +148,10 @@
 	options  StoreOptions
 	ops      *ring.Ring[Op]
 	results  *ring.Ring[callResult]
+	reports  *ring.Ring[CallEnd]
 	counters storeCounters
+	// onCallEnd receives the end of each call of this duty.
+	onCallEnd func(CallEnd)
 
 	reads           queue
 	writes          queue
@@ -156,11 +159,14 @@
 	accepted        int                // operations waiting or in progress
 	callsInProgress int
 
-	retryDelay   *retryDelay
-	isDown       bool      // the last answer was an outage; one call at a time probes the store
-	lastOutageAt time.Time // when the retry delay last grew
-	pausedUntil  time.Time // no call starts before
-	nextTimerAt  time.Time // of the earliest timer that calls startCalls
+	availability    availability
+	retryDelay      *retryDelay
+	isFailing       bool      // the last call failed; calls are made one at a time
+	isRateLimited   bool      // it failed by the platform's rate limit
+	lastFailureFrom time.Time // when the newest failed call started
+	lastFailureAt   time.Time // when the retry delay last grew
+	pausedUntil     time.Time // no call starts before
+	nextTimerAt     time.Time // of the earliest timer that calls startCalls
 }
 
 // NewStore returns the store duty with the default options.
@@ -172,14 +178,17 @@
 func NewStoreWithOptions(clock duty.Clock, api ObjectAPI, pool Pool, o StoreOptions) *Store {
 	o = o.withDefaults()
 	s := &Store{
-		loop:        duty.New("store", clock),
-		api:         api,
-		pool:        pool,
-		options:     o,
-		ops:         ring.New[Op]("store.ops", storeRingCapacity),
-		results:     ring.New[callResult]("store.results", storeRingCapacity),
-		writesByKey: map[string][]*task{},
-		retryDelay:  newRetryDelay(minStoreRetryDelay, o.MaxRetryDelay, o.Random),
+		loop:         duty.New("store", clock),
+		api:          api,
+		pool:         pool,
+		options:      o,
+		ops:          ring.New[Op]("store.ops", storeRingCapacity),
+		results:      ring.New[callResult]("store.results", storeRingCapacity),
+		reports:      ring.New[CallEnd]("store.reports", callEndRingCapacity),
+		onCallEnd:    func(CallEnd) {},
+		availability: newAvailability(clock.Now()),
+		writesByKey:  map[string][]*task{},
+		retryDelay:   newRetryDelay(minStoreRetryDelay, o.MaxRetryDelay, o.Random),
 		counters: storeCounters{
 			calls: metrics.NewCounter(), refused: metrics.NewCounter(), failed: metrics.NewCounter(),
 			lost: metrics.NewCounter(), unknown: metrics.NewCounter(), reconciling: metrics.NewCounter(),
@@ -188,6 +197,7 @@
 	}
 	duty.On(s.loop, s.ops, s.handleOp)
 	duty.On(s.loop, s.results, s.handleResult)
+	duty.On(s.loop, s.reports, s.handleReport)
 	s.loop.Every(expirePeriod, s.removeExpired)
 	return s
 }
@@ -195,6 +205,14 @@
 // Loop returns the duty's loop.
 func (s *Store) Loop() *duty.Loop { return s.loop }
 
+// OnCallEnd sets the function that receives the end of each call on the duty's
+// goroutine; it must not block. It is set before the duty starts.
+func (s *Store) OnCallEnd(f func(CallEnd)) { s.onCallEnd = f }
+
+// ReportCall passes the end of another duty's call of the store. Any goroutine may
+// call it.
+func (s *Store) ReportCall(e CallEnd) { s.reports.PutLatest(e) }
+
 // Stats returns the counters. Any goroutine may call it.
 func (s *Store) Stats() StoreStats {
 	c := s.counters
@@ -229,7 +247,11 @@
 		op.Reply(Result{Err: ErrQueueFull})
 		return
 	}
-	if op.FailFast && s.isDown && (s.callsInProgress > 0 || s.loop.Clock().Now().Before(s.pausedUntil)) {
+	if op.FailFast && s.isRefusing() {
+		// A report that arrived before the operation may show that the store answers.
+		s.handleWaitingReports()
+	}
+	if op.FailFast && s.isRefusing() {
 		s.counters.refused.Inc(1)
 		op.Reply(Result{Err: ErrStoreDown})
 		return
@@ -264,6 +286,12 @@
 	s.startCalls()
 }
 
+// isRefusing reports whether the store does not answer and no operation is needed to
+// check whether it is up again.
+func (s *Store) isRefusing() bool {
+	return s.availability.isDown && (s.callsInProgress > 0 || s.loop.Clock().Now().Before(s.pausedUntil))
+}
+
 func (s *Store) enqueue(t *task) {
 	if t.usesWriteRate() {
 		s.writes.add(t)
@@ -343,7 +371,7 @@
 }
 
 func (s *Store) hasCallSlot(urgent bool) bool {
-	if s.isDown {
+	if s.isFailing || s.availability.isDown {
 		return s.callsInProgress == 0
 	}
 	limit := s.options.MaxCalls
--- a/internal/platform/storecalls.go
+++ b/internal/platform/storecalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -13,28 +14,84 @@
 
 func (s *Store) handleResult(result callResult) {
 	s.callsInProgress--
-	if isOutage(result.outcome.Err) {
-		s.recordOutage(result.started)
-	} else {
-		s.isDown = false
-		s.pausedUntil = time.Time{}
-		s.retryDelay.reset()
-	}
+	e := CallEnd{Started: result.started, Ended: s.loop.Clock().Now(), Err: result.outcome.Err}
+	s.recordCallEnd(e)
+	s.onCallEnd(e)
 	s.handleCallResult(result.task, result.outcome)
 	s.startCalls()
 }
 
-// recordOutage delays the next call. Calls that were sent before the last outage
-// was recorded belong to the same outage and do not increase the delay.
-func (s *Store) recordOutage(started time.Time) {
+// recordCallEnd updates the view of the store and the retry delay by a call of this duty.
+func (s *Store) recordCallEnd(e CallEnd) {
+	s.availability.record(e)
+	if !isOutage(e.Err) {
+		s.endPause()
+		s.retryDelay.reset()
+		return
+	}
 	s.counters.failed.Inc(1)
-	if s.isDown && started.Before(s.lastOutageAt) {
+	if e.isSilent() && s.availability.answeredSince(e.Started) {
+		// The answer was lost, but the store answers other calls.
 		return
 	}
-	now := s.loop.Clock().Now()
-	s.isDown = true
-	s.lastOutageAt = now
-	s.pausedUntil = now.Add(s.retryDelay.next())
+	s.pause(e)
+}
+
+// handleReport updates the view of the store by a call of another duty. An answer ends
+// the pause unless this duty's calls failed after it.
+func (s *Store) handleReport(e CallEnd) {
+	s.availability.record(e)
+	switch {
+	case e.isAnswer() && !s.isRateLimited && !e.Ended.Before(s.lastFailureFrom):
+		s.endPause()
+		s.startCalls()
+	case s.availability.isDown && !s.isFailing:
+		s.pause(e)
+	case s.availability.isDown && e.IsPing:
+		s.extendPause(e.Ended)
+	}
+}
+
+// extendPause leaves it to the pings to find the end of an outage, which saves calls. A
+// call of this duty still checks it after the longest retry delay, in case only pings fail.
+func (s *Store) extendPause(now time.Time) {
+	until := now.Add(ProbePeriod)
+	if last := s.lastFailureAt.Add(s.options.MaxRetryDelay); last.Before(until) {
+		until = last
+	}
+	if until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+func (s *Store) handleWaitingReports() {
+	for {
+		e, ok := s.reports.TryTake()
+		if !ok {
+			return
+		}
+		s.handleReport(e)
+	}
+}
+
+// pause delays the next call. Calls that were sent before the last pause began belong to
+// the same outage and do not increase the delay.
+func (s *Store) pause(e CallEnd) {
+	if e.Started.After(s.lastFailureFrom) {
+		s.lastFailureFrom = e.Started
+	}
+	if s.isFailing && e.Started.Before(s.lastFailureAt) {
+		return
+	}
+	s.isFailing = true
+	s.isRateLimited = errors.Is(e.Err, ErrRateLimited)
+	s.lastFailureAt = e.Ended
+	s.pausedUntil = e.Ended.Add(s.retryDelay.next())
+}
+
+func (s *Store) endPause() {
+	s.isFailing, s.isRateLimited = false, false
+	s.pausedUntil = time.Time{}
 }
 
 // call makes the next call of the task on a pool goroutine.
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -41,6 +41,8 @@
 	watchPool    *duty.Pool
 	// watchers are listed again after an outage of the store.
 	watchers []*platform.Watcher
+	probe    *platform.Probe
+	store    *platform.Store // nil in roles that only watch
 }
 
 func newBase(set *adapter.Settings, log *logrus.Entry) (*base, error) {
@@ -67,10 +69,19 @@
 
 // watchKind adds a duty that watches the objects of a kind in the store.
 func (b *base) watchKind(kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
+	onCallEnd := o.OnCallEnd
+	o.OnCallEnd = func(err error) {
+		now := b.clock.Now()
+		b.reportStoreCall(platform.CallEnd{Started: now, Ended: now, Err: err})
+		if onCallEnd != nil {
+			onCallEnd(err)
+		}
+	}
 	return b.watchKindVia(b.storeClient, kind, o, deliver)
 }
 
-// watchKindVia does the same as watchKind through another object API.
+// watchKindVia does the same as watchKind through another object API, whose answers do
+// not show that the store answers.
 func (b *base) watchKindVia(api platform.ObjectAPI, kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
 	o.WatchTimeout, o.MaxRetryDelay, o.RelistAfterFailure = watchTimeout, maxWatchRetryDelay, true
 	o.Random = b.random()
@@ -92,19 +103,40 @@
 	return w
 }
 
-// probeStore adds a duty that probes the store. After an outage it lists all
-// watches again. It passes each change to onChange.
+// reportStoreCall passes the end of a watch of the store to the duties that know whether
+// the store answers: first to the store duty, which must not refuse the operations that
+// others submit because of an answer.
+func (b *base) reportStoreCall(e platform.CallEnd) {
+	if b.store != nil {
+		b.store.ReportCall(e)
+	}
+	b.probe.ReportCall(e)
+}
+
+// probeStore adds the duty that knows whether the store answers. After an outage it
+// lists all watches again. It passes each change to onChange.
 func (b *base) probeStore(onChange func(up bool)) {
-	p := platform.NewProbe(b.clock, b.storeClient, b.watchPool, func(up bool) {
-		b.log.WithField("up", up).Warn("store availability changed")
-		if up {
+	b.probe = platform.NewProbe(b.clock, b.storeClient, b.watchPool, func(c platform.AvailabilityChange) {
+		b.logAvailability(c)
+		if c.Up {
 			for _, w := range b.watchers {
 				w.Relist()
 			}
 		}
-		onChange(up)
+		onChange(c.Up)
 	})
-	b.loops = append(b.loops, p.Loop())
+	if b.store != nil {
+		b.probe.OnPingEnd(b.store.ReportCall)
+		b.store.OnCallEnd(b.probe.ReportCall)
+	}
+	b.loops = append(b.loops, b.probe.Loop())
+}
+
+// logAvailability logs that the store has stopped or started answering.
+func (b *base) logAvailability(c platform.AvailabilityChange) {
+	b.log.WithError(c.Err).WithFields(logrus.Fields{
+		"up": c.Up, "reason": c.Reason, "former_state_ms": c.Lasted.Milliseconds(),
+	}).Warn("store availability changed")
 }
 
 // startDuties starts the duties. It runs after all callbacks between them have been
--- a/internal/server/hosted/config_proof_test.go
+++ b/internal/server/hosted/config_proof_test.go
@@ -130,8 +130,8 @@
 	watcher := platform.NewWatcher(w.clock, w, w.calls, adapter.KindConfig+"/", w.front.handleConfig, platform.WatcherOptions{
 		WatchTimeout: watchTimeout, MaxRetryDelay: maxWatchRetryDelay, RelistAfterFailure: true, Random: w.random,
 	})
-	probe := platform.NewProbe(w.clock, w, w.calls, func(up bool) {
-		if up {
+	probe := platform.NewProbe(w.clock, w, w.calls, func(c platform.AvailabilityChange) {
+		if c.Up {
 			watcher.Relist()
 		}
 	})
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -61,7 +61,6 @@
 type frontDaemon struct {
 	*base
 	routes      *caller.RouteTable
-	store       *platform.Store
 	dispatch    *backend.Dispatcher
 	rateLimiter *backend.RateLimiter
 	directory   *backend.Directory
@@ -110,8 +109,7 @@
 		Budget: platform.NewBudget(platform.BudgetOptions{
 			ReadsPerSecond: d.hostSettings.Store.ReadsPerSecond / budgetDivisor, WritesPerSecond: d.hostSettings.Store.WritesPerSecond / budgetDivisor,
 		}),
-		CallTimeout: storeCallTimeout, MaxRetryDelay: maxWatchRetryDelay,
-		Random: d.random(),
+		CallTimeout: storeCallTimeout, Random: d.random(),
 	})
 	d.loops = append(d.loops, d.store.Loop())
 	return nil
