List the watches again without the retry delay after an outage

Callers saw: after a cut, changes of the configuration and of the servers arrived up to 0.7 s later than the store was known to answer.

Cause: Relist did nothing while the watcher waited for the end of the delay after its last failed call.

Fix: Relist ends the delay.

--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -106,6 +106,7 @@
 	callNumber uint64 // number of the call in progress
 	isCalling  bool
 	isPaused   bool // a timer will start the next call
+	stopPause  func() bool
 	cancel     context.CancelFunc
 	delivered  map[string]deliveredVersion
 	retryDelay *retryDelay
@@ -140,6 +141,7 @@
 		},
 		isActive:   !o.StartInactive,
 		cancel:     func() {},
+		stopPause:  func() bool { return false },
 		delivered:  map[string]deliveredVersion{},
 		retryDelay: newRetryDelay(minWatchRetryDelay, o.MaxRetryDelay, o.Random),
 	}
@@ -158,13 +160,15 @@
 // watcher continues after the last revision that it received.
 func (w *Watcher) SetActive(active bool) { w.activations.PutLatest(active) }
 
-// Relist abandons the call in progress and lists the prefix again. Any goroutine
-// may call it.
+// Relist abandons the call in progress and lists the prefix again, without waiting for
+// the delay after a failed call. Any goroutine may call it.
 func (w *Watcher) Relist() { w.relists.PutLatest(struct{}{}) }
 
 func (w *Watcher) relist() {
 	w.isListed = false
 	w.abandonCall()
+	w.stopPause()
+	w.isPaused = false
 	w.startCall()
 }
 
@@ -231,7 +235,8 @@
 // pause starts the next call after d.
 func (w *Watcher) pause(d time.Duration) {
 	w.isPaused = true
-	w.loop.After(d, func() {
+	w.stopPause()
+	w.stopPause = w.loop.After(d, func() {
 		w.isPaused = false
 		w.startCall()
 	})
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -239,3 +239,23 @@
 		t.Fatalf("after a failed watch the newest snapshot is %+v", s)
 	}
 }
+
+// Guards against a watcher that waits for the end of its retry delay although the store
+// is known to answer again, and against a second call by the timer of that delay.
+func TestRelistDoesNotWaitForTheRetryDelay(t *testing.T) {
+	f := newWatchFixture()
+	f.api.watch = func(int64) (Listing, error) { return Listing{}, ErrUnavailable }
+	f.runOnce()
+	f.put("c/a")
+	calls := len(f.api.calls)
+	f.watcher.Relist()
+	f.runOnce()
+	if s := f.last(t); !s.Full || len(s.Objects) != 1 || len(f.api.calls) != calls+1 {
+		t.Fatalf("snapshot %+v after %d calls, want the list at once", s, len(f.api.calls)-calls)
+	}
+	f.clock.Advance(maxWatchRetryDelay)
+	f.watcher.Loop().RunPending()
+	if waiting := len(f.pool.calls); waiting != 1 {
+		t.Errorf("%d calls in progress, want the watch alone", waiting)
+	}
+}
