Say what refused a store operation and how long the store is down

Callers saw: an error and one counter that did not tell an operation refused for an outage from one that ran out of time or found the queue full, and nothing in the log.

Cause: one counter for all refusals, which left out the operations that found the ring of the store duty full, and errors without the state of the store.

Fix: refusals are counted by reason, the error says how long no answer is known and what showed it, and a line is logged for each second with refusals, so the volume is bounded. store_refused_total has the label reason now, and store_down_seconds is new.

TestStoreSaysWhatRefusedAnOperation guards this; the code before has neither the reasons nor the report, so the test does not compile on it.

--- a/internal/platform/availability.go
+++ b/internal/platform/availability.go
@@ -111,6 +111,14 @@
 // answeredSince reports whether any call was answered after the time.
 func (a *availability) answeredSince(t time.Time) bool { return a.lastAnswerAt.After(t) }
 
+// downFor returns how long the store has been known not to answer; 0 if it answers.
+func (a *availability) downFor(now time.Time) time.Duration {
+	if !a.isDown {
+		return 0
+	}
+	return now.Sub(a.since)
+}
+
 func (e CallEnd) outageReason() OutageReason {
 	if e.IsPing {
 		return ReasonPingFailed
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -85,15 +85,19 @@
 type StoreStats struct {
 	Calls       int64 // sent to the object API
 	Refused     int64 // operations rejected or expired without effect
-	Failed      int64 // calls that failed by an outage or the platform's rate limit
-	Lost        int64 // writes with a lost answer
-	Unknown     int64 // writes whose outcome remained unknown
-	Reconciling int64 // writes with a lost answer being reconciled now
-	Waiting     int64 // operations waiting or in progress now
+	RefusedBy   map[RefusalReason]int64
+	DownFor     time.Duration // how long the store has not answered; 0 if it answers
+	Failed      int64         // calls that failed by an outage or the platform's rate limit
+	Lost        int64         // writes with a lost answer
+	Unknown     int64         // writes whose outcome remained unknown
+	Reconciling int64         // writes with a lost answer being reconciled now
+	Waiting     int64         // operations waiting or in progress now
 }
 
 type storeCounters struct {
-	calls, refused, failed, lost, unknown, reconciling, waiting metrics.Counter
+	calls, failed, lost, unknown, reconciling, waiting metrics.Counter
+	refused                                            refusalCounters
+	downSince                                          metrics.Gauge // in nanoseconds since 1970; 0 if the store answers
 }
 
 type phase int
@@ -152,6 +156,9 @@
 	counters storeCounters
 	// onCallEnd receives the end of each call of this duty.
 	onCallEnd func(CallEnd)
+	// onRefusals receives the refused operations.
+	onRefusals       func(Refusals)
+	reportedRefusals map[RefusalReason]int64
 
 	reads           queue
 	writes          queue
@@ -186,19 +193,21 @@
 		results:      ring.New[callResult]("store.results", storeRingCapacity),
 		reports:      ring.New[CallEnd]("store.reports", callEndRingCapacity),
 		onCallEnd:    func(CallEnd) {},
+		onRefusals:   func(Refusals) {},
 		availability: newAvailability(clock.Now()),
 		writesByKey:  map[string][]*task{},
 		retryDelay:   newRetryDelay(minStoreRetryDelay, o.MaxRetryDelay, o.Random),
 		counters: storeCounters{
-			calls: metrics.NewCounter(), refused: metrics.NewCounter(), failed: metrics.NewCounter(),
+			calls: metrics.NewCounter(), failed: metrics.NewCounter(),
 			lost: metrics.NewCounter(), unknown: metrics.NewCounter(), reconciling: metrics.NewCounter(),
-			waiting: metrics.NewCounter(),
+			waiting: metrics.NewCounter(), refused: newRefusalCounters(), downSince: metrics.NewGauge(),
 		},
 	}
 	duty.On(s.loop, s.ops, s.handleOp)
 	duty.On(s.loop, s.results, s.handleResult)
 	duty.On(s.loop, s.reports, s.handleReport)
 	s.loop.Every(expirePeriod, s.removeExpired)
+	s.loop.Every(refusalPeriod, s.reportRefusals)
 	return s
 }
 
@@ -209,6 +218,10 @@
 // goroutine; it must not block. It is set before the duty starts.
 func (s *Store) OnCallEnd(f func(CallEnd)) { s.onCallEnd = f }
 
+// OnRefusals sets the function that receives the operations refused in each second with
+// any, on the duty's goroutine; it must not block. It is set before the duty starts.
+func (s *Store) OnRefusals(f func(Refusals)) { s.onRefusals = f }
+
 // ReportCall passes the end of another duty's call of the store. Any goroutine may
 // call it.
 func (s *Store) ReportCall(e CallEnd) { s.reports.PutLatest(e) }
@@ -216,15 +229,30 @@
 // Stats returns the counters. Any goroutine may call it.
 func (s *Store) Stats() StoreStats {
 	c := s.counters
+	refusedBy := c.refused.counts()
+	refused := int64(0)
+	for _, n := range refusedBy {
+		refused += n
+	}
+	downFor := time.Duration(0)
+	if since := c.downSince.Value(); since != 0 {
+		downFor = s.loop.Clock().Now().Sub(time.Unix(0, since))
+	}
 	return StoreStats{
-		Calls: c.calls.Count(), Refused: c.refused.Count(), Failed: c.failed.Count(), Lost: c.lost.Count(),
+		Calls: c.calls.Count(), Refused: refused, RefusedBy: refusedBy, DownFor: downFor, Failed: c.failed.Count(), Lost: c.lost.Count(),
 		Unknown: c.unknown.Count(), Reconciling: c.reconciling.Count(), Waiting: c.waiting.Count(),
 	}
 }
 
 // Submit queues the operation. False means that it was rejected without effect.
 // It never blocks.
-func (s *Store) Submit(op Op) bool { return s.ops.TryPut(op) }
+func (s *Store) Submit(op Op) bool {
+	if s.ops.TryPut(op) {
+		return true
+	}
+	s.counters.refused[RefusedQueueFull].Inc(1)
+	return false
+}
 
 // Do executes the operation and blocks until its result arrives or ctx ends; then
 // the outcome is unknown. Only handlers and pool goroutines may call it.
@@ -243,8 +271,7 @@
 
 func (s *Store) handleOp(op Op) {
 	if s.accepted >= s.options.QueueCapacity {
-		s.counters.refused.Inc(1)
-		op.Reply(Result{Err: ErrQueueFull})
+		op.Reply(s.refuse(RefusedQueueFull))
 		return
 	}
 	if op.FailFast && s.isRefusing() {
@@ -252,13 +279,11 @@
 		s.handleWaitingReports()
 	}
 	if op.FailFast && s.isRefusing() {
-		s.counters.refused.Inc(1)
-		op.Reply(Result{Err: ErrStoreDown})
+		op.Reply(s.refuse(RefusedStoreDown))
 		return
 	}
 	if len(op.Value) > MaxValueBytes {
-		s.counters.refused.Inc(1)
-		op.Reply(Result{Err: ErrTooLarge})
+		op.Reply(s.refuse(RefusedTooLarge))
 		return
 	}
 	timeout := op.Timeout
@@ -410,8 +435,7 @@
 	for _, t := range blocked {
 		s.accepted--
 		s.counters.waiting.Dec(1)
-		s.counters.refused.Inc(1)
-		t.op.Reply(Result{Err: ErrQueueDeadline})
+		t.op.Reply(s.refuse(RefusedDeadline))
 	}
 	for _, t := range ended {
 		s.endAtDeadline(t)
@@ -438,6 +462,5 @@
 		s.finish(t, Result{Err: ErrUnknownOutcome})
 		return
 	}
-	s.counters.refused.Inc(1)
-	s.finish(t, Result{Err: ErrQueueDeadline})
+	s.finish(t, s.refuse(RefusedDeadline))
 }
--- a/internal/platform/store_test.go
+++ b/internal/platform/store_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"strings"
 	"testing"
 	"time"
 )
@@ -184,3 +186,33 @@
 		t.Fatal("a read or a lease operation waits behind writes")
 	}
 }
+
+// Guards against refused operations of which neither the error nor the counters nor the
+// report say what refused them, and against a report for each of them.
+func TestStoreSaysWhatRefusedAnOperation(t *testing.T) {
+	f := newStoreFixture(StoreOptions{QueueCapacity: 2})
+	var reports []Refusals
+	f.store.OnRefusals(func(r Refusals) { reports = append(reports, r) })
+	f.submit(Op{Kind: OpPut, Key: "k", Value: make([]byte, MaxValueBytes+1)})
+	f.api.chooseOutcome = func(bool) callOutcome { return rejectUnavailable }
+	now := f.clock.Now()
+	f.store.ReportCall(CallEnd{Started: now, Ended: now, Err: ErrUnavailable, IsPing: true})
+	f.submit(Op{Kind: OpGet, Key: "k", Timeout: 500 * time.Millisecond})
+	f.clock.Advance(20 * time.Millisecond)
+	for range 3 {
+		r := onlyResult(t, f.submit(Op{Kind: OpGet, Key: "k", FailFast: true}))
+		if !errors.Is(r.Err, ErrStoreDown) || !strings.Contains(r.Err.Error(), "20ms (ping failed)") {
+			t.Errorf("error %v, want that the store is down for 20 ms by a failed ping", r.Err)
+		}
+	}
+	f.submit(Op{Kind: OpGet, Key: "k", Timeout: time.Minute})
+	f.submit(Op{Kind: OpGet, Key: "k"})
+	f.advance(1100 * time.Millisecond)
+	want := map[RefusalReason]int64{RefusedTooLarge: 1, RefusedStoreDown: 3, RefusedQueueFull: 1, RefusedDeadline: 1}
+	if len(reports) != 1 || !maps.Equal(reports[0].Counts, want) || reports[0].DownFor <= 0 || reports[0].Outage != ReasonPingFailed {
+		t.Errorf("reports %+v, want one with %v", reports, want)
+	}
+	if s := f.store.Stats(); !maps.Equal(s.RefusedBy, want) || s.Refused != 6 || s.DownFor != f.clock.Now().Sub(now) {
+		t.Errorf("counters %+v", s)
+	}
+}
--- a/internal/platform/storecalls.go
+++ b/internal/platform/storecalls.go
@@ -23,7 +23,7 @@
 
 // recordCallEnd updates the view of the store and the retry delay by a call of this duty.
 func (s *Store) recordCallEnd(e CallEnd) {
-	s.availability.record(e)
+	s.recordAvailability(e)
 	if !isOutage(e.Err) {
 		s.endPause()
 		s.retryDelay.reset()
@@ -40,7 +40,7 @@
 // handleReport updates the view of the store by a call of another duty. An answer ends
 // the pause unless this duty's calls failed after it.
 func (s *Store) handleReport(e CallEnd) {
-	s.availability.record(e)
+	s.recordAvailability(e)
 	switch {
 	case e.isAnswer() && !s.isRateLimited && !e.Ended.Before(s.lastFailureFrom):
 		s.endPause()
@@ -74,6 +74,17 @@
 	}
 }
 
+func (s *Store) recordAvailability(e CallEnd) {
+	if len(s.availability.record(e)) == 0 {
+		return
+	}
+	since := int64(0)
+	if s.availability.isDown {
+		since = s.availability.since.UnixNano()
+	}
+	s.counters.downSince.Update(since)
+}
+
 // pause delays the next call. Calls that were sent before the last pause began belong to
 // the same outage and do not increase the delay.
 func (s *Store) pause(e CallEnd) {
--- a/internal/server/hosted/observe.go
+++ b/internal/server/hosted/observe.go
@@ -9,6 +9,7 @@
 
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/settings"
 )
 
@@ -65,14 +66,28 @@
 func (d *frontDaemon) writeMetrics(out io.Writer) error {
 	s := d.store.Stats()
 	for name, value := range map[string]int64{
-		"store_calls_total": s.Calls, "store_refused_total": s.Refused, "store_failed_total": s.Failed,
+		"store_calls_total": s.Calls, "store_failed_total": s.Failed,
 		"store_lost_answers_total": s.Lost, "store_unknown_total": s.Unknown, "store_waiting": s.Waiting,
 	} {
 		d.metrics.Set(name, float64(value))
 	}
+	for reason, count := range s.RefusedBy {
+		d.metrics.Set("store_refused_total", float64(count), settings.Label{Name: "reason", Value: string(reason)})
+	}
+	d.metrics.Set("store_down_seconds", s.DownFor.Seconds())
 	return d.metrics.WriteText(out)
 }
 
+// logRefusals logs the store operations that were refused in one second. It runs on the
+// store duty's goroutine.
+func (d *frontDaemon) logRefusals(r platform.Refusals) {
+	fields := logrus.Fields{"down_ms": r.DownFor.Milliseconds(), "outage": r.Outage}
+	for reason, count := range r.Counts {
+		fields[string(reason)] = count
+	}
+	d.log.WithFields(fields).Warn("store operations refused")
+}
+
 // logRateLimit logs a change of the rate limit that a backend server declares. It runs
 // on the dispatch duty's goroutine.
 func (d *frontDaemon) logRateLimit(c backend.RateLimitChange) {
