Reset connections to servers however they end

Callers of a batch job saw an item reach a backend server after the job's end had been acknowledged. A request that is given up during a partition must not be delivered afterwards, and only a reset makes the operating system discard it. Several ways out closed plainly, so it went on retransmitting:

- Pool.Use, when the exchange was neither reusable nor failed: an answer with "Connection: close", which may arrive before the request was received whole, and bytes after the answer;
- idle connections that are too old, too many, readable, or closed by CloseIdle;
- the single requests of backendhttp over a new connection (probe, status, cancel), also at the end of their context: a late cancel names the request, so it could end a later attempt of it at the same server;
- the end of the process, which closes its sockets itself.

DialConn and the pools now set SO_LINGER to 0 when a connection is opened, so each close is a reset, whoever makes it. Use returns a reusable connection and resets any other, so exchanges no longer report whether they failed. A whole answer has been read by then, and its server loses nothing by a reset.

TestAbortResetsTheConnection compared Abort with a plain close of a dialled Conn, which is a reset now. It compares the same two over a socket with the default options.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -75,13 +75,13 @@
 		return backend.FailedAttempt(err)
 	}
 	var end backend.AttemptEnd
-	c.pool.Use(a.Context, connection, func() (reusable, failed bool) {
+	c.pool.Use(a.Context, connection, func() (reusable bool) {
 		if a.Call.Request.IsModelCall() {
 			end, reusable = c.exchangeCompletion(a, connection, req, resp)
 		} else {
 			end, reusable = c.exchangeOperation(a, connection, req, resp)
 		}
-		return reusable, end.Err != nil
+		return reusable
 	})
 	return end
 }
--- a/internal/backend/backendhttp/probe.go
+++ b/internal/backend/backendhttp/probe.go
@@ -128,8 +128,8 @@
 	if err != nil {
 		return err
 	}
-	defer connection.Close()
-	defer context.AfterFunc(ctx, func() { connection.Close() })()
+	defer connection.Abort()
+	defer context.AfterFunc(ctx, connection.Abort)()
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -68,6 +68,7 @@
 
 // dialWithKeepAlive opens a connection on which TCP keep-alive probes start after
 // the keepAlive time without data; 0 sends none and lets sent data stay unacknowledged.
+// However the connection ends, also with the process, it is reset.
 func dialWithKeepAlive(ctx context.Context, address string, readTimeout, keepAlive, dialTimeout time.Duration) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
@@ -88,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	discardOnClose(c)
 	return &Conn{Conn: c, address: address, readTimeout: readTimeout}, nil
 }
 
@@ -201,9 +203,7 @@
 func (c *Conn) Release() error { return nil }
 
 // Abort closes the connection with a reset and discards data that the peer has
-// not received. After a plain close the operating system keeps retransmitting, so
-// a request abandoned during a network partition could still be delivered
-// seconds later, when the partition has healed.
+// not received.
 func (c *Conn) Abort() {
 	resetConnection(c.Conn)
 }
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -84,10 +84,11 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = listener.Close() }()
-		c, err := DialConn(context.Background(), listener.Addr().String(), time.Second)
+		socket, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
+		c := NewConn(socket, time.Second)
 		peer, err := listener.Accept()
 		if err != nil {
 			t.Fatal(err)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -55,9 +55,17 @@
 // resetConnection closes the connection and discards data that the peer has not
 // received.
 func resetConnection(c net.Conn) {
+	discardOnClose(c)
+	_ = c.Close()
+}
+
+// discardOnClose makes the close of the connection a reset, which discards data that
+// the peer has not received. After a plain close the operating system keeps
+// retransmitting, so a request abandoned during a network partition could still be
+// delivered seconds later, when the partition has healed.
+func discardOnClose(c net.Conn) {
 	if socket, ok := c.(*net.TCPConn); ok {
 		// An error means that the socket has already been closed.
 		_ = socket.SetLinger(0)
 	}
-	_ = c.Close()
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -89,7 +89,7 @@
 		if p.now().Sub(c.lastUsed) < c.maxIdleTime() && c.isIdle() {
 			return c, nil
 		}
-		c.Close()
+		c.Abort()
 	}
 }
 
@@ -115,9 +115,9 @@
 	if err != nil {
 		return false, err
 	}
-	p.Use(ctx, c, func() (reusable, failed bool) {
+	p.Use(ctx, c, func() (reusable bool) {
 		err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
-		return err == nil && !resp.ConnectionClose(), err != nil
+		return err == nil && !resp.ConnectionClose()
 	})
 	sent = c.BytesWritten > 0
 	return sent, err
@@ -125,20 +125,16 @@
 
 // Use calls exchange, which uses the connection. When ctx ends, the connection is reset
 // at once, since only that interrupts a blocked read. Afterwards Use returns a reusable
-// connection to the pool, resets a failed one, and closes any other.
-func (p *Pool) Use(ctx context.Context, c *Conn, exchange func() (reusable, failed bool)) {
+// connection to the pool and resets any other: an answer may arrive before the server has
+// received the whole request.
+func (p *Pool) Use(ctx context.Context, c *Conn, exchange func() (reusable bool)) {
 	stopAborting := context.AfterFunc(ctx, c.Abort)
-	reusable, failed := exchange()
-	switch {
-	case !stopAborting():
-		c.Abort()
-	case reusable && c.Len() == 0:
+	reusable := exchange()
+	if stopAborting() && reusable && c.Len() == 0 {
 		p.Put(c)
-	case failed:
-		c.Abort()
-	default:
-		c.Close()
+		return
 	}
+	c.Abort()
 }
 
 // DoJSON sends a JSON request to the host of x.URL and decodes the response into out
@@ -184,7 +180,7 @@
 	c.OnReadTimeout = nil
 	c.lastUsed = p.now()
 	for _, old := range p.addIdle(c) {
-		old.Close()
+		old.Abort()
 	}
 }
 
@@ -214,6 +210,6 @@
 	delete(p.idle, address)
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.Close()
+		c.Abort()
 	}
 }
