Send no request whose context is over

An attempt that was cancelled, or whose deadline had passed, before its first byte was still sent: backend servers received requests that nobody waited for any more, such as items of a batch job that had been ended, and callers got "may have run" or even an answer where "not run" was right. Pool.Get hands out a kept connection whatever the context says, and Pool.Use interrupts the exchange with the reset of its connection on another goroutine (context.AfterFunc), which is later than the write in most cases. After a suspension of the process the timer of a passed deadline may not have fired at all.

Conn.Send now takes the context and looks at it, and at the clock, right before it writes. Nothing is sent then, BytesWritten is 0, and the verdict is "not run". ContextCause moves to core, where the transport can use it.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -146,7 +146,7 @@
 // or the lease of its request has expired, since it was started. Exchangers call it
 // right before they write the request.
 func (a *Attempt) CheckSend() *core.Error {
-	if cause := ContextCause(a.Context); cause != nil {
+	if cause := core.ContextCause(a.Context); cause != nil {
 		return ContextError(cause, core.NotRun, "before the request was sent")
 	}
 	return a.Call.Request.Lease.Check()
--- a/internal/backend/backendhttp/conn_test.go
+++ b/internal/backend/backendhttp/conn_test.go
@@ -39,7 +39,7 @@
 	for limit, want := range map[int]core.Verdict{0: core.NotRun, 1: core.MayHaveRun, 40: core.MayHaveRun} {
 		c := transport.NewConn(&limitedWriteConn{remaining: limit}, time.Second)
 		req := protocol.NewRequest("POST", "http://server/v1/ops/book", nil)
-		err := c.Send(req)
+		err := c.Send(context.Background(), req)
 		if !errors.Is(err, errWrite) {
 			t.Fatalf("limit of %d bytes: send returned %v", limit, err)
 		}
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -67,7 +67,7 @@
 	connection, err := c.connect(a)
 	if err != nil {
 		end := backend.FailedAttempt(backend.DialError(a.Context, err))
-		end.Unreachable = backend.ContextCause(a.Context) == nil
+		end.Unreachable = core.ContextCause(a.Context) == nil
 		return end
 	}
 	if err := a.CheckSend(); err != nil {
@@ -129,7 +129,7 @@
 func (c *Client) exchangeCompletion(a backend.Attempt, connection *transport.Conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
 	s := newStream(a)
 	connection.OnReadTimeout = func() error { return c.checkIdleStream(s, connection) }
-	err := connection.Send(req)
+	err := connection.Send(a.Context, req)
 	if err == nil {
 		err = connection.ReadResponseHeader(resp)
 	}
@@ -157,14 +157,14 @@
 	end := backend.FailedAttempt(backend.ConnectionError(s.attempt.Context, connection.BytesWritten, err))
 	end.Tokens = s.tokens
 	end.Endless = transport.IsEndless(err)
-	if errors.Is(err, errNotNeeded) && backend.ContextCause(s.attempt.Context) == nil {
+	if errors.Is(err, errNotNeeded) && core.ContextCause(s.attempt.Context) == nil {
 		end.Err = core.MayHaveRunError(core.CodeCancelled, "another attempt answers the request")
 	}
 	if connection.BytesWritten == 0 {
 		return end
 	}
 	end.CancelAtServer = true
-	if backend.ContextCause(s.attempt.Context) != nil || errors.Is(err, errNotNeeded) {
+	if core.ContextCause(s.attempt.Context) != nil || errors.Is(err, errNotNeeded) {
 		return end
 	}
 	c.detectCrash(&end, s.attempt)
@@ -201,7 +201,7 @@
 	if err := connection.RoundTrip(a.Context, req, resp, transport.DefaultMaxBodyBytes); err != nil {
 		end = backend.FailedAttempt(backend.ConnectionError(a.Context, connection.BytesWritten, err))
 		end.Endless = transport.IsEndless(err)
-		if connection.BytesWritten > 0 && backend.ContextCause(a.Context) == nil {
+		if connection.BytesWritten > 0 && core.ContextCause(a.Context) == nil {
 			c.detectCrash(&end, a)
 		}
 		return end, false
--- a/internal/backend/backendhttp/idle.go
+++ b/internal/backend/backendhttp/idle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/berylfall/berylfall/internal/backend"
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/transport"
 )
 
@@ -21,7 +22,7 @@
 // checkIdleStream examines a stream on which no byte arrived for the idle
 // timeout. It returns nil to keep waiting.
 func (c *Client) checkIdleStream(s *stream, connection *transport.Conn) error {
-	if err := backend.ContextCause(s.attempt.Context); err != nil {
+	if err := core.ContextCause(s.attempt.Context); err != nil {
 		return err
 	}
 	status, known, err := c.requestStatus(s.attempt.Context, s.attempt.Address, s.attempt.Call.Request.ID)
@@ -43,7 +44,7 @@
 // checkIdleCall examines a plain call for which no byte arrived for the idle
 // timeout. It returns nil to keep waiting.
 func (c *Client) checkIdleCall(a backend.Attempt, periods int) error {
-	if err := backend.ContextCause(a.Context); err != nil {
+	if err := core.ContextCause(a.Context); err != nil {
 		return err
 	}
 	p := c.probe(a.Context, a.Address)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -14,6 +14,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	hertzreq "github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"golang.org/x/sync/semaphore"
+
+	"github.com/berylfall/berylfall/internal/core"
 )
 
 const (
@@ -102,8 +104,9 @@
 }
 
 // Send writes the request and sets BytesWritten to the number of its bytes that
-// were sent.
-func (c *Conn) Send(req *protocol.Request) error {
+// were sent. It writes nothing if ctx is over: the reset that ends a connection in use
+// with its context runs on another goroutine, which may be later than the write.
+func (c *Conn) Send(ctx context.Context, req *protocol.Request) error {
 	c.BytesWritten, c.NextReadTimeout = 0, 0
 	var encoded bytes.Buffer
 	w := network.NewWriter(&encoded)
@@ -116,6 +119,9 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return err
 	}
+	if err := core.ContextCause(ctx); err != nil {
+		return err
+	}
 	_, err := c.Write(encoded.Bytes())
 	return err
 }
@@ -257,7 +263,7 @@
 // RoundTrip sends the request and reads the whole response, whose body may have
 // maxBodyBytes.
 func (c *Conn) RoundTrip(ctx context.Context, req *protocol.Request, resp *protocol.Response, maxBodyBytes int) error {
-	if err := c.Send(req); err != nil {
+	if err := c.Send(ctx, req); err != nil {
 		return err
 	}
 	if err := c.ReadResponseHeader(resp); err != nil {
