Give up a request that its server does not acknowledge

A former owner cut off from the rest sent an item of a batch job on a kept connection. It waited up to 6 s for the first byte, and the operating system delivered the request when the partition was over: after the job had been ended through another daemon, and before this one gave the request up, so no reset discarded it. Plain repeatable calls waited until their deadline in the same way.

The operating system of a server acknowledges within a round trip, whatever the server's process does. The wait for the first byte, or for room to write, is interrupted at each half of it to read SIOCOUTQ. If bytes are queued and the peer acknowledged none between two looks, the connection is reset and the attempt ends as "may have run" with ErrUnacknowledged; a retry goes elsewhere. There is no goroutine and no further look once the queue is empty, so an exchange whose first byte comes within 0.5 s makes no system call more. Two looks are needed because a host that was suspended finds its acknowledgements only after the first. TCP_INFO distinguishes a peer whose receive buffer is full: it has answered the last bytes sent to it. If the queue cannot be read, the time-outs are those of before.

Calls that must not be repeated are not bounded: they cannot go on elsewhere, and may be answered after a partition.

The HTTP library turns each error before the first byte into io.EOF, so Conn keeps this one, as it did for the guard's errors (fatalErr).

--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -52,11 +52,11 @@
 	}
 }
 
-// headError returns the guard's error, which the HTTP library does not wrap, or the
-// library's without the received bytes that it quotes in full.
+// headError returns the connection's fatal error, which the HTTP library does not wrap,
+// or the library's without the received bytes that it quotes in full.
 func (c *Conn) headError(err error) error {
-	if c.guardErr != nil {
-		return c.guardErr
+	if c.fatalErr != nil {
+		return c.fatalErr
 	}
 	const maxShown = 200 // bytes
 	if text := err.Error(); len(text) > maxShown {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -44,6 +44,11 @@
 	// ServerIdleTimeout is how long the server keeps an idle connection open; 0
 	// is unknown.
 	ServerIdleTimeout time.Duration
+	// AckTimeout is how long a request may stay unacknowledged until it ends with
+	// ErrUnacknowledged; 0 is no bound. It applies until the first byte of the answer, and
+	// not to a system that does not report unacknowledged bytes.
+	AckTimeout time.Duration
+	acks       ackWatch
 
 	BytesWritten  int          // bytes of the current request
 	OnReadTimeout func() error // nil makes the read fail with the time-out error
@@ -51,7 +56,7 @@
 	start         int // index of the first unread byte of buffer
 
 	guard       progressGuard
-	guardErr    error               // of the guard; the connection cannot be used any more
+	fatalErr    error               // after it the connection cannot be used any more
 	largeBodies *semaphore.Weighted // of the pool; nil is no limit
 }
 
@@ -108,6 +113,7 @@
 // with its context runs on another goroutine, which may be later than the write.
 func (c *Conn) Send(ctx context.Context, req *protocol.Request) error {
 	c.BytesWritten, c.NextReadTimeout = 0, 0
+	c.startAckWatch()
 	var encoded bytes.Buffer
 	w := network.NewWriter(&encoded)
 	if err := hertzreq.Write(req, w); err != nil {
@@ -116,34 +122,38 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("encode request: %w", err)
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(c.readTimeout)); err != nil {
-		return err
-	}
 	if err := core.ContextCause(ctx); err != nil {
 		return err
 	}
-	_, err := c.Write(encoded.Bytes())
-	return err
+	return c.writeAll(encoded.Bytes())
+}
+
+// writeAll writes the bytes within the read time-out.
+func (c *Conn) writeAll(b []byte) error {
+	return c.operate(c.readTimeout, func(limit time.Duration) error {
+		if err := c.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+			return err
+		}
+		n, err := c.Write(b)
+		b = b[n:]
+		return err
+	})
 }
 
 // fill blocks until n unread bytes are buffered, a read fails, or a read times
 // out and OnReadTimeout is nil or returns an error.
 func (c *Conn) fill(n int) error {
 	for len(c.buffer)-c.start < n {
-		if c.guardErr != nil {
-			return c.guardErr
+		if c.fatalErr != nil {
+			return c.fatalErr
 		}
 		c.reserve(n)
-		if err := c.SetReadDeadline(time.Now().Add(c.takeReadTimeout())); err != nil {
-			return err
-		}
-		used := len(c.buffer)
-		read, err := c.Conn.Read(c.buffer[used:cap(c.buffer)])
-		c.buffer = c.buffer[:used+read]
-		if c.guardErr = c.guard.receive(read, time.Now()); c.guardErr != nil {
+		read, err := c.receive()
+		if guardErr := c.guard.receive(read, time.Now()); guardErr != nil {
 			// The HTTP library ignores an error of Peek that comes with bytes.
 			c.buffer, c.start = nil, 0
-			return c.guardErr
+			c.fatalErr = guardErr
+			return guardErr
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.OnReadTimeout != nil {
 			err = c.OnReadTimeout()
@@ -155,6 +165,24 @@
 	return nil
 }
 
+// receive appends the bytes of one read to the buffer, which must have room.
+func (c *Conn) receive() (read int, err error) {
+	used := len(c.buffer)
+	err = c.operate(c.takeReadTimeout(), func(limit time.Duration) error {
+		if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return err
+		}
+		var err error
+		read, err = c.Conn.Read(c.buffer[used:cap(c.buffer)])
+		return err
+	})
+	c.buffer = c.buffer[:used+read]
+	if read > 0 {
+		c.acks = ackWatch{}
+	}
+	return read, err
+}
+
 // takeReadTimeout returns the time-out of the next read and resets
 // NextReadTimeout.
 func (c *Conn) takeReadTimeout() time.Duration {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -177,7 +177,7 @@
 // Put returns a connection to the pool. Its last response must have been read in
 // full.
 func (p *Pool) Put(c *Conn) {
-	c.OnReadTimeout = nil
+	c.OnReadTimeout, c.AckTimeout = nil, 0
 	c.lastUsed = p.now()
 	for _, old := range p.addIdle(c) {
 		old.Abort()
