Keep no connection whose request is not acknowledged

An answer may arrive before its server has received the whole request, for example a refusal after the head. The connection went back to the pool with the rest in its send queue: the operating system delivered it later, up to 10 s after the answer, and the next request waited behind it. Pool.Use now resets such a connection. A server that answers after it has read the request acknowledges the request with the answer, so its connection is kept. Where the operating system does not report the queue, nothing changes.

Before, TestConnectionWithUnacknowledgedBytesIsNotKept failed with broken path: kept 0x1bec02432000

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -125,12 +125,12 @@
 
 // Use calls exchange, which uses the connection. When ctx ends, the connection is reset
 // at once, since only that interrupts a blocked read. Afterwards Use returns a reusable
-// connection to the pool and resets any other: an answer may arrive before the server has
-// received the whole request.
+// connection to the pool and resets any other. An answer may arrive before the server has
+// received the whole request, and the rest must not be delivered later.
 func (p *Pool) Use(ctx context.Context, c *Conn, exchange func() (reusable bool)) {
 	stopAborting := context.AfterFunc(ctx, c.Abort)
 	reusable := exchange()
-	if stopAborting() && reusable && c.Len() == 0 {
+	if stopAborting() && reusable && c.Len() == 0 && !c.hasUnacknowledged() {
 		p.Put(c)
 		return
 	}
--- a/internal/transport/unacknowledged.go
+++ b/internal/transport/unacknowledged.go
@@ -70,6 +70,13 @@
 	return isStuck && !queue.isPeerFull
 }
 
+// hasUnacknowledged reports whether the peer has not acknowledged all bytes. It is false if
+// the operating system does not report them.
+func (c *Conn) hasUnacknowledged() bool {
+	queue, err := c.readSendQueue()
+	return err == nil && queue.unacknowledged > 0
+}
+
 // sendQueue is the state of the bytes that the operating system holds for the peer.
 type sendQueue struct {
 	unacknowledged int // bytes, with those not sent yet
--- a/internal/transport/unacknowledged_test.go
+++ b/internal/transport/unacknowledged_test.go
@@ -95,6 +95,39 @@
 	}
 }
 
+// Guards against a kept connection with bytes of a request that was answered before the
+// server had received it: they would reach the server later, before the next request.
+func TestConnectionWithUnacknowledgedBytesIsNotKept(t *testing.T) {
+	ctx, p := context.Background(), NewPool(time.Minute)
+	for name, isPartitioned := range map[string]bool{"whole path": false, "broken path": true} {
+		c, peer := dialPair(t)
+		if isPartitioned {
+			transporttest.Partition(t, peer)
+		}
+		answered := make(chan error, 1)
+		go func() {
+			if !isPartitioned {
+				_, _ = peer.Read(make([]byte, readBufferSize))
+			}
+			_, err := io.WriteString(peer, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+			answered <- err
+		}()
+		p.Use(ctx, c, func() (reusable bool) {
+			err := c.RoundTrip(ctx, newRequest(1), &protocol.Response{}, 0)
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+			return err == nil
+		})
+		if err := <-answered; err != nil {
+			t.Fatal(err)
+		}
+		if kept := p.popIdle(c.address); (kept == nil) != isPartitioned {
+			t.Errorf("%s: kept %p", name, kept)
+		}
+	}
+}
+
 // Guards against a read time-out that the looks at the send queue prolong, shorten or
 // swallow.
 func TestReadTimeoutWithAckTimeout(t *testing.T) {
