--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -74,6 +74,9 @@
 		c.pool.Put(connection)
 		return backend.FailedAttempt(err)
 	}
+	if a.Call.Request.Repeatable {
+		connection.AckTimeout = transport.DefaultAckTimeout
+	}
 	var end backend.AttemptEnd
 	c.pool.Use(a.Context, connection, func() (reusable bool) {
 		if a.Call.Request.IsModelCall() {
@@ -167,6 +170,9 @@
 	if core.ContextCause(s.attempt.Context) != nil || errors.Is(err, errNotNeeded) {
 		return end
 	}
+	if c.closeBrokenPath(s.attempt, err) {
+		return end
+	}
 	c.detectCrash(&end, s.attempt)
 	if end.Crashed {
 		end.CancelAtServer = false
@@ -180,6 +186,17 @@
 	return end
 }
 
+// closeBrokenPath closes the idle connections to the server if the exchange failed because
+// the network path to it is broken, and reports whether it did. Requests on them would
+// wait, as would probes.
+func (c *Client) closeBrokenPath(a backend.Attempt, err error) bool {
+	if !errors.Is(err, transport.ErrUnacknowledged) {
+		return false
+	}
+	c.pool.CloseIdle(a.Address)
+	return true
+}
+
 // detectCrash probes the server over a new connection and records whether it
 // has crashed.
 func (c *Client) detectCrash(end *backend.AttemptEnd, a backend.Attempt) {
@@ -201,7 +218,7 @@
 	if err := connection.RoundTrip(a.Context, req, resp, transport.DefaultMaxBodyBytes); err != nil {
 		end = backend.FailedAttempt(backend.ConnectionError(a.Context, connection.BytesWritten, err))
 		end.Endless = transport.IsEndless(err)
-		if connection.BytesWritten > 0 && core.ContextCause(a.Context) == nil {
+		if connection.BytesWritten > 0 && core.ContextCause(a.Context) == nil && !c.closeBrokenPath(a, err) {
 			c.detectCrash(&end, a)
 		}
 		return end, false
