Keep the error of a time-out before the first byte of an answer

So the exchanger took an idle stream for a connection that the server had closed, and dialled the server to find out whether it had crashed.

The connection keeps the error of its read time-out, as it keeps that of its limits. TestReadTimeoutBeforeTheResponseKeepsItsError failed before: 'the response ended with EOF, want no byte in time'.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -156,7 +156,9 @@
 			return guardErr
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.OnReadTimeout != nil {
+			// The HTTP library replaces an error before the first byte of a response.
 			err = c.OnReadTimeout()
+			c.fatalErr = err
 		}
 		if err != nil && len(c.buffer)-c.start < n {
 			return err
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
 // dialPair returns a pooled connection and the server's side of it.
@@ -107,3 +109,15 @@
 		}
 	}
 }
+
+// Guards against a time-out before the first byte of a response that is reported as a
+// connection that the server closed: the HTTP library turns each error there into EOF.
+func TestReadTimeoutBeforeTheResponseKeepsItsError(t *testing.T) {
+	errIdle := errors.New("no byte in time")
+	c, _ := dialPair(t)
+	c.NextReadTimeout = time.Millisecond
+	c.OnReadTimeout = func() error { return errIdle }
+	if err := c.ReadResponseHeader(&protocol.Response{}); !errors.Is(err, errIdle) {
+		t.Errorf("the response ended with %v, want %v", err, errIdle)
+	}
+}
