Read how much of a request was sent before its connection is kept

Pool.Exchange read the count after the connection was back in the pool, where another exchange may have reset it. A write to the store whose answer cannot be decoded could then count as not sent, so that its caller took it for without effect.

Found by the race detector: TestJobWithLostStoreAnswer reported 3 races before and none now.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -117,9 +117,10 @@
 	}
 	p.Use(ctx, c, func() (reusable bool) {
 		err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
+		// Another exchange may use the connection once it is back in the pool.
+		sent = c.BytesWritten > 0
 		return err == nil && !resp.ConnectionClose()
 	})
-	sent = c.BytesWritten > 0
 	return sent, err
 }
 
