Copy the server's name for the reports of an attempt

The function that receives the load of an answer read the name from the candidate on the goroutine of the exchange, while the dispatch duty may replace the candidate's server. Found by the race detector in TestStreamEventsAreForwardedAsTheyArrive; no effect on answers is known, since the name does not change.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -97,17 +97,18 @@
 func (d *Dispatcher) startAttempt(s *callState, chosen *Candidate) bool {
 	ctx, cancel := context.WithCancel(s.call.Context)
 	number := s.attempts + 1
+	server := chosen.Server.ID
 	a := Attempt{
 		Number:       number,
 		Call:         s.call,
-		Server:       chosen.Server.ID,
+		Server:       server,
 		Address:      chosen.Server.Address,
 		Software:     chosen.Server.Description.Software,
 		Incarnation:  d.health.incarnationOf(chosen.Server),
 		Context:      ctx,
 		LeaseAge:     leaseAge(s.call.Request),
 		Resume:       s.progress,
-		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: chosen.Server.ID, load: l}) },
+		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: server, load: l}) },
 		OnRateLimit:  d.rateLimitHandler(chosen),
 		OnLeaving:    d.leavingHandler(&chosen.Server),
 	}
