Lose no reply of the store to the jobs duty

The jobs duty passed the replies of its store operations through a ring of 4,096 and ignored a refusal by it, while more operations may be in flight: a job may have a check, a write of results and a write of its state out at once. A lost reply would leave a check of ownership under way for ever, and so the job on old knowledge.

storeOps bounds the operations in flight by the ring's capacity and refuses others with ErrQueueFull, which their callers handle. The requests to release jobs and to check them again, which shared the ring and could be refused, have rings of their own. A reply to a check of an earlier ownership no longer replaces the state of the present one.

--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -129,7 +129,6 @@
 type Manager struct {
 	loop   *duty.Loop
 	log    *logrus.Entry
-	store  Store
 	calls  core.Submitter
 	pool   Pool
 	routes Routes
@@ -143,7 +142,9 @@
 
 	queries       *duty.QueryRing[Query, Reply]
 	openJobCounts *duty.QueryRing[struct{}, int]
-	storeReplies  *ring.Ring[func()]
+	storeOps      *storeOps
+	releases      *ring.Ring[struct{}] // requests of ReleaseJobs
+	rechecks      *ring.Ring[struct{}] // requests of RecheckOwnership
 	runEnds       *ring.Ring[runEnd]
 	ownerUpdates  *ring.Ring[[]Ownership]
 
@@ -182,7 +183,6 @@
 	m := &Manager{
 		loop:    duty.New("jobs", o.Clock),
 		log:     o.Log,
-		store:   o.Store,
 		calls:   o.Calls,
 		pool:    o.Pool,
 		routes:  o.Routes,
@@ -195,11 +195,14 @@
 		ownerUpdates:  ring.New[[]Ownership]("jobs.owners", queryRingCapacity),
 		queries:       duty.NewQueryRing[Query, Reply]("jobs.queries", queryRingCapacity),
 		openJobCounts: duty.NewQueryRing[struct{}, int]("jobs.counts", queryRingCapacity),
-		storeReplies:  ring.New[func()]("jobs.results", storeReplyCapacity),
+		releases:      ring.New[struct{}]("jobs.releases", 1),
+		rechecks:      ring.New[struct{}]("jobs.rechecks", 1),
 		runEnds:       ring.New[runEnd]("jobs.ends", runEndCapacity),
 		jobs:          map[JobID]*jobEntry{},
 	}
-	duty.On(m.loop, m.storeReplies, func(f func()) { f() })
+	m.storeOps = newStoreOps(m.loop, o.Store, "jobs.results", storeReplyCapacity)
+	duty.On(m.loop, m.releases, func(struct{}) { m.releaseOwnedJobs() })
+	duty.On(m.loop, m.rechecks, func(struct{}) { m.recheckAllOwnerships() })
 	duty.On(m.loop, m.runEnds, m.handleRunEnd)
 	duty.OnQuery(m.loop, m.queries, m.handleQuery)
 	duty.On(m.loop, m.ownerUpdates, m.handleOwnerUpdates)
@@ -232,35 +235,25 @@
 
 // ReleaseJobs releases all owned jobs, so that other daemons take them over.
 // Any goroutine may call it.
-func (m *Manager) ReleaseJobs() { m.storeReplies.TryPut(m.releaseOwnedJobs) }
+func (m *Manager) ReleaseJobs() { m.releases.PutLatest(struct{}{}) }
 
 // RecheckOwnership checks the ownership of all jobs in the store. It is called
 // when the store is reachable again, since a job may have ended or been taken
 // over meanwhile. Any goroutine may call it.
-func (m *Manager) RecheckOwnership() {
-	m.storeReplies.TryPut(func() {
-		for _, e := range m.jobs {
-			e.recheckOwnership = e.checkingOwnership
-			m.checkOwnership(e)
-		}
-	})
+func (m *Manager) RecheckOwnership() { m.rechecks.PutLatest(struct{}{}) }
+
+func (m *Manager) recheckAllOwnerships() {
+	for _, e := range m.jobs {
+		e.recheckOwnership = e.checkingOwnership
+		m.checkOwnership(e)
+	}
 }
 
 // submitToStore sends an operation to the store duty; reply runs on the duty's
 // goroutine.
 func (m *Manager) submitToStore(op platform.Op, reply func(platform.Result)) {
 	op.Timeout, op.FailFast = storeTimeout, true
-	submitOp(m.store, m.storeReplies, op, reply)
-}
-
-// submitOp sends an operation to the store duty and passes the reply to the
-// reader of the ring. If the store's ring is full, reply is called at once with
-// platform.ErrQueueFull.
-func submitOp(store Store, replies *ring.Ring[func()], op platform.Op, reply func(platform.Result)) {
-	op.Reply = func(r platform.Result) { replies.TryPut(func() { reply(r) }) }
-	if !store.Submit(op) {
-		reply(platform.Result{Err: platform.ErrQueueFull})
-	}
+	m.storeOps.submit(op, reply)
 }
 
 func (m *Manager) handleQuery(request duty.Query[Query, Reply]) {
--- a/internal/trainer/batch/ownership.go
+++ b/internal/trainer/batch/ownership.go
@@ -44,11 +44,11 @@
 		return
 	}
 	e.checkingOwnership = true
-	sentAt := m.leaseNow()
+	generation, sentAt := e.generation, m.leaseNow()
 	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
 		e.checkingOwnership = false
-		if e.phase != phaseOwned {
-			return
+		if e.generation != generation {
+			return // the answer is about an earlier ownership
 		}
 		if err := m.applyState(e, r); err != nil {
 			// The store is unreachable. Runs in progress continue, because conditional
--- a/internal/trainer/batch/sweep.go
+++ b/internal/trainer/batch/sweep.go
@@ -10,7 +10,6 @@
 
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
-	"github.com/berylfall/berylfall/internal/ring"
 )
 
 const (
@@ -44,14 +43,14 @@
 type Sweeper struct {
 	loop     *duty.Loop
 	options  SweeperOptions
-	replies  *ring.Ring[func()]
+	storeOps *storeOps
 	sweeping bool
 }
 
 // NewSweeper returns a duty whose loop has yet to be run.
 func NewSweeper(o SweeperOptions) *Sweeper {
-	s := &Sweeper{loop: duty.New("sweep", o.Clock), options: o, replies: ring.New[func()]("sweep.answers", sweepReplyCapacity)}
-	duty.On(s.loop, s.replies, func(f func()) { f() })
+	s := &Sweeper{loop: duty.New("sweep", o.Clock), options: o}
+	s.storeOps = newStoreOps(s.loop, o.Store, "sweep.answers", sweepReplyCapacity)
 	s.loop.Every(sweepPeriod, s.sweep)
 	return s
 }
@@ -148,5 +147,5 @@
 // goroutine.
 func (s *Sweeper) submit(op platform.Op, reply func(platform.Result)) {
 	op.Timeout = sweepTimeout
-	submitOp(s.options.Store, s.replies, op, reply)
+	s.storeOps.submit(op, reply)
 }
