Read chunked bodies whose chunks exceed 64 KiB

A list of the store whose page came as one chunk of more than about 128 KB failed with "the peer sent too many bytes that complete no head, event, body or request", on every call, and so did a backend server's answer in such chunks. A page of the store may have 1 MB, so a few entries near the largest size of an object, by any writer, ended the list of their kind. The answer of a server counted as endless, and the server was ejected.

The chunked reader of the library fills the whole buffer of a read before it returns. The parts of a body grow to 256 KiB, while the guard of the connection allows MaxResponseHeadBytes (64 KiB) between two reads that return. A read of a chunked body now takes at most 16 KiB, so the guard is reset in time. Chunk sizes and trailers without end are bounded as before.

Before: endless_test.go:149: largest in a chunk: 0 bytes, error transport: the peer sent too many bytes that complete no head, event, body or request; want 8388608 bytes endless_test.go:149: large chunks: 0 bytes, error transport: the peer sent too many bytes that complete no head, event, body or request; want 8388608 bytes

The tests of the package pass. With -race, on a machine with a load of 39 on 8 cores, TestEndlessServersBesideSoundOnes takes over 30 s with this change and without it.

--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -27,6 +27,10 @@
 	// largest part of a body.
 	firstPartBytes = 4 << 10
 	maxPartBytes   = 256 << 10
+	// maxChunkReadBytes bounds one read of a chunked body. The library fills the whole
+	// part before it returns, and the guard counts what arrives until then: it must be
+	// well below MaxResponseHeadBytes.
+	maxChunkReadBytes = 16 << 10
 )
 
 // Special content lengths of the HTTP library.
@@ -226,7 +230,7 @@
 	if b.isEnded {
 		return 0, io.EOF
 	}
-	n, err := b.chunks.Read(p)
+	n, err := b.chunks.Read(p[:min(len(p), maxChunkReadBytes)])
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -127,13 +127,16 @@
 }
 
 // Guards against a legitimate body that is cut off by the limits: the largest one,
-// in chunks of one byte, with interim responses before it and a trailer after it.
+// in chunks of one byte, in one chunk, with interim responses before it and a trailer
+// after it.
 func TestLegitimateBodiesAreWhole(t *testing.T) {
 	large := strings.Repeat("a", DefaultMaxBodyBytes)
 	responses := map[string]struct{ response, body string }{
 		"largest with length": {"HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n\r\n" + large, large},
 		"largest to close":    {"HTTP/1.1 200 OK\r\n\r\n" + large, large},
 		"small chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\na\r\n", 100_000) + "0\r\n\r\n", large[:100_000]},
+		"largest in a chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n800000\r\n" + large + "\r\n0\r\n\r\n", large},
+		"large chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("20000\r\n"+large[:128<<10]+"\r\n", 64) + "0\r\n\r\n", large},
 		"interim and trailer": {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\nX-End: 1\r\n\r\n", "ab"},
 		"empty":               {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
 		"no content":          {"HTTP/1.1 204 No Content\r\n\r\n", ""},
