--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -227,7 +227,7 @@
 		if object.Deleted {
 			continue
 		}
-		v, err := adapter.DecodeVersion(object.Value)
+		v, err := adapter.DecodeVersion(strings.TrimPrefix(object.Key, adapter.KindVersions+"/"), object.Value)
 		if err != nil {
 			d.log.WithError(err).WithField("object", object.Key).Warn("weight version cannot be decoded")
 			continue
