Report an odd entry once, and keep no daemon under one

An odd entry was logged each time that its list was read again and each time that its writer renewed it, with names and values of up to 1 MB. One under daemons/NAME left the daemon's earlier address in force at the daemons that knew it and none at those that started later, so that they ranked different daemons. One with port 99999 or a host name was dialled, or looked up, with each message to all daemons. Relays passed large entries on in full, up to the size at which a peer ends the session.

A daemon's entry must name an IP address and a port; one that does not removes the daemon everywhere, and the daemon writes its entry again. Relays pass on only that a server's entry is odd.

startDaemon is taken out of newFleet, whose order of steps is the same.

--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -76,6 +77,10 @@
 	metrics     *settings.Metrics
 	isStopping  atomic.Bool
 	isClosing   atomic.Bool // requests are no longer passed on to backend servers
+	oddServers  oddEntries
+	oddConfigs  oddEntries
+	oddDaemons  oddEntries
+	oddVersions oddEntries
 	endRequests func()      // ends the requests in progress with an answer
 	isIsolated  atomic.Bool // the store and most peers do not answer
 }
@@ -150,19 +155,19 @@
 }
 
 // handleServers decodes the entries of backend servers and submits the changes to
-// the directory. It runs on the goroutine of the watch.
+// the directory. It removes the values of entries that name no server to use, which
+// may be large, so that a relay does not pass them on. It runs on the goroutine of the
+// watch.
 func (d *frontDaemon) handleServers(s platform.Snapshot) {
 	changes := make([]backend.ServerChange, 0, len(s.Objects))
-	for _, o := range s.Objects {
-		name := o.Key[len(adapter.KindServers)+1:]
-		change := backend.ServerChange{ID: core.ServerID(name), Removed: o.Deleted}
-		if !o.Deleted {
-			server, err := adapter.DecodeServer(name, o.Value)
-			if err != nil {
-				d.log.WithError(err).WithField("backend_server", name).Warn("entry of a backend server cannot be decoded")
-				change.Removed = true
-			}
-			change.Server = server
+	for i := range s.Objects {
+		o := &s.Objects[i]
+		change, err := decodeServerChange(o)
+		if err != nil {
+			d.reportOddEntry(&d.oddServers, o.Key, "entry of a backend server cannot be decoded", err)
+			o.Value = nil
+		} else {
+			d.oddServers.remove(o.Key)
 		}
 		changes = append(changes, change)
 	}
@@ -171,6 +176,20 @@
 	}
 }
 
+// decodeServerChange decodes a change of a backend server's entry. An entry that cannot
+// be decoded names no server to use, and the change then removes the server.
+func decodeServerChange(o *platform.Object) (backend.ServerChange, error) {
+	name := strings.TrimPrefix(o.Key, adapter.KindServers+"/")
+	change := backend.ServerChange{ID: core.ServerID(name), Removed: o.Deleted}
+	if o.Deleted {
+		return change, nil
+	}
+	var err error
+	change.Server, err = adapter.DecodeServer(name, o.Value)
+	change.Removed = err != nil
+	return change, err
+}
+
 func (d *frontDaemon) buildJobs() error {
 	collectors, err := d.pool("collectors", collectorPoolSize)
 	if err != nil {
@@ -222,9 +241,10 @@
 		}
 		set, err := adapter.DecodeConfig(o.Value)
 		if err != nil {
-			d.log.WithError(err).Error("configuration cannot be decoded; the previous one stays in force")
+			d.reportOddEntry(&d.oddConfigs, o.Key, "configuration cannot be decoded; the previous one stays in force", err)
 			continue
 		}
+		d.oddConfigs.remove(o.Key)
 		d.log.WithFields(logrus.Fields{"config": set.Version, "applied": d.routes.Apply(set)}).Info("configuration received")
 	}
 }
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -64,25 +64,8 @@
 	for i := range 2 {
 		f.engines = append(f.engines, server(standin.ServerOptions{ID: fmt.Sprintf("engine-%d", i), Service: "model", Models: []string{"m"}}))
 	}
-	log := logrus.New()
-	log.SetOutput(f.log)
-	log.SetFormatter(&logrus.JSONFormatter{})
-	for i := range n {
-		addresses, err := standin.FreeAddresses("127.0.0.1", 3)
-		if err != nil {
-			t.Fatal(err)
-		}
-		set := &adapter.Settings{
-			Host: fmt.Sprintf("front-%d", i), DataCentre: "a", PeerAddress: addresses[0], Callers: addresses[1], Readiness: addresses[2],
-			Store:  adapter.StoreSettings{Address: f.store.Address(), WritesPerSecond: 400, ReadsPerSecond: 2000},
-			Bounds: adapter.Bounds{StopGrace: 8 * time.Second, LeaseTurn: 3 * time.Second, Drain: 2 * time.Second},
-		}
-		d, err := StartFront(set, logrus.NewEntry(log))
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.daemons = append(f.daemons, d.(*frontDaemon))
-		f.callers = append(f.callers, set.Callers)
+	for range n {
+		f.startDaemon(t, f.store.Address())
 	}
 	for _, d := range f.daemons {
 		waitFor(t, "a configuration", d.isReady)
@@ -90,6 +73,29 @@
 	return f
 }
 
+// startDaemon starts a daemon that uses the store at the address.
+func (f *fleet) startDaemon(t *testing.T, store string) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(f.log)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	addresses, err := standin.FreeAddresses("127.0.0.1", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := &adapter.Settings{
+		Host: fmt.Sprintf("front-%d", len(f.daemons)), DataCentre: "a", PeerAddress: addresses[0], Callers: addresses[1], Readiness: addresses[2],
+		Store:  adapter.StoreSettings{Address: store, WritesPerSecond: 400, ReadsPerSecond: 2000},
+		Bounds: adapter.Bounds{StopGrace: 8 * time.Second, LeaseTurn: 3 * time.Second, Drain: 2 * time.Second},
+	}
+	d, err := StartFront(set, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.daemons = append(f.daemons, d.(*frontDaemon))
+	f.callers = append(f.callers, set.Callers)
+}
+
 // newServingFleet starts a fleet and a client, and waits until plain requests of the
 // client are served. The context bounds the test.
 func newServingFleet(t *testing.T, n int) (*fleet, context.Context, *standin.Client) {
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -225,13 +225,15 @@
 func (d *frontDaemon) handleVersions(o *engineOrders, s platform.Snapshot) {
 	for _, object := range s.Objects {
 		if object.Deleted {
+			d.oddVersions.remove(object.Key)
 			continue
 		}
 		v, err := adapter.DecodeVersion(strings.TrimPrefix(object.Key, adapter.KindVersions+"/"), object.Value)
 		if err != nil {
-			d.log.WithError(err).WithField("object", object.Key).Warn("weight version cannot be decoded")
+			d.reportOddEntry(&d.oddVersions, object.Key, "weight version cannot be decoded", err)
 			continue
 		}
+		d.oddVersions.remove(object.Key)
 		d.log.WithFields(logrus.Fields{"model": v.Model, "version": v.Version}).Info("weight version received")
 		o.latestVersions.set(v)
 		for _, g := range o.groups {
--- a/internal/server/hosted/peerlist.go
+++ b/internal/server/hosted/peerlist.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 )
 
@@ -81,16 +84,18 @@
 // the goroutine of the watch.
 func (d *frontDaemon) handleDaemons(s platform.Snapshot) {
 	for _, o := range s.Objects {
-		var entry daemonEntry
 		if o.Deleted {
+			d.oddDaemons.remove(o.Key)
 			delete(d.peerList.addressByKey, o.Key)
 			continue
 		}
-		if err := json.Unmarshal(o.Value, &entry); err != nil || entry.Address == "" {
-			d.log.WithError(err).WithField("object", o.Key).Warn("entry of a daemon cannot be decoded")
+		address, err := decodeDaemonAddress(o.Value)
+		if err != nil {
+			d.handleOddDaemon(o.Key, err)
 			continue
 		}
-		d.peerList.addressByKey[o.Key] = entry.Address
+		d.oddDaemons.remove(o.Key)
+		d.peerList.addressByKey[o.Key] = address
 	}
 	var list []string
 	for _, address := range d.peerList.addressByKey {
@@ -103,3 +108,36 @@
 	relays := rankRelays(list, d.hostSettings.PeerAddress)
 	d.peerList.relays.Store(&relays)
 }
+
+// handleOddDaemon removes a daemon whose entry names no address, as each daemon that
+// reads it must: all of them rank the same daemons. The daemon itself writes its entry
+// again.
+func (d *frontDaemon) handleOddDaemon(key string, err error) {
+	d.reportOddEntry(&d.oddDaemons, key, "entry of a daemon cannot be decoded", err)
+	delete(d.peerList.addressByKey, key)
+	if key == kindDaemons+"/"+d.hostSettings.Host && isHostAddress(d.hostSettings.PeerAddress) {
+		d.writeEntry(platform.AnyVersion)
+	}
+}
+
+// isHostAddress reports whether the address is that of one port of one host. Daemons call
+// each other many times a second, and a host name would be looked up each time.
+func isHostAddress(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
+// decodeDaemonAddress decodes the entry of a daemon.
+func decodeDaemonAddress(value []byte) (string, error) {
+	if len(value) == 0 {
+		return "", core.InvalidError("spec", "", "the entry of a daemon", "is missing or cannot be read")
+	}
+	var entry daemonEntry
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return "", fmt.Errorf("decode daemon entry: %w", err)
+	}
+	if !isHostAddress(entry.Address) {
+		return "", core.InvalidError("address", shorten(entry.Address), "an IP address of one host and a port from 1 to 65535", "is no address of a daemon")
+	}
+	return entry.Address, nil
+}
