Bound the duration in the record of a lease

A record of another writer with a duration such as 9.2e12 ms made the calculation of the takeover overflow: the lease was taken from its live holder at once, against the rule of one holder at a time. Other durations overflowed to centuries, after which nobody takes the lease of a lost holder.

A record's duration counts as at least 0 and at most an hour, and the duration of a lease that is acquired has the same bound. Leases of this system last seconds. A record that cannot be decoded is still neither claimed nor renewed, since its fencing number is unknown.

--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -17,7 +17,10 @@
 	// DefaultLeaseDuration is used when LeaseOptions gives none.
 	DefaultLeaseDuration = 10 * time.Second
 	// MinLeaseDuration leaves time to repeat a renewal after a short outage.
-	MinLeaseDuration       = time.Second
+	MinLeaseDuration = time.Second
+	// MaxLeaseDuration bounds the duration of a lease record. A contender waits for at
+	// most this time and an eighth for a holder that does not renew.
+	MaxLeaseDuration       = time.Hour
 	usableShareNumerator   = 3 // a holder uses a lease for 3/4 of the duration
 	usableShareDenominator = 4
 	renewDivisor           = 4 // renewals are sent each quarter of the duration
@@ -85,7 +88,7 @@
 
 // LeaseOptions are the settings of one lease.
 type LeaseOptions struct {
-	Duration time.Duration // 0 takes DefaultLeaseDuration; at least MinLeaseDuration
+	Duration time.Duration // 0 takes DefaultLeaseDuration; from MinLeaseDuration to MaxLeaseDuration
 	// Listener is called on the lease manager's goroutine and must not block.
 	Listener func(LeaseEvent)
 	// PollPeriod returns the time between a contender's reads of the lease; nil
@@ -120,6 +123,8 @@
 	if r.Fence <= 0 {
 		return r, fmt.Errorf("lease object %s has the fencing number %d; it must be above 0", o.Key, r.Fence)
 	}
+	// An entry by another writer may name any number.
+	r.DurationMs = min(max(0, r.DurationMs), MaxLeaseDuration.Milliseconds())
 	return r, nil
 }
 
--- a/internal/platform/lease_manager.go
+++ b/internal/platform/lease_manager.go
@@ -195,7 +195,7 @@
 		}
 		l.leases[r.name] = s
 	}
-	s.duration = max(r.options.Duration, MinLeaseDuration)
+	s.duration = min(max(r.options.Duration, MinLeaseDuration), MaxLeaseDuration)
 	if r.options.Duration <= 0 {
 		s.duration = DefaultLeaseDuration
 	}
--- a/internal/platform/lease_manager_test.go
+++ b/internal/platform/lease_manager_test.go
@@ -92,6 +92,43 @@
 	}
 }
 
+// Guards against a record of another writer whose duration overflows, so that the lease
+// of a live holder is taken at once or that of a lost one never, and against one that
+// cannot be decoded and is claimed without its fencing number.
+func TestOddLeaseRecords(t *testing.T) {
+	record := func(durationMs string) string { return `{"holder":"other","fence":7,"durationMs":` + durationMs + `}` }
+	const short, long = testLeaseDuration, MaxLeaseDuration + MaxLeaseDuration/8
+	cases := []struct {
+		value    string
+		earliest time.Duration // of the takeover; 0 for none
+	}{
+		{record("2000"), short}, {record("0"), short}, {record("-9000000000000000000"), short},
+		{record("9200000000000"), long}, {record("9223372036854775807"), long},
+		{record("99999999999999999999"), 0}, {record("1e400"), 0}, {record("1.5"), 0}, {record(`"2000"`), 0},
+		{"", 0}, {"null", 0}, {"7", 0}, {"{}", 0}, {`{"holder":"other","fence":-1}`, 0}, {`{"holder":7,"fence":1}`, 0},
+		{`{"holder":"other","fence":7,"x":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`, 0},
+	}
+	for _, test := range cases {
+		api := newFakeAPI()
+		if _, err := api.apply(Write{Key: LeasePrefix + "x", IfVersion: AnyVersion, Value: []byte(test.value)}, false); err != nil {
+			t.Fatal(err)
+		}
+		c := newContender(api, "a", 1)
+		c.acquire()
+		waited := time.Duration(0)
+		for ; !c.isHolder() && waited < long+testLeaseDuration; waited += time.Second {
+			runContenders(time.Second, c)
+		}
+		isTaken := c.isHolder()
+		switch {
+		case isTaken != (test.earliest > 0), isTaken && (waited < test.earliest || waited > test.earliest+2*testLeaseDuration):
+			t.Errorf("record %.80s: taken %v after %v, want after %v", test.value, isTaken, waited, test.earliest)
+		case isTaken && c.lease.Fence != 8:
+			t.Errorf("record %.80s: fencing number %d, want 8", test.value, c.lease.Fence)
+		}
+	}
+}
+
 // Guards against a lease that is not renewed, not free after a release, or taken
 // from a live holder.
 func TestLeaseAcquireRenewReleaseObserve(t *testing.T) {
