Refuse descriptions and loads that no server can have

A load of -1 requests became 4,294,967,295 on its way to other daemons.

Slots, context, versions and loads beyond their bounds fail the poll of that server alone, and the error names field, value and bounds. A KV use outside 0 to 1 counts as the nearest of them.

The tests of backendhttp and internal/server pass. With -race, TestVerdictsOfStreams fails with this change and without it, by a race between reading and writing the guard of a listener's connection (internal/transport/listener.go:51).

--- a/internal/backend/backendhttp/probe.go
+++ b/internal/backend/backendhttp/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"syscall"
 	"time"
@@ -19,15 +20,45 @@
 // defaultProbeTimeout bounds one probe over a new connection.
 const defaultProbeTimeout = 2 * time.Second
 
-// Describe reads the capabilities of a backend server.
+// Bounds of the figures in descriptions and load reports, far above those of any real
+// server. Figures are summed over the servers of a service, so that one odd server could
+// disturb the others.
+const (
+	maxSlots         = 1 << 16
+	maxContextTokens = math.MaxInt32
+	maxLoadRequests  = 1_000_000
+	maxWeightVersion = 1_000_000_000
+)
+
+// checkRange returns an error unless the value of the field is from 0 to limit.
+func checkRange(field string, value, limit int64) error {
+	if value < 0 || value > limit {
+		return core.InvalidError(field, strconv.FormatInt(value, 10), fmt.Sprintf("0 to %d", limit), "is out of range")
+	}
+	return nil
+}
+
+// Describe reads the capabilities of a backend server. A description with figures that
+// no server can have is an error.
 func (c *Client) Describe(ctx context.Context, address string) (backend.Description, error) {
 	var m ServerMessage
 	if _, err := c.polls.DoJSON(ctx, getExchange(address, PathServer), &m); err != nil {
 		return backend.Description{}, err
 	}
+	if err := m.check(); err != nil {
+		return backend.Description{}, err
+	}
 	return m.description(), nil
 }
 
+func (m *ServerMessage) check() error {
+	err := errors.Join(checkRange("slots", int64(m.Slots), maxSlots), checkRange("context_tokens", int64(m.ContextTokens), maxContextTokens))
+	for _, model := range m.Models {
+		err = errors.Join(err, checkRange("models.version", model.Version, maxWeightVersion))
+	}
+	return err
+}
+
 func (m *ServerMessage) description() backend.Description {
 	d := backend.Description{
 		Kind:          m.Kind,
@@ -49,11 +80,16 @@
 	return d
 }
 
-// Load reads the load report of a backend server.
+// Load reads the load report of a backend server. A report with figures that no server
+// can have is an error.
 func (c *Client) Load(ctx context.Context, address string) (backend.Load, error) {
 	var m LoadMessage
 	_, err := c.polls.DoJSON(ctx, getExchange(address, PathLoad), &m)
-	return backend.Load{MeasuredAt: m.At, Running: m.Running, Waiting: m.Waiting, KVUsed: m.KVUsed}, err
+	err = errors.Join(err, checkRange("running", int64(m.Running), maxLoadRequests), checkRange("waiting", int64(m.Waiting), maxLoadRequests))
+	if err != nil {
+		return backend.Load{}, err
+	}
+	return backend.Load{MeasuredAt: m.At, Running: m.Running, Waiting: m.Waiting, KVUsed: min(max(0, m.KVUsed), 1)}, nil
 }
 
 // CacheEvents reads the changes of an engine's prefix cache after a sequence
