--- a/internal/trainer/batch/sweep.go
+++ b/internal/trainer/batch/sweep.go
@@ -110,7 +110,7 @@
 		return
 	}
 	s.submit(platform.Op{Kind: platform.OpList, Key: prefixes[0] + string(id) + "."}, func(r platform.Result) {
-		if r.Err != nil {
+		if r.Err != nil && !isUnreachable(r.Err) {
 			s.abortSweep("objects of an ended job cannot be listed", r.Err)
 			return
 		}
@@ -121,6 +121,12 @@
 	})
 }
 
+// isUnreachable reports whether the store has no object under the key, or refuses the
+// key: another writer may have left a state whose name is no job's.
+func isUnreachable(err error) bool {
+	return errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRejected)
+}
+
 // removeObjects deletes the objects in order. An object that does not exist any
 // more is skipped.
 func (s *Sweeper) removeObjects(keys []string, next func()) {
@@ -129,7 +135,7 @@
 		return
 	}
 	s.submit(platform.Op{Kind: platform.OpDelete, Key: keys[0], IfVersion: platform.AnyVersion}, func(r platform.Result) {
-		if r.Err != nil && !errors.Is(r.Err, platform.ErrNotFound) {
+		if r.Err != nil && !isUnreachable(r.Err) {
 			s.abortSweep("object of an ended job cannot be removed", r.Err)
 			return
 		}
--- a/internal/trainer/batch/sweep_test.go
+++ b/internal/trainer/batch/sweep_test.go
@@ -22,6 +22,8 @@
 
 func (s *listStore) Submit(op platform.Op) bool {
 	switch {
+	case strings.Count(op.Key, "/") > 1:
+		op.Reply(platform.Result{Err: platform.ErrRejected})
 	case s.fail:
 		op.Reply(platform.Result{Err: platform.ErrUnavailable})
 	case op.Kind == platform.OpList:
@@ -104,3 +106,25 @@
 		}
 	}
 }
+
+// Guards against a sweep that ends at a state of another writer whose name is no job's,
+// so that ended jobs are never removed.
+func TestSweepGoesOnAfterAnOddState(t *testing.T) {
+	clock := duty.NewManualClock(time.Unix(1e9, 0))
+	store := &listStore{objects: map[string]platform.Object{}}
+	ended := fmt.Sprintf(`{"ended":true,"endedAt":%q}`, clock.Now().Add(-time.Hour).Format(time.RFC3339Nano))
+	for i := range 8 {
+		store.put(fmt.Sprintf("jobstates/odd/%d", i), ended)
+		store.put(fmt.Sprintf("jobstates/job%d", i), ended)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := NewSweeper(SweeperOptions{Clock: clock, Log: logrus.NewEntry(log), Store: store, IsSweeper: func() bool { return true }})
+	for at := time.Duration(0); at < sweepPeriod+time.Minute; at += sweepPause {
+		clock.Advance(sweepPause)
+		s.Loop().RunPending()
+	}
+	if left := store.keysOf("job"); len(left) > 0 {
+		t.Errorf("states left after a sweep: %v", left)
+	}
+}
