Judge a partition by the peers that were heard of, not only by those that were asked

Cause: the sample of peers by which a daemon finds itself isolated holds those that answered a request of its own in the last minute. A daemon that owns no job asks none, although it hears of its peers all the time. Peers count now, too, if a request came from their IP address.

TestPeersThatSendRequestsAreRecent failed before: 'recent peers [], want the one whose request came'.

--- a/internal/daemon/daemonrpc/peerclient.go
+++ b/internal/daemon/daemonrpc/peerclient.go
@@ -31,6 +31,8 @@
 	peerKeepAlivePeriod = 10 * time.Second
 	// recentAnswerPeriod is how long a peer counts as alive after an answer.
 	recentAnswerPeriod = time.Minute
+	// maxContacts is the number of IP addresses from which old ones are removed.
+	maxContacts = 4096
 	// maxPeerMessageBytes is the largest peer request or response.
 	maxPeerMessageBytes = 4 << 20
 )
@@ -43,6 +45,7 @@
 	mu        sync.Mutex
 	sessions  map[string]*yamux.Session
 	answers   map[string]time.Time // last answer of each peer
+	contacts  map[string]time.Time // last request from each IP address
 }
 
 var (
@@ -53,7 +56,7 @@
 // NewPeerClient returns a client without connections. addresses returns the
 // addresses of the known other daemons.
 func NewPeerClient(addresses func() []string) *PeerClient {
-	return &PeerClient{addresses: addresses, sessions: map[string]*yamux.Session{}, answers: map[string]time.Time{}}
+	return &PeerClient{addresses: addresses, sessions: map[string]*yamux.Session{}, answers: map[string]time.Time{}, contacts: map[string]time.Time{}}
 }
 
 // Addresses returns the addresses of the known other daemons.
@@ -197,21 +200,44 @@
 	return response, nil
 }
 
-// RecentPeers returns the addresses of the known peers that have answered a request
-// within recentAnswerPeriod.
+// RecordContact records a request from the IP address. A daemon may hear of its peers
+// for minutes without asking them anything.
+func (p *PeerClient) RecordContact(ip string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.contacts) >= maxContacts {
+		maps.DeleteFunc(p.contacts, isOldContact)
+	}
+	p.contacts[ip] = time.Now()
+}
+
+func isOldContact(_ string, at time.Time) bool { return time.Since(at) >= recentAnswerPeriod }
+
+// RecentPeers returns the addresses of the known peers that have answered a request, or
+// from whose IP address one came, within recentAnswerPeriod.
 func (p *PeerClient) RecentPeers() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.answers, func(_ string, at time.Time) bool { return time.Since(at) >= recentAnswerPeriod })
+	maps.DeleteFunc(p.answers, isOldContact)
+	maps.DeleteFunc(p.contacts, isOldContact)
 	var recent []string
 	for _, address := range p.addresses() {
-		if _, ok := p.answers[address]; ok {
+		_, hasAnswered := p.answers[address]
+		if hasAnswered || p.wasContactedFrom(address) {
 			recent = append(recent, address)
 		}
 	}
 	return recent
 }
 
+// wasContactedFrom reports whether a request came from the IP address of the peer. The
+// caller holds the mutex.
+func (p *PeerClient) wasContactedFrom(address string) bool {
+	ip, _, err := net.SplitHostPort(address)
+	_, ok := p.contacts[ip]
+	return err == nil && ok
+}
+
 func exchange(ctx context.Context, session *yamux.Session, m *Question) (*JobAnswer, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
--- a/internal/daemon/daemonrpc/peerserver.go
+++ b/internal/daemon/daemonrpc/peerserver.go
@@ -31,6 +31,9 @@
 
 // PeerHandlers handle the peer requests and notifications of other daemons.
 type PeerHandlers struct {
+	// HandleContact receives the IP address from which a request came. It must not
+	// block; nil ignores it.
+	HandleContact             func(ip string)
 	HandleJobRequest          func(context.Context, batch.Query) batch.Reply // may block
 	HandleEngineNotifications func([]backend.ModelStatus)                    // must not block
 	HandleOwnerNotifications  func([]batch.Ownership)                        // must not block
@@ -92,6 +95,7 @@
 			}
 			return
 		}
+		s.recordContact(conn)
 		if !s.pool.TryGo(func() { s.serveStream(stream) }) {
 			s.log.Warn("peer request rejected: no pool goroutine is free")
 			_ = stream.Close()
@@ -99,6 +103,13 @@
 	}
 }
 
+func (s *PeerServer) recordContact(conn net.Conn) {
+	ip, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err == nil && s.handlers.HandleContact != nil {
+		s.handlers.HandleContact(ip)
+	}
+}
+
 func (s *PeerServer) serveStream(stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	var m Question
--- a/internal/daemon/daemonrpc/recentpeers_test.go
+++ b/internal/daemon/daemonrpc/recentpeers_test.go
@@ -56,3 +56,36 @@
 		t.Errorf("recent peers %v, want %s only", recent, server.Address())
 	}
 }
+
+// Guards against a daemon of a data centre that is cut off and stays ready, because it
+// has asked no peer lately and so has none to judge the partition by.
+func TestPeersThatSendRequestsAreRecent(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	pool, err := duty.NewPool("peers", 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	const silent = "192.0.2.1:7"
+	receiver := NewPeerClient(func() []string { return []string{"127.0.0.1:9", silent} })
+	server, err := ListenPeers("127.0.0.1:0", pool, logrus.NewEntry(log), PeerHandlers{
+		HandleContact:             receiver.RecordContact,
+		HandleEngineNotifications: func([]backend.ModelStatus) {}, HandleOwnerNotifications: func([]batch.Ownership) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	defer func() { _ = server.Shutdown(ctx) }()
+	sender := NewPeerClient(func() []string { return nil })
+	defer sender.Close()
+	if err := sender.Notify(ctx, server.Address(), Notifications{}); err != nil {
+		t.Fatal(err)
+	}
+	if recent := receiver.RecentPeers(); !slices.Equal(recent, []string{"127.0.0.1:9"}) {
+		t.Errorf("recent peers %v, want the one whose request came, and not %s", recent, silent)
+	}
+}
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -279,6 +279,7 @@
 		return err
 	}
 	jobs, err := daemonrpc.ListenPeers(d.hostSettings.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{
+		HandleContact:             d.peers.RecordContact,
 		HandleJobRequest:          jobRouter.HandleRelayed,
 		HandleEngineNotifications: d.directory.UpdateModelStatus,
 		HandleOwnerNotifications:  d.updateOwners,
