Ignore the end of a run of an earlier ownership of its job

A daemon that lost a job and took it back numbered the runs of its items from 1 again, so the late end of an old run was taken for the end of the new one: the new run lost its cancel function, the item ran twice at once, and a text could miss an event that only the old run had brought.

The end of a run and the ID of its request now carry the number of the ownership.

--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -58,6 +58,7 @@
 type runEnd struct {
 	job             JobID
 	item            ItemID
+	generation      int // of the job when the run started
 	run             int
 	reward          bool
 	callEnd         core.End
@@ -225,12 +226,12 @@
 // startRun submits the request and collects its answer on the pool.
 func (m *Manager) startRun(e *jobEntry, r *itemRun, request *core.Request, singleVersion bool) {
 	r.number++
-	request.ID = core.RequestID(string(e.id) + "/" + string(r.item.ID) + "/" + strconv.Itoa(r.number))
+	request.ID = core.RequestID(fmt.Sprintf("%s/%s/%d.%d", e.id, r.item.ID, e.generation, r.number))
 	request.Fingerprint = request.ComputeFingerprint()
 	ctx, cancel := request.WithDeadline(context.Background())
 	c := answerCollector{
 		call: core.NewCall(ctx, request), singleVersion: singleVersion, minVersion: request.MinVersion, cancel: cancel,
-		result: runEnd{job: e.id, item: r.item.ID, run: r.number, reward: r.textEnd != nil, progress: r.progress.Clone()},
+		result: runEnd{job: e.id, item: r.item.ID, generation: e.generation, run: r.number, reward: r.textEnd != nil, progress: r.progress.Clone()},
 	}
 	if n := len(r.versions); n > 0 {
 		c.lastVersion = r.versions[n-1]
@@ -300,7 +301,7 @@
 
 func (m *Manager) handleRunEnd(end runEnd) {
 	e := m.jobs[end.job]
-	if e == nil || e.phase != phaseOwned {
+	if e == nil || e.phase != phaseOwned || e.generation != end.generation {
 		return
 	}
 	r := e.items[end.item]
--- a/internal/trainer/batch/manager_test.go
+++ b/internal/trainer/batch/manager_test.go
@@ -286,7 +286,7 @@
 	const number = 5
 	r := &itemRun{item: &e.job.Items[0], number: number, running: true}
 	e.phase, e.items = phaseOwned, map[ItemID]*itemRun{"a.0": r}
-	m.handleRunEnd(runEnd{job: "a", item: "a.0", run: number, versionMismatch: true})
+	m.handleRunEnd(runEnd{job: "a", item: "a.0", generation: e.generation, run: number, versionMismatch: true})
 	if r.running || r.number != number || !r.notBefore.Equal(m.now().Add(itemRetryDelay)) {
 		t.Errorf("running %v, run %d after %d, next at %v", r.running, r.number, number, r.notBefore)
 	}
