--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -71,7 +71,7 @@
 		return end
 	}
 	if err := a.CheckSend(); err != nil {
-		c.pool.Put(connection)
+		connection.Abort()
 		return backend.FailedAttempt(err)
 	}
 	if a.Call.Request.Repeatable {
--- a/internal/backend/lease_test.go
+++ b/internal/backend/lease_test.go
@@ -111,3 +111,20 @@
 		t.Error("the stream is moved after its lease")
 	}
 }
+
+// Guards against a hedge of a request whose lease has ended since its first attempt.
+func TestNoHedgeAfterTheLease(t *testing.T) {
+	if _, started := startHedgedCall(t, func(b *dispatchHarness, c *core.Call) {
+		c.Request.Lease = core.NewLease(time.Hour, b.clock.Now)
+		c.Request.Lease.Confirm(b.clock.Now())
+	}); started != 2 {
+		t.Fatalf("%d attempts with a lease, want a hedge", started)
+	}
+	if _, started := startHedgedCall(t, func(b *dispatchHarness, c *core.Call) {
+		// The call is hedged 10 ms after its start at the earliest.
+		c.Request.Lease = core.NewLease(time.Millisecond, b.clock.Now)
+		c.Request.Lease.Confirm(b.clock.Now())
+	}); started != 1 {
+		t.Errorf("%d attempts after the lease, want no hedge", started)
+	}
+}
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -70,7 +70,7 @@
 		return NotRunError(CodeLeaseExpired, "the right to send the request was revoked")
 	case !ok:
 		return NotRunError(CodeLeaseExpired, "the right to send the request was never confirmed")
-	case age > l.term:
+	case age < 0 || age > l.term:
 		err := NotRunError(CodeLeaseExpired, "the right to send the request has expired")
 		err.Field, err.Value, err.Allowed = "confirmation age", age.String(), fmt.Sprintf("at most %v", l.term)
 		return err
--- a/internal/core/lease_test.go
+++ b/internal/core/lease_test.go
@@ -30,6 +30,9 @@
 		t.Errorf("an older confirmation replaced a newer one: age %v", age)
 	}
 	expect("confirmed again", true)
+	now = now.Add(-term)
+	expect("confirmed in the future of the clock", false)
+	now = now.Add(term)
 	l.Revoke()
 	l.Confirm(now)
 	expect("revoked", false)
