Ask whether a job still exists before its owner relies on having no state

The daemon that accepted a job owns it while it has no state object. After that daemon was cut off or suspended for longer than the results are kept, the job may have been taken over, ended and removed with its state; the daemon then counted as the owner again and sent its items. A check that finds no state after the lease has expired now reads the job, which is removed before its state.

--- a/internal/trainer/batch/ownership.go
+++ b/internal/trainer/batch/ownership.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -50,6 +51,10 @@
 		if e.generation != generation {
 			return // the answer is about an earlier ownership
 		}
+		if errors.Is(r.Err, platform.ErrNotFound) && !e.lease.IsValid() {
+			m.checkJobExists(e, generation, sentAt)
+			return
+		}
 		if err := m.applyState(e, r); err != nil {
 			// The store is unreachable. Runs in progress continue, because conditional
 			// writes still publish each result only once, and the lease bounds how
@@ -66,6 +71,28 @@
 	})
 }
 
+// checkJobExists completes a check that found no state of the job. The daemon that
+// accepted a job owns it without a state, but also finds none after the job was taken
+// over, ended and removed, which takes longer than a lease.
+func (m *Manager) checkJobExists(e *jobEntry, generation int, sentAt time.Time) {
+	e.checkingOwnership = true
+	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: jobPrefix + string(e.id)}, func(r platform.Result) {
+		e.checkingOwnership = false
+		switch {
+		case e.generation != generation:
+		case r.Err == nil:
+			m.handleOwnershipChecked(e, sentAt)
+		case errors.Is(r.Err, platform.ErrNotFound):
+			m.ownershipLog(e).Info("job has ended at another daemon and was removed")
+			m.stopJob(e, phaseNotOwner)
+			m.removeJob(e, StatusNotFound)
+		default:
+			m.recordCheckFailure(e, r.Err)
+			m.handleStoreUnreachable(e)
+		}
+	})
+}
+
 func (m *Manager) handleOwnershipChecked(e *jobEntry, sentAt time.Time) {
 	m.endCheckFailures(e)
 	switch {
