Read a connection's count of sent bytes only while the exchange owns it

The count matters only after a failure, and a failed connection is not returned; a request that was answered was sent. - TestPlannedStopCutsNoRequest wrote a map while a timer's goroutine read it. The timer gets the channel itself; the checks are the same.

--- a/internal/server/hosted/stop_test.go
+++ b/internal/server/hosted/stop_test.go
@@ -49,9 +49,10 @@
 	})
 	statuses := map[string]chan int{}
 	send := func(id string, after time.Duration) {
-		statuses[id] = make(chan int, 1)
+		status := make(chan int, 1)
+		statuses[id] = status
 		time.AfterFunc(after, func() {
-			statuses[id] <- sendRaw(t, f.callers[0], "POST "+standin.OnceStreamPrefix+"x HTTP/1.1\r\nHost: h\r\nAttempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n", false)
+			status <- sendRaw(t, f.callers[0], "POST "+standin.OnceStreamPrefix+"x HTTP/1.1\r\nHost: h\r\nAttempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n", false)
 		})
 	}
 	send("long", 0)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -119,7 +119,8 @@
 		err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
 		return err == nil && !resp.ConnectionClose(), err != nil
 	})
-	sent = c.BytesWritten > 0
+	// Another request may use the connection by now unless this one failed.
+	sent = err == nil || c.BytesWritten > 0
 	return sent, err
 }
 
