Continue streams only on the run of a server whose entry was read

Callers saw a stream that began on one software version and went on on another. A server started again under its ID with another version; its new entry had not arrived at a daemon that was out of step (cut off from the store here, but a daemon that is in step has the same gap of about a second). That daemon took the server for one of the old version, and a stream of the old version that a caller took up there went on at it. Expect-Instance does not help: the ID is the same.

Cause: the software version belongs to a run of a server, and the check compared versions of entries without knowing that the server is still that run.

A server says in its report when it was started (born). A daemon now asks for it on the connection on which it sends the rest of a stream next, and sends nothing if that is not the run of the entry. The connection ends with the process, so the run cannot change between the two, and no age of the directory matters. The next server is tried; if none is left, the request is refused as not run at once where the entries are old, and waits up to 2 s for the new entry otherwise. What begins on a run that is not described has a version of its own, so that two unknown versions never count as one.

Streams that continue cost one more exchange of a millisecond on a new connection, priced as a probe; new streams cost nothing, and the store is not called.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -13,8 +13,20 @@
 	Call    *core.Call
 	Server  core.ServerID
 	Address string
-	// Software is the software version of the server when the attempt was sent.
+	// Software is the software version of the server when the attempt was sent. It is
+	// that of DescribedRun unless ReachRun finds another run.
 	Software core.SoftwareVersion
+	// DescribedRun is the run of the server that its entry described when the attempt
+	// was started, and Entry is the right to rely on that; nil if it needs none.
+	DescribedRun string
+	Entry        *core.Lease
+	// MustAskRun is set if the request may be sent only to the described run, or if
+	// that run is known to have ended.
+	MustAskRun bool
+	// IsRunAsked is set if the server was asked for its run for this attempt.
+	IsRunAsked bool
+	// IsRunReplaced is set if the server is not the described run any more.
+	IsRunReplaced bool
 	// Incarnation is the last known run of the server when the attempt was
 	// sent. A connection that is lost while the incarnation changes indicates a
 	// crash.
@@ -61,6 +73,9 @@
 	Incarnation string
 	// Unreachable reports that no connection could be opened.
 	Unreachable bool
+	// Unsent reports that a connection was open and the request was not sent on it, since
+	// the server is not the run that the attempt is meant for, or did not say which it is.
+	Unsent bool
 	// Endless reports that the server's answer exceeded its limits, as that of a
 	// faulty server may. One such answer suffices to eject the server.
 	Endless bool
@@ -100,6 +115,9 @@
 		Server:       chosen.Server.ID,
 		Address:      chosen.Server.Address,
 		Software:     chosen.Server.Description.Software,
+		DescribedRun: chosen.Server.Description.Incarnation,
+		Entry:        chosen.entry,
+		MustAskRun:   !s.progress.IsEmpty() || d.health.isRunReplaced(chosen, d.loop.Clock().Now()),
 		Incarnation:  d.health.incarnationOf(chosen.Server),
 		Context:      ctx,
 		Resume:       s.progress,
--- a/internal/backend/candidate.go
+++ b/internal/backend/candidate.go
@@ -17,6 +17,8 @@
 	relativeTime  relativeServiceTime
 	ejection      ejectionState
 	tableVersion  uint64 // version of the last table update that listed the server
+	// entry is the right to rely on the server's entry; nil if it needs none.
+	entry *core.Lease
 }
 
 // hasRoomFor reports whether a request of the class may be sent to the server now.
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -195,7 +195,7 @@
 		case !c.Removed:
 			delete(d.lapsedUntil, c.ID)
 			d.servers[c.ID] = c.Server
-			if !isListed || previous.Leaving != c.Server.Leaving || previous.Address != c.Server.Address {
+			if !isListed || isNotable(&previous, &c.Server) {
 				log.WithFields(logrus.Fields{"service": c.Server.Description.Service, "address": c.Server.Address, "software": c.Server.Description.Software, "leaving": c.Server.Leaving}).Info("backend server changed")
 			}
 		case !isListed:
@@ -211,6 +211,13 @@
 	d.schedulePublish()
 }
 
+// isNotable reports whether the change of an entry is logged. Changes of models are not:
+// they are frequent, and roll-outs log them.
+func isNotable(before, after *Server) bool {
+	b, a := &before.Description, &after.Description
+	return before.Leaving != after.Leaving || before.Address != after.Address || b.Incarnation != a.Incarnation || b.Software != a.Software
+}
+
 func (d *Directory) removeLapsed() {
 	now := d.loop.Clock().Now()
 	for id, at := range d.lapsedUntil {
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -34,11 +34,18 @@
 	retriedPerEnd = 2
 )
 
+// serverTable is the whole list of servers, or a confirmation that the one before it
+// holds.
+type serverTable struct {
+	servers     []Server
+	confirmedAt time.Time // zero for a list
+}
+
 // callState is the state of a call in progress.
 type callState struct {
 	call            *core.Call
 	attempts        int
-	unreached       int                        // attempts that opened no connection
+	unreached       int                        // attempts that opened no connection or sent nothing
 	runningAttempts map[int]context.CancelFunc // cancel functions of attempts in progress, by number
 	progress        core.Progress              // what the caller has received
 	interruptedAt   time.Time                  // when the attempt that brought the newest events ended; zero before
@@ -65,7 +72,7 @@
 
 	calls          *ring.Ring[*core.Call]
 	ends           *ring.Ring[AttemptEnd]
-	servers        *ring.Ring[[]Server]
+	servers        *ring.Ring[serverTable]
 	cancels        *ring.Ring[core.RequestID]
 	suspectReports *ring.Ring[SuspectReport]
 	peerWork       *ring.Ring[[]PeerWork]
@@ -96,6 +103,7 @@
 	permitRequestsScheduled bool
 	rememberedLimits        map[core.ServerID]observedLimit // of servers that are not in the table
 	limitOverload           map[string]time.Time            // by service: end of the immediate refusals
+	newEntryLease           func() *core.Lease              // nil if entries are relied upon for ever
 }
 
 // NewDispatcher returns the dispatch duty. The size of the pool bounds the
@@ -110,7 +118,7 @@
 		hedgeBudget:      newHedgeBudget(),
 		calls:            ring.New[*core.Call]("dispatch.calls", callRingCapacity),
 		ends:             ring.New[AttemptEnd]("dispatch.ends", MaxAttemptsInProgress),
-		servers:          ring.New[[]Server]("dispatch.servers", serverRingCapacity),
+		servers:          ring.New[serverTable]("dispatch.servers", serverRingCapacity),
 		cancels:          ring.New[core.RequestID]("dispatch.cancels", maxCallsInProgress),
 		suspectReports:   ring.New[SuspectReport]("dispatch.suspects", reportRingCapacity),
 		peerWork:         ring.New[[]PeerWork]("dispatch.others", reportRingCapacity),
@@ -128,7 +136,7 @@
 		retryBudget:      newRetryBudget(clock.Now()),
 	}
 	d.bindRouter()
-	duty.On(d.loop, d.servers, d.handleServers)
+	duty.On(d.loop, d.servers, d.handleTable)
 	duty.On(d.loop, d.ends, d.handleAttemptEnd)
 	duty.On(d.loop, d.cancels, d.handleCancel)
 	duty.On(d.loop, d.suspectReports, d.handleSuspectReport)
@@ -159,7 +167,7 @@
 func (d *Dispatcher) Submit(c *core.Call) bool { return d.calls.TryPut(c) }
 
 // SetServers replaces the table of backend servers.
-func (d *Dispatcher) SetServers(s []Server) { d.servers.PutLatest(s) }
+func (d *Dispatcher) SetServers(s []Server) { d.servers.PutLatest(serverTable{servers: s}) }
 
 func (d *Dispatcher) handleCall(c *core.Call) {
 	if d.callsInProgress[c.Request.ID] != nil {
@@ -172,6 +180,7 @@
 	}
 	s := &callState{call: c, verdict: core.NotRun, runningAttempts: map[int]context.CancelFunc{}, progress: c.Request.Resume.Clone(), tried: &attemptedServers{servers: map[core.ServerID]bool{}}}
 	if !s.progress.IsEmpty() {
+		s.progress.Software = d.softwareOf(c.Request)
 		s.interruptedAt = d.loop.Clock().Now()
 	}
 	d.callsInProgress[c.Request.ID] = s
@@ -234,7 +243,7 @@
 		s.progress, s.interruptedAt = s.progress.Append(e.Attempt.Software, e.Tokens...), d.loop.Clock().Now()
 	}
 	s.verdict = s.verdict.Combine(e.Verdict)
-	if e.Unreachable {
+	if e.Unreachable || e.Unsent {
 		s.unreached++
 	}
 	if e.Err == nil {
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -55,7 +55,9 @@
 func (b *dispatchHarness) Exchange(a Attempt) AttemptEnd {
 	b.attempts = append(b.attempts, a)
 	end := b.exchange(a)
-	end.Attempt = a
+	if end.Attempt.Call == nil {
+		end.Attempt = a
+	}
 	return end
 }
 
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -50,6 +50,8 @@
 	retryAt             time.Time // end of the backoff after a refusal or a failed dial
 	consecutiveRefusals int       // refusal backoffs since the last success, without Retry-After
 	isUnreachable       bool      // the last attempt opened no connection
+	replacedRun         string    // described run that an attempt found replaced
+	replacedUntil       time.Time // end of the backoff after that
 }
 
 // health is the observed health of all servers. The dispatch duty owns it.
@@ -126,6 +128,7 @@
 		h.recordCrash(state, e.Attempt.Incarnation, now)
 	}
 	state.recordIncarnation(e.Incarnation)
+	state.recordReplacedRun(&e.Attempt, now)
 	delete(state.inFlight, key)
 	h.runningByFingerprint[fingerprint]--
 	if h.runningByFingerprint[fingerprint] == 0 {
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -151,9 +151,14 @@
 	return c
 }
 
+// mayContinueOn reports whether the server may continue what the caller has received.
+func (rt *router) mayContinueOn(c *Candidate) bool {
+	return rt.progress.IsEmpty() || (rt.progress.MayContinueOn(c.Server.Description.Software) && !rt.isRunReplaced(c, rt.decisionTime))
+}
+
 // isUsable checks the conditions that change between table updates.
 func (rt *router) isUsable(c *Candidate) bool {
-	if !rt.progress.MayContinueOn(c.Server.Description.Software) || !rt.acceptsRequest(rt.request, c, rt.decisionTime) {
+	if !rt.mayContinueOn(c) || !rt.acceptsRequest(rt.request, c, rt.decisionTime) {
 		return false
 	}
 	if !c.hasRoomFor(rt.request.Class, rt.decisionTime) {
--- a/internal/backend/routing.go
+++ b/internal/backend/routing.go
@@ -81,6 +81,7 @@
 	random         *rand.Rand
 	acceptsRequest func(*core.Request, *Candidate, time.Time) bool // whether the server may run this request at that time
 	isAvailable    func(*Candidate, time.Time) bool                // whether the server may run any request at that time
+	isRunReplaced  func(*Candidate, time.Time) bool                // whether the server is another run than its entry describes
 	picker         Picker
 	index          *classIndex
 	loads          loadView
@@ -181,14 +182,15 @@
 }
 
 // canContinue reports whether a capable server may continue an answer of which the
-// caller has received the progress. It is true for a request that no server can run.
+// caller has received the progress. It is true for a request that no server can run, and
+// while the new entry of a server that has started again is awaited.
 func (rt *router) canContinue(r *core.Request, progress core.Progress) bool {
 	if progress.IsEmpty() {
 		return true
 	}
 	class := rt.index.classFor(r)
 	return class.missingRequirement != "" || slices.ContainsFunc(class.all, func(c *Candidate) bool {
-		return progress.MayContinueOn(c.Server.Description.Software)
+		return progress.MayContinueOn(c.Server.Description.Software) && (c.entry.IsValid() || !rt.isRunReplaced(c, rt.now()))
 	})
 }
 
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -33,11 +33,20 @@
 func (d *Dispatcher) bindRouter() {
 	d.router.candidateByID = func(id core.ServerID) *Candidate { return d.candidates[id] }
 	d.router.isAvailable = d.health.isAvailable
+	d.router.isRunReplaced = d.health.isRunReplaced
 	d.router.acceptsRequest = func(r *core.Request, c *Candidate, now time.Time) bool {
 		return d.health.isAvailable(c, now) && d.health.mayRunSuspect(r, c, now) && d.isWithinRateLimit(r, c, now)
 	}
 }
 
+func (d *Dispatcher) handleTable(t serverTable) {
+	if t.confirmedAt.IsZero() {
+		d.handleServers(t.servers)
+		return
+	}
+	d.confirmEntries(t.confirmedAt)
+}
+
 // handleServers replaces the table. Only a change of the set of servers or of a
 // capability evaluates the filters again; a load report does not.
 func (d *Dispatcher) handleServers(servers []Server) {
@@ -92,6 +101,9 @@
 	if restarted || recovered {
 		c.ejection.beginSlowStart(now)
 	}
+	if !isListed || c.entry == nil || restarted || previous.Description.Software != s.Description.Software {
+		d.renewEntryLease(c)
+	}
 	c.Server = *s
 	c.tableVersion = d.tableVersion
 	d.router.loads.applyReport(c, now)
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -1,11 +1,28 @@
 package core
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // SoftwareVersion names the version of the software that a backend server runs. It
 // is independent of the weight version; "" is the version of a server that names none.
 type SoftwareVersion string
 
+// unknownSoftwarePrefix begins the versions that UnknownSoftware returns.
+const unknownSoftwarePrefix = "unknown version of "
+
+// UnknownSoftware returns the version of a run of a server whose version is not known. It
+// equals that of the same run only, so no stream of the run continues on another one.
+func UnknownSoftware(run string) SoftwareVersion {
+	return SoftwareVersion(unknownSoftwarePrefix + run)
+}
+
+// UnknownRun returns the run of a version that UnknownSoftware returned.
+func (v SoftwareVersion) UnknownRun() (run string, isUnknown bool) {
+	return strings.CutPrefix(string(v), unknownSoftwarePrefix)
+}
+
 // Progress is the part of an answer that its reader has received.
 type Progress struct {
 	Tokens   []int32
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -37,6 +37,13 @@
 
 // newFleet starts n daemons, two engines and a plain server.
 func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	return newFleetVia(t, n, func(_ int, store string) string { return store })
+}
+
+// newFleetVia does the same as newFleet, with daemons that reach the store at the address
+// that storeAddress returns for each.
+func newFleetVia(t *testing.T, n int, storeAddress func(daemon int, store string) string) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
@@ -74,10 +81,10 @@
 		}
 		set := &adapter.Settings{
 			Host: fmt.Sprintf("front-%d", i), DataCentre: "a", PeerAddress: addresses[0], Callers: addresses[1], Readiness: addresses[2],
-			Store:  adapter.StoreSettings{Address: f.store.Address(), WritesPerSecond: 400, ReadsPerSecond: 2000},
+			Store:  adapter.StoreSettings{Address: storeAddress(i, f.store.Address()), WritesPerSecond: 400, ReadsPerSecond: 2000},
 			Bounds: adapter.Bounds{StopGrace: 8 * time.Second, LeaseTurn: 3 * time.Second, Drain: 2 * time.Second},
 		}
-		d, err := StartFront(set, logrus.NewEntry(log))
+		d, err := StartFront(set, log.WithField("host", set.Host))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/server/hosted/observe.go
+++ b/internal/server/hosted/observe.go
@@ -19,6 +19,9 @@
 	service := settings.Label{Name: "service", Value: r.Service}
 	d.metrics.Observe("attempt_seconds", e.Duration, service)
 	d.metrics.Count("attempts_total", service, settings.Label{Name: "verdict", Value: e.Verdict.String()})
+	if e.Attempt.IsRunAsked {
+		d.metrics.Count("server_runs_asked_total", service, settings.Label{Name: "replaced", Value: strconv.FormatBool(e.Attempt.IsRunReplaced)})
+	}
 	d.logContinuation(e)
 	if e.Err == nil {
 		return
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -43,6 +43,10 @@
 	// is unknown.
 	ServerIdleTimeout time.Duration
 
+	// PeerRun is the run of the server at the other end, as it said on this connection;
+	// empty if it has not been asked. A connection does not outlive the server's process.
+	PeerRun string
+
 	BytesWritten  int          // bytes of the current request
 	OnReadTimeout func() error // nil makes the read fail with the time-out error
 	buffer        []byte
