Do not read a candidate on the goroutine of an exchange

go test -race reported it in TestFrontSurvivesStoreOutage: the handler of load reports read the server's ID from the candidate, which the dispatch duty replaces with each table ('Read by startAttempt.func1, previous write by updateCandidate'). The handler gets the ID.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -108,11 +108,11 @@
 // goroutine was free for it.
 func (d *Dispatcher) startAttempt(s *callState, chosen *Candidate) bool {
 	ctx, cancel := context.WithCancel(s.call.Context)
-	number := s.attempts + 1
+	number, server := s.attempts+1, chosen.Server.ID
 	a := Attempt{
 		Number:       number,
 		Call:         s.call,
-		Server:       chosen.Server.ID,
+		Server:       server,
 		Address:      chosen.Server.Address,
 		Software:     chosen.Server.Description.Software,
 		DescribedRun: chosen.Server.Description.Incarnation,
@@ -121,7 +121,7 @@
 		Incarnation:  d.health.incarnationOf(chosen.Server),
 		Context:      ctx,
 		Resume:       s.progress,
-		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: chosen.Server.ID, load: l}) },
+		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: server, load: l}) },
 		OnRateLimit:  d.rateLimitHandler(chosen),
 		OnLeaving:    d.leavingHandler(&chosen.Server),
 	}
