Record the origin of a stream only from entries that are relied upon

Callers saw a stream that began on a newer version and, taken up at another daemon, went on on an older one. The daemon that began it was out of step in a release: a server had started again under its ID with the newer version, and the daemon recorded the older one, of the entry that it still had, as the origin. The daemon that took the stream up was in step, so no check there could help.

Cause: nothing told a daemon how old its entries are. It kept them as they were while the store was away, while it was cut off, and in the first second after it had stood still.

The entry of each server is a core.Lease now, confirmed for 3 s by answers of the store to requests that were sent at a known time, on the clock that includes suspension. It ends when the entry describes another run. It is checked on the open connection, right before the request is sent, so a daemon that stands still in between notices. While it is not valid, a new stream or item first asks the server for its run, once for each connection: it is served in any case, and has the version of the entry if the run is the described one, and a version of its own otherwise. A take-up of the latter is refused as not run, or goes on once the entry of that run has arrived.

Right after a gap the list does not count yet: a contact with the store does not prove that the changes of the gap have arrived, so the list is read again, and servers that started again while the store was away get the 2.3 s that lapsed entries have.

Cost: no call of the store and no message in step (the probe and the watches are those of before); one list after a daemon stood still or was cut off for more than 3 s, where the probe did not request one already; one report for each new connection while the entries are old. No request is refused for the age alone.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -63,13 +63,28 @@
 	Removed bool
 }
 
+// directoryChange is a batch of changes, or the time up to which all changes were
+// submitted before.
+type directoryChange struct {
+	changes []ServerChange
+	readAt  time.Time // zero for changes
+}
+
 // Directory is the duty that maintains the list of backend servers from the
 // changes of their entries in the platform's store.
+//
+// It knows up to which time it has received all changes, and confirms the list to its
+// receiver accordingly. After a time without that knowledge the servers first get
+// lapsedEntryGrace to write their entries: one that started again while the store was
+// unavailable still has its former entry when the store returns.
 type Directory struct {
 	loop              *duty.Loop
 	log               *logrus.Entry
 	deliver           func([]Server)
-	changes           *ring.Ring[[]ServerChange]
+	confirm           func(at time.Time) // receives the time at which the delivered list was the newest; nil for no receiver
+	onOutdated        func()             // requests the whole list from the store; nil for no receiver
+	changes           *ring.Ring[directoryChange]
+	contacts          *ring.Ring[time.Time]
 	storeAvailability *ring.Ring[bool]
 	modelStatus       *ring.Ring[[]ModelStatus]
 	leavingNotices    *ring.Ring[LeavingNotice]
@@ -83,16 +98,25 @@
 	lapseGraceUntil  time.Time
 	isStoreAvailable bool
 	publishPending   bool // a delivery is scheduled
+
+	followed        *core.Lease // all changes up to its confirmation were received
+	readAt          time.Time   // its newest confirmation
+	reliedUponFrom  time.Time   // when the servers have had time to write their entries
+	isUpToDate      bool        // the list was confirmed within EntryTerm
+	confirmedAt     time.Time   // newest confirmation that was passed on
+	isListRequested bool        // by onOutdated, since the last confirmation of followed
 }
 
 // NewDirectory returns the duty. deliver receives the whole list, sorted by ID,
-// after changes and each republishPeriod; it must not block.
+// after changes and each republishPeriod; it must not block. The clock must include the
+// time for which the host is suspended.
 func NewDirectory(clock duty.Clock, log *logrus.Entry, deliver func([]Server)) *Directory {
 	d := &Directory{
 		loop:              duty.New("directory", clock),
 		log:               log,
 		deliver:           deliver,
-		changes:           ring.New[[]ServerChange]("directory.changes", directoryRingCapacity),
+		changes:           ring.New[directoryChange]("directory.changes", directoryRingCapacity),
+		contacts:          ring.New[time.Time]("directory.contacts", directoryRingCapacity),
 		storeAvailability: ring.New[bool]("directory.store", directoryRingCapacity),
 		modelStatus:       ring.New[[]ModelStatus]("directory.notices", directoryRingCapacity),
 		leavingNotices:    ring.New[LeavingNotice]("directory.leaving", directoryRingCapacity),
@@ -101,9 +125,11 @@
 		modelStates:       map[modelKey]modelState{},
 		lapsedUntil:       map[core.ServerID]time.Time{},
 		isStoreAvailable:  true,
+		followed:          core.NewLease(EntryTerm, clock.Now),
 	}
 	duty.On(d.loop, d.storeAvailability, d.handleStoreAvailability)
-	duty.On(d.loop, d.changes, d.handleChanges)
+	duty.On(d.loop, d.changes, d.handleChange)
+	duty.On(d.loop, d.contacts, d.handleContact)
 	duty.On(d.loop, d.modelStatus, d.handleModelStatus)
 	duty.On(d.loop, d.leavingNotices, d.handleLeavingNotice)
 	d.loop.Every(republishPeriod, d.publish)
@@ -116,7 +142,9 @@
 
 // SubmitChanges queues changes of entries in their order. It returns false if
 // the ring is full.
-func (d *Directory) SubmitChanges(changes []ServerChange) bool { return d.changes.TryPut(changes) }
+func (d *Directory) SubmitChanges(changes []ServerChange) bool {
+	return d.changes.TryPut(directoryChange{changes: changes})
+}
 
 // SetStoreAvailable records whether the store is reachable. The newest value
 // wins if the ring is full.
@@ -182,6 +210,7 @@
 func (d *Directory) handleStoreAvailability(isAvailable bool) {
 	if isAvailable && !d.isStoreAvailable {
 		d.lapseGraceUntil = d.loop.Clock().Now().Add(lapsedEntryGrace)
+		d.reliedUponFrom = d.lapseGraceUntil
 	}
 	d.isStoreAvailable = isAvailable
 }
@@ -248,6 +277,7 @@
 // publish delivers the servers in the order of their IDs.
 func (d *Directory) publish() {
 	d.publishPending = false
+	d.logUpToDate()
 	now := d.loop.Clock().Now()
 	list := make([]Server, 0, len(d.servers))
 	for _, s := range d.servers {
@@ -256,4 +286,5 @@
 	}
 	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	d.deliver(list)
+	d.passConfirmation()
 }
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -58,6 +58,10 @@
 	// OnCallEnd, if set, is called on the duty's goroutine with the error of each
 	// call; a nil error means that the store answered. It must not block.
 	OnCallEnd func(err error)
+	// OnRead, if set, is called on the duty's goroutine after the changes of an answer
+	// were delivered. All changes before sentAt, when the call was sent, have then been
+	// delivered. It must not block.
+	OnRead func(sentAt time.Time)
 }
 
 // WatcherStats are the counters of a watcher.
@@ -76,6 +80,7 @@
 
 type watchResult struct {
 	number  uint64 // number of the call
+	sentAt  time.Time
 	listing Listing
 	isFull  bool
 	err     error
@@ -205,6 +210,7 @@
 	}
 	w.callNumber++
 	number, isListed, after := w.callNumber, w.isListed, w.revision
+	sentAt := w.loop.Clock().Now()
 	timeout := w.options.WatchTimeout
 	if !isListed {
 		timeout = listTimeout
@@ -213,7 +219,7 @@
 	started := w.pool.TryGo(func() {
 		defer cancel()
 		r := w.callStore(ctx, isListed, after)
-		r.number = number
+		r.number, r.sentAt = number, sentAt
 		// The ring can be full only of results of abandoned calls. A result lost
 		// here is handled like a timeout.
 		w.results.TryPut(r)
@@ -292,6 +298,9 @@
 	} else {
 		w.deliverChanges(r.listing)
 	}
+	if w.options.OnRead != nil {
+		w.options.OnRead(r.sentAt)
+	}
 	if w.options.BatchDelay != nil && len(r.listing.Objects) > 0 {
 		w.pause(w.options.BatchDelay())
 		return
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -239,3 +239,20 @@
 		t.Fatalf("after a failed watch the newest snapshot is %+v", s)
 	}
 }
+
+// Guards against a state that counts as newer than it is: an answer that waited for its
+// daemon, which stood still, is as old as the request for it.
+func TestWatcherReportsWhenAnswersWereRequested(t *testing.T) {
+	f := newWatchFixture()
+	var readAt []time.Time
+	f.watcher.options.OnRead = func(sentAt time.Time) { readAt = append(readAt, sentAt) }
+	sentAt := f.clock.Now() // of the watch that is in progress
+	f.put("c/a")
+	f.watcher.Loop().RunPending()
+	f.pool.run()
+	f.clock.Advance(DefaultWatchTimeout / 2)
+	f.watcher.Loop().RunPending()
+	if objects := f.last(t).Objects; len(objects) != 1 || len(readAt) != 1 || !readAt[0].Equal(sentAt) {
+		t.Errorf("%d changes, read at %v, want one that was requested at %v", len(objects), readAt, sentAt)
+	}
+}
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -34,6 +35,7 @@
 	hostSettings *adapter.Settings
 	log          *logrus.Entry
 	clock        duty.Clock
+	bootClock    duty.Clock // includes the time for which the host is suspended
 	runner       *duty.Runner
 	pools        []*duty.Pool
 	loops        []*duty.Loop
@@ -48,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &base{hostSettings: set, log: log, clock: duty.SystemClock{}, runner: runner, storeClient: adapter.NewStore(set.Store.Address)}
+	b := &base{hostSettings: set, log: log, clock: duty.SystemClock{}, bootClock: duty.NewBootClock(), runner: runner, storeClient: adapter.NewStore(set.Store.Address)}
 	b.watchPool, err = b.pool("watches", watchPoolSize)
 	return b, err
 }
@@ -72,6 +74,7 @@
 
 // watchKindVia does the same as watchKind through another object API.
 func (b *base) watchKindVia(api platform.ObjectAPI, kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
+	// The boot clock gives the ages of answers.
 	o.WatchTimeout, o.MaxRetryDelay, o.RelistAfterFailure = watchTimeout, maxWatchRetryDelay, true
 	o.Random = b.random()
 	onCallEnd := o.OnCallEnd
@@ -86,16 +89,18 @@
 			onCallEnd(err)
 		}
 	}
-	w := platform.NewWatcher(b.clock, api, b.watchPool, kind+"/", deliver, o)
+	w := platform.NewWatcher(b.bootClock, api, b.watchPool, kind+"/", deliver, o)
 	b.watchers = append(b.watchers, w)
 	b.loops = append(b.loops, w.Loop())
 	return w
 }
 
 // probeStore adds a duty that probes the store. After an outage it lists all
-// watches again. It passes each change to onChange.
-func (b *base) probeStore(onChange func(up bool)) {
-	p := platform.NewProbe(b.clock, b.storeClient, b.watchPool, func(up bool) {
+// watches again. It passes each change to onChange, and the time of each request that the
+// store answered to onContact, on a pool goroutine.
+func (b *base) probeStore(onChange func(up bool), onContact func(sentAt time.Time)) {
+	pinger := contactPinger{Pinger: b.storeClient, now: b.bootClock.Now, onContact: onContact}
+	p := platform.NewProbe(b.clock, pinger, b.watchPool, func(up bool) {
 		b.log.WithField("up", up).Warn("store availability changed")
 		if up {
 			for _, w := range b.watchers {
@@ -107,6 +112,23 @@
 	b.loops = append(b.loops, p.Loop())
 }
 
+// contactPinger reports when the requests that the store answers were sent.
+type contactPinger struct {
+	platform.Pinger
+	now       func() time.Time
+	onContact func(sentAt time.Time)
+}
+
+// Ping implements platform.Pinger.
+func (p contactPinger) Ping(ctx context.Context) error {
+	sentAt := p.now()
+	err := p.Pinger.Ping(ctx)
+	if err == nil {
+		p.onContact(sentAt)
+	}
+	return err
+}
+
 // startDuties starts the duties. It runs after all callbacks between them have been
 // set.
 func (b *base) startDuties() error {
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -130,7 +130,8 @@
 	d.dispatch.SetDataCentre(d.hostSettings.DataCentre)
 	d.dispatch.SetAttemptEndHandler(d.logAttempt)
 	d.dispatch.SetRateLimitObserver(backend.RateLimitObserver{OnChange: d.logRateLimit, OnUsage: d.logRateUsage})
-	d.directory = backend.NewDirectory(d.clock, d.log, d.setServers)
+	d.dispatch.SetEntryTerm(backend.EntryTerm, d.bootClock.Now)
+	d.directory = backend.NewDirectory(d.bootClock, d.log, d.setServers)
 	d.dispatch.SetLeavingHandler(d.directory.AddLeavingNotice)
 	d.loops = append(d.loops, d.dispatch.Loop(), d.directory.Loop())
 	d.watchServers()
@@ -203,7 +204,7 @@
 		if up {
 			d.jobManager.RecheckOwnership()
 		}
-	})
+	}, d.directory.ConfirmContact)
 	return nil
 }
 
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -49,13 +49,14 @@
 		}
 		return time.Duration(directDelayShare * float64(maxDelay))
 	}
-	watcher = d.watchKindVia(api, adapter.KindServers, platform.WatcherOptions{BatchDelay: batchDelay, OnCallEnd: d.setStoreAvailable}, func(s platform.Snapshot) {
+	watcher = d.watchKindVia(api, adapter.KindServers, platform.WatcherOptions{BatchDelay: batchDelay, OnCallEnd: d.setStoreAvailable, OnRead: d.directory.ConfirmRead}, func(s platform.Snapshot) {
 		d.handleServers(s)
 		if !d.relay.PutSnapshot(s) {
 			d.log.WithFields(logrus.Fields{"revision": s.Revision}).Error("changes of backend servers are dropped: relay ring is full")
 			watcher.Relist()
 		}
 	})
+	d.directory.SetConfirmHandler(d.dispatch.ConfirmServers, watcher.Relist)
 }
 
 // rankRelays returns the addresses of the relays. There are none if there are fewer
--- a/internal/server/hosted/release_test.go
+++ b/internal/server/hosted/release_test.go
@@ -255,6 +255,7 @@
 // refused as not run. A daemon that is in step must not ask servers for new streams.
 func TestDaemonOutOfStepInReleaseJoinsNoStreams(t *testing.T) {
 	f := newReleaseFleet(t, "v1", "v1", "v1", "v1")
+	f.awaitLine(t, "entries of backend servers are up to date", "host", "front-1")
 	var old []begunStream
 	for i := range 12 {
 		old = append(old, f.begin(t, 1, fmt.Sprint("old-", i)))
@@ -284,3 +285,26 @@
 	}
 	f.stop(t)
 }
+
+// Guards against a stream whose recorded origin is the former version of a server that
+// started again: the daemon that began it was out of step in a release, and another one
+// continues it on the former version.
+func TestDaemonOutOfStepInReleaseRecordsNoWrongOrigin(t *testing.T) {
+	f := newReleaseFleet(t, "v1", "v1", "v1", "v1")
+	f.link.cut()
+	f.awaitLine(t, "entries of backend servers are out of date", "host", "front-0")
+	f.release(t, "v2", f.servers[:2]...)
+	continued := map[bool]int{}
+	for i := range 16 {
+		b := f.begin(t, 0, fmt.Sprint("s", i))
+		if f.takeUp(t, 1, b) {
+			continued[b.isOf("v2")]++
+		} else if b.isOf("v1") {
+			t.Errorf("stream %s is refused although two servers of its version serve", b.id)
+		}
+	}
+	if continued[false] == 0 {
+		t.Error("no stream of the version that was not replaced went on")
+	}
+	f.stop(t)
+}
--- a/internal/server/hosted/store.go
+++ b/internal/server/hosted/store.go
@@ -26,7 +26,7 @@
 	}
 	d := &storeDaemon{base: b}
 	b.watchKind(adapter.KindRetirements, platform.WatcherOptions{}, d.handleRetirements)
-	b.probeStore(func(bool) {})
+	b.probeStore(func(bool) {}, func(time.Time) {})
 	return d, b.startDuties()
 }
 
