Answer no other daemon from a list of servers that is behind

After it stood still, or after its host was suspended (its clock stops then), the first ping is answered before its own watch has brought the changes of that time, and the others take 'no changes' for the state of the store.

Failed with the condition taken out: relay_test.go:185: a relay whose own watch is behind answers, since the store answers

--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -36,6 +36,10 @@
 	// IsActive reports whether this daemon is a relay, so that its own watch goes
 	// to the store. It is called on the duty's goroutine.
 	IsActive func() bool
+	// IsFollowing reports whether this daemon's own watch has received all changes. It
+	// may not have after it stood still or was cut off, although the store answers again.
+	// It is called on the duty's goroutine.
+	IsFollowing func() bool
 }
 
 // WatchQuery requests the changes after a revision.
@@ -183,7 +187,7 @@
 // own watch has received all changes.
 func (r *Relay) isFresh() bool {
 	age := r.loop.Clock().Now().Sub(r.storeAnsweredAt)
-	return r.options.IsActive() && age < shareOf(r.options.MaxChangeDelay, relayFreshnessShare)
+	return r.options.IsActive() && r.options.IsFollowing() && age < shareOf(r.options.MaxChangeDelay, relayFreshnessShare)
 }
 
 // checkWaiting checks the waiting queries again: some have waited for
--- a/internal/platform/relay_test.go
+++ b/internal/platform/relay_test.go
@@ -136,6 +136,7 @@
 	relay     *Relay
 	isStoreUp bool
 	isActive  bool
+	isBehind  bool // the daemon's own watch has not received all changes
 }
 
 func (f *relayFixture) Ping(context.Context) error {
@@ -147,7 +148,7 @@
 
 func newRelayFixture() *relayFixture {
 	f := &relayFixture{clock: duty.NewManualClock(testStart), isStoreUp: true, isActive: true}
-	f.relay = NewRelay(f.clock, f, inlinePool{}, RelayOptions{MaxChangeDelay: time.Second, IsActive: func() bool { return f.isActive }})
+	f.relay = NewRelay(f.clock, f, inlinePool{}, RelayOptions{MaxChangeDelay: time.Second, IsActive: func() bool { return f.isActive }, IsFollowing: func() bool { return !f.isBehind }})
 	return f
 }
 
@@ -163,8 +164,8 @@
 	}
 }
 
-// Guards against a relay that serves an outdated state after it has lost the store,
-// and against a daemon that answers although it is not a relay.
+// Guards against a relay that serves an outdated state after it has lost the store or
+// stood still, and against a daemon that answers although it is not a relay.
 func TestRelayRejectsQueriesWithoutStore(t *testing.T) {
 	f := newRelayFixture()
 	f.relay.PutSnapshot(Snapshot{Revision: 5, Full: true})
@@ -179,7 +180,11 @@
 	}
 	f.isStoreUp = true
 	f.advance(time.Second)
-	f.isActive = false
+	f.isBehind = true
+	if f.relay.isFresh() {
+		t.Error("a relay whose own watch is behind answers, since the store answers")
+	}
+	f.isBehind, f.isActive = false, false
 	if f.relay.isFresh() {
 		t.Error("a daemon that is not a relay answers")
 	}
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -33,7 +33,7 @@
 // many daemons.
 func (d *frontDaemon) watchServers() {
 	maxDelay := d.hostSettings.Bounds.Drain
-	d.relay = platform.NewRelay(d.clock, d.storeClient, d.watchPool, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay})
+	d.relay = platform.NewRelay(d.clock, d.storeClient, d.watchPool, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay, IsFollowing: d.directory.IsFollowing})
 	d.loops = append(d.loops, d.relay.Loop())
 	api := platform.NewRelayedAPI(d.storeClient, d.clock, platform.RelayedOptions{
 		Client: d.peers, MaxChangeDelay: maxDelay, Relays: d.relayAddresses,
