--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -32,6 +32,9 @@
 	// crash.
 	Incarnation string
 	Context     context.Context // cancelled when the attempt is no longer needed
+	// LeaseAge is the age of the last confirmation of the request's lease when the
+	// attempt was sent; 0 for a request without a lease.
+	LeaseAge time.Duration
 	// Resume is the part of the answer that the caller has already received.
 	Resume core.Progress
 	// OnLoadReport receives the load that the server reports in the header of
@@ -108,7 +111,8 @@
 // goroutine was free for it.
 func (d *Dispatcher) startAttempt(s *callState, chosen *Candidate) bool {
 	ctx, cancel := context.WithCancel(s.call.Context)
-	number, server := s.attempts+1, chosen.Server.ID
+	number := s.attempts + 1
+	server := chosen.Server.ID
 	a := Attempt{
 		Number:       number,
 		Call:         s.call,
@@ -120,13 +124,14 @@
 		MustAskRun:   !s.progress.IsEmpty() || d.health.isRunReplaced(chosen, d.loop.Clock().Now()),
 		Incarnation:  d.health.incarnationOf(chosen.Server),
 		Context:      ctx,
+		LeaseAge:     leaseAge(s.call.Request),
 		Resume:       s.progress,
 		OnLoadReport: func(l Load) { d.answerLoads.TryPut(answerLoad{server: server, load: l}) },
 		OnRateLimit:  d.rateLimitHandler(chosen),
 		OnLeaving:    d.leavingHandler(&chosen.Server),
 	}
 	if s.call.Request.Class == core.ClassRollout && number <= maxPaceMoves {
-		a.IsTooSlow = d.router.paceOf(s.call.Request.Service, a.Software).isTooSlow
+		a.IsTooSlow = d.slowStreamCheck(s.call.Request, a.Software)
 	}
 	for previous := 1; previous < number && len(s.runningAttempts) == 0; previous++ {
 		if s.call.Answer.Transfer(previous, number) {
@@ -149,6 +154,31 @@
 	return true
 }
 
+// slowStreamCheck returns the check that moves a slow stream to another server. A stream
+// stays where it is while the lease of its request does not allow another attempt.
+func (d *Dispatcher) slowStreamCheck(r *core.Request, software core.SoftwareVersion) func(events int, took time.Duration) bool {
+	pace := d.router.paceOf(r.Service, software)
+	return func(events int, took time.Duration) bool { return r.Lease.IsValid() && pace.isTooSlow(events, took) }
+}
+
+// CheckSend returns an error if the attempt must not be sent any more: it was cancelled,
+// or the lease of its request has expired, since it was started. Exchangers call it
+// right before they write the request.
+func (a *Attempt) CheckSend() *core.Error {
+	if cause := core.ContextCause(a.Context); cause != nil {
+		return ContextError(cause, core.NotRun, "before the request was sent")
+	}
+	return a.Call.Request.Lease.Check()
+}
+
+func leaseAge(r *core.Request) time.Duration {
+	if r.Lease == nil {
+		return 0
+	}
+	age, _ := r.Lease.Age()
+	return age
+}
+
 func (s *callState) cancelAttempts() {
 	for _, cancel := range s.runningAttempts {
 		cancel()
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -67,17 +67,24 @@
 	connection, err := c.connect(a)
 	if err != nil {
 		end := backend.FailedAttempt(backend.DialError(a.Context, err))
-		end.Unreachable = backend.ContextCause(a.Context) == nil
+		end.Unreachable = core.ContextCause(a.Context) == nil
 		return end
 	}
+	if err := a.CheckSend(); err != nil {
+		connection.Abort()
+		return backend.FailedAttempt(err)
+	}
+	if a.Call.Request.Repeatable {
+		connection.AckTimeout = transport.DefaultAckTimeout
+	}
 	var end backend.AttemptEnd
-	c.pool.Use(a.Context, connection, func() (reusable, failed bool) {
+	c.pool.Use(a.Context, connection, func() (reusable bool) {
 		if a.Call.Request.IsModelCall() {
 			end, reusable = c.exchangeCompletion(a, connection, req, resp)
 		} else {
 			end, reusable = c.exchangeOperation(a, connection, req, resp)
 		}
-		return reusable, end.Err != nil
+		return reusable
 	})
 	return end
 }
@@ -125,7 +132,7 @@
 func (c *Client) exchangeCompletion(a backend.Attempt, connection *transport.Conn, req *protocol.Request, resp *protocol.Response) (end backend.AttemptEnd, reusable bool) {
 	s := newStream(a)
 	connection.OnReadTimeout = func() error { return c.checkIdleStream(s, connection) }
-	err := connection.Send(req)
+	err := connection.Send(a.Context, req)
 	if err == nil {
 		err = connection.ReadResponseHeader(resp)
 	}
@@ -153,14 +160,17 @@
 	end := backend.FailedAttempt(backend.ConnectionError(s.attempt.Context, connection.BytesWritten, err))
 	end.Tokens = s.tokens
 	end.Endless = transport.IsEndless(err)
-	if errors.Is(err, errNotNeeded) && backend.ContextCause(s.attempt.Context) == nil {
+	if errors.Is(err, errNotNeeded) && core.ContextCause(s.attempt.Context) == nil {
 		end.Err = core.MayHaveRunError(core.CodeCancelled, "another attempt answers the request")
 	}
 	if connection.BytesWritten == 0 {
 		return end
 	}
 	end.CancelAtServer = true
-	if backend.ContextCause(s.attempt.Context) != nil || errors.Is(err, errNotNeeded) {
+	if core.ContextCause(s.attempt.Context) != nil || errors.Is(err, errNotNeeded) {
+		return end
+	}
+	if c.closeBrokenPath(s.attempt, err) {
 		return end
 	}
 	c.detectCrash(&end, s.attempt)
@@ -176,6 +186,17 @@
 	return end
 }
 
+// closeBrokenPath closes the idle connections to the server if the exchange failed because
+// the network path to it is broken, and reports whether it did. Requests on them would
+// wait, as would probes.
+func (c *Client) closeBrokenPath(a backend.Attempt, err error) bool {
+	if !errors.Is(err, transport.ErrUnacknowledged) {
+		return false
+	}
+	c.pool.CloseIdle(a.Address)
+	return true
+}
+
 // detectCrash probes the server over a new connection and records whether it
 // has crashed.
 func (c *Client) detectCrash(end *backend.AttemptEnd, a backend.Attempt) {
@@ -197,7 +218,7 @@
 	if err := connection.RoundTrip(a.Context, req, resp, transport.DefaultMaxBodyBytes); err != nil {
 		end = backend.FailedAttempt(backend.ConnectionError(a.Context, connection.BytesWritten, err))
 		end.Endless = transport.IsEndless(err)
-		if connection.BytesWritten > 0 && backend.ContextCause(a.Context) == nil {
+		if connection.BytesWritten > 0 && core.ContextCause(a.Context) == nil && !c.closeBrokenPath(a, err) {
 			c.detectCrash(&end, a)
 		}
 		return end, false
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -104,7 +104,8 @@
 	reliedUponFrom  time.Time   // when the servers have had time to write their entries
 	isUpToDate      bool        // the list was confirmed within EntryTerm
 	confirmedAt     time.Time   // newest confirmation that was passed on
-	isListRequested bool        // by onOutdated, since the last confirmation of followed
+	backInContactAt time.Time   // first contact since followed ended; zero while it is valid
+	isListRequested bool        // by onOutdated, since followed ended
 }
 
 // NewDirectory returns the duty. deliver receives the whole list, sorted by ID,
--- a/internal/backend/directoryage.go
+++ b/internal/backend/directoryage.go
@@ -4,6 +4,10 @@
 	"time"
 )
 
+// listRequestDelay is how long the store answers before the list is requested: after an
+// outage that was noticed, it is read again without a request.
+const listRequestDelay = time.Second
+
 // SetConfirmHandler sets the function that receives the time at which the list that was
 // delivered last was the newest, and the one that requests the whole list after changes
 // may have been missed. Neither may block. SetConfirmHandler must be called before the
@@ -48,7 +52,11 @@
 		d.follow(sentAt)
 		return
 	}
-	if !d.isListRequested && d.onOutdated != nil {
+	now := d.loop.Clock().Now()
+	if d.backInContactAt.IsZero() {
+		d.backInContactAt = now
+	}
+	if !d.isListRequested && now.Sub(d.backInContactAt) >= listRequestDelay && d.onOutdated != nil {
 		d.isListRequested = true
 		d.onOutdated()
 	}
@@ -59,7 +67,9 @@
 	if at.After(d.readAt) {
 		d.readAt = at
 	}
-	d.isListRequested = !d.followed.IsValid()
+	if d.followed.IsValid() {
+		d.isListRequested, d.backInContactAt = false, time.Time{}
+	}
 	d.passConfirmation()
 }
 
--- a/internal/backend/directoryage_test.go
+++ b/internal/backend/directoryage_test.go
@@ -82,6 +82,11 @@
 	}
 	b.contact(before.Add(1))
 	b.contact(b.clock.Now())
+	if b.lists > 0 {
+		t.Error("a list was requested that may be on its way")
+	}
+	b.wait(listRequestDelay)
+	b.contact(b.clock.Now())
 	b.contact(b.clock.Now())
 	b.expect(t, "contacts after it stood still", time.Time{})
 	if b.lists != 1 {
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -39,10 +38,12 @@
 	runner       *duty.Runner
 	pools        []*duty.Pool
 	loops        []*duty.Loop
-	storeClient  *adapter.Store
+	storeClient  *contactStore
 	watchPool    *duty.Pool
 	// watchers are listed again after an outage of the store.
 	watchers []*platform.Watcher
+	probe    *platform.Probe
+	store    *platform.Store // nil in roles that only watch
 }
 
 func newBase(set *adapter.Settings, log *logrus.Entry) (*base, error) {
@@ -50,7 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &base{hostSettings: set, log: log, clock: duty.SystemClock{}, bootClock: duty.NewBootClock(), runner: runner, storeClient: adapter.NewStore(set.Store.Address)}
+	b := &base{hostSettings: set, log: log, clock: duty.SystemClock{}, bootClock: duty.NewBootClock(), runner: runner}
+	b.storeClient = &contactStore{Store: adapter.NewStore(set.Store.Address), now: b.bootClock.Now, onContact: func(time.Time) {}}
 	b.watchPool, err = b.pool("watches", watchPoolSize)
 	return b, err
 }
@@ -69,10 +71,19 @@
 
 // watchKind adds a duty that watches the objects of a kind in the store.
 func (b *base) watchKind(kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
+	onCallEnd := o.OnCallEnd
+	o.OnCallEnd = func(err error) {
+		now := b.clock.Now()
+		b.reportStoreCall(platform.CallEnd{Started: now, Ended: now, Err: err})
+		if onCallEnd != nil {
+			onCallEnd(err)
+		}
+	}
 	return b.watchKindVia(b.storeClient, kind, o, deliver)
 }
 
-// watchKindVia does the same as watchKind through another object API.
+// watchKindVia does the same as watchKind through another object API, whose answers do
+// not show that the store answers.
 func (b *base) watchKindVia(api platform.ObjectAPI, kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
 	// The boot clock gives the ages of answers.
 	o.WatchTimeout, o.MaxRetryDelay, o.RelistAfterFailure = watchTimeout, maxWatchRetryDelay, true
@@ -95,38 +106,40 @@
 	return w
 }
 
-// probeStore adds a duty that probes the store. After an outage it lists all
-// watches again. It passes each change to onChange, and the time of each request that the
-// store answered to onContact, on a pool goroutine.
-func (b *base) probeStore(onChange func(up bool), onContact func(sentAt time.Time)) {
-	pinger := contactPinger{Pinger: b.storeClient, now: b.bootClock.Now, onContact: onContact}
-	p := platform.NewProbe(b.clock, pinger, b.watchPool, func(up bool) {
-		b.log.WithField("up", up).Warn("store availability changed")
-		if up {
+// reportStoreCall passes the end of a watch of the store to the duties that know whether
+// the store answers: first to the store duty, which must not refuse the operations that
+// others submit because of an answer.
+func (b *base) reportStoreCall(e platform.CallEnd) {
+	if b.store != nil {
+		b.store.ReportCall(e)
+	}
+	b.probe.ReportCall(e)
+}
+
+// probeStore adds the duty that knows whether the store answers. After an outage it
+// lists all watches again. It passes each change to onChange.
+func (b *base) probeStore(onChange func(up bool)) {
+	b.probe = platform.NewProbe(b.clock, b.storeClient, b.watchPool, func(c platform.AvailabilityChange) {
+		b.logAvailability(c)
+		if c.Up {
 			for _, w := range b.watchers {
 				w.Relist()
 			}
 		}
-		onChange(up)
+		onChange(c.Up)
 	})
-	b.loops = append(b.loops, p.Loop())
-}
-
-// contactPinger reports when the requests that the store answers were sent.
-type contactPinger struct {
-	platform.Pinger
-	now       func() time.Time
-	onContact func(sentAt time.Time)
+	if b.store != nil {
+		b.probe.OnPingEnd(b.store.ReportCall)
+		b.store.OnCallEnd(b.probe.ReportCall)
+	}
+	b.loops = append(b.loops, b.probe.Loop())
 }
 
-// Ping implements platform.Pinger.
-func (p contactPinger) Ping(ctx context.Context) error {
-	sentAt := p.now()
-	err := p.Pinger.Ping(ctx)
-	if err == nil {
-		p.onContact(sentAt)
-	}
-	return err
+// logAvailability logs that the store has stopped or started answering.
+func (b *base) logAvailability(c platform.AvailabilityChange) {
+	b.log.WithError(c.Err).WithFields(logrus.Fields{
+		"up": c.Up, "reason": c.Reason, "former_state_ms": c.Lasted.Milliseconds(),
+	}).Warn("store availability changed")
 }
 
 // startDuties starts the duties. It runs after all callbacks between them have been
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -57,6 +57,7 @@
 		}
 	})
 	d.directory.SetConfirmHandler(d.dispatch.ConfirmServers, watcher.Relist)
+	d.storeClient.onContact = d.directory.ConfirmContact
 }
 
 // rankRelays returns the addresses of the relays. There are none if there are fewer
--- a/internal/server/hosted/release_test.go
+++ b/internal/server/hosted/release_test.go
@@ -164,14 +164,13 @@
 // newReleaseFleet starts two daemons, and a server for each software version.
 func newReleaseFleet(t *testing.T, software ...string) *releaseFleet {
 	t.Helper()
-	f := &releaseFleet{}
-	f.fleet = newFleetVia(t, 2, func(daemon int, store string) string {
-		if daemon > 0 {
-			return store
-		}
-		f.link = newBreakableLink(t, store)
-		return f.link.address
-	})
+	f := &releaseFleet{fleet: newFleet(t, 0)}
+	f.link = newBreakableLink(t, f.store.Address())
+	f.startDaemon(t, f.link.address)
+	f.startDaemon(t, f.store.Address())
+	for _, d := range f.daemons {
+		waitFor(t, "a configuration", d.isReady)
+	}
 	for i, v := range software {
 		s := newVersionedServer(t, fmt.Sprint("advice-", i), v)
 		f.servers = append(f.servers, s)
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -58,6 +58,7 @@
 type runEnd struct {
 	job             JobID
 	item            ItemID
+	generation      int // of the job when the run started
 	run             int
 	reward          bool
 	callEnd         core.End
@@ -70,7 +71,7 @@
 // startJob makes this daemon run the items of a job that it owns.
 func (m *Manager) startJob(e *jobEntry) {
 	e.phase = phaseOwned
-	e.lastQueryAt, e.ownershipCheckedAt = m.now(), m.now()
+	e.lastQueryAt = m.now()
 	done := map[ItemID]bool{}
 	for _, r := range e.published {
 		done[r.Item] = true
@@ -134,7 +135,8 @@
 }
 
 // launchDueItems starts the items that are due, and abandons all unfinished items
-// once the job's time limit has passed.
+// once the job's time limit has passed. While the lease of the job is not valid, runs in
+// progress go on, but nothing starts.
 func (m *Manager) launchDueItems(e *jobEntry) {
 	if e.phase != phaseOwned || m.released {
 		return
@@ -151,7 +153,7 @@
 			m.abandonItem(e, r, "time limit of the job has passed")
 			continue
 		}
-		if !ok || r.running || now.Before(r.notBefore) {
+		if !ok || r.running || now.Before(r.notBefore) || !e.lease.IsValid() {
 			continue
 		}
 		m.launchItem(e, r, rules)
@@ -179,6 +181,7 @@
 		Class:       core.ClassRollout,
 		Repeatable:  true,
 		Accepted:    true,
+		Lease:       e.lease,
 		Body:        r.item.Body,
 		MaxTokens:   r.item.MaxTokens,
 		Stream:      true,
@@ -211,6 +214,7 @@
 		Class:       core.ClassBackground,
 		Repeatable:  true,
 		Accepted:    true,
+		Lease:       e.lease,
 		Body:        reward.Body,
 		Deadline:    m.now().Add(timeout),
 		MaxAttempts: 1,
@@ -222,12 +226,12 @@
 // startRun submits the request and collects its answer on the pool.
 func (m *Manager) startRun(e *jobEntry, r *itemRun, request *core.Request, singleVersion bool) {
 	r.number++
-	request.ID = core.RequestID(string(e.id) + "/" + string(r.item.ID) + "/" + strconv.Itoa(r.number))
+	request.ID = core.RequestID(fmt.Sprintf("%s/%s/%d.%d", e.id, r.item.ID, e.generation, r.number))
 	request.Fingerprint = request.ComputeFingerprint()
 	ctx, cancel := request.WithDeadline(context.Background())
 	c := answerCollector{
 		call: core.NewCall(ctx, request), singleVersion: singleVersion, minVersion: request.MinVersion, cancel: cancel,
-		result: runEnd{job: e.id, item: r.item.ID, run: r.number, reward: r.textEnd != nil, progress: r.progress.Clone()},
+		result: runEnd{job: e.id, item: r.item.ID, generation: e.generation, run: r.number, reward: r.textEnd != nil, progress: r.progress.Clone()},
 	}
 	if n := len(r.versions); n > 0 {
 		c.lastVersion = r.versions[n-1]
@@ -297,7 +301,7 @@
 
 func (m *Manager) handleRunEnd(end runEnd) {
 	e := m.jobs[end.job]
-	if e == nil || e.phase != phaseOwned {
+	if e == nil || e.phase != phaseOwned || e.generation != end.generation {
 		return
 	}
 	r := e.items[end.item]
@@ -337,6 +341,8 @@
 	case end.callEnd.Err != nil && end.callEnd.Err.Code == core.CodeNotContinued:
 		log.WithError(end.callEnd.Err).Info("item starts anew")
 		r.discardText()
+	case end.callEnd.Err != nil && end.callEnd.Err.Code == core.CodeLeaseExpired:
+		log.WithError(end.callEnd.Err).Info("item waits until the ownership of its job is confirmed")
 	case end.callEnd.Err != nil:
 		if end.callEnd.Attempts == 0 {
 			// No attempt failed that would be in the log.
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -103,8 +103,12 @@
 	awaitingConfirmation []pendingQuery // queries that wait until the result list is known to be complete
 	confirmedAt          time.Time      // when the result list was last known to be complete
 	lastQueryAt          time.Time
-	ownershipCheckedAt   time.Time
-	checkingOwnership    bool // the state is being read from the store
+	// lease is the right to run the items: the ownership as last confirmed by the store.
+	// Each ownership has a lease of its own.
+	lease             *core.Lease
+	checkingOwnership bool          // the state is being read from the store
+	recheckOwnership  bool          // it is to be read again, since the store may answer again
+	checkFailures     checkFailures // since the last successful check
 
 	items            map[ItemID]*itemRun
 	launchOrder      []ItemID
@@ -125,11 +129,12 @@
 type Manager struct {
 	loop   *duty.Loop
 	log    *logrus.Entry
-	store  Store
 	calls  core.Submitter
 	pool   Pool
 	routes Routes
 	self   Owner
+	// leaseNow is the clock of the leases.
+	leaseNow func() time.Time
 	// onOwned is called for each job that this daemon starts to own.
 	onOwned func(Ownership)
 	// maxObjectBytes bounds the size of one store object of a job.
@@ -137,7 +142,9 @@
 
 	queries       *duty.QueryRing[Query, Reply]
 	openJobCounts *duty.QueryRing[struct{}, int]
-	storeReplies  *ring.Ring[func()]
+	storeOps      *storeOps
+	releases      *ring.Ring[struct{}] // requests of ReleaseJobs
+	rechecks      *ring.Ring[struct{}] // requests of RecheckOwnership
 	runEnds       *ring.Ring[runEnd]
 	ownerUpdates  *ring.Ring[[]Ownership]
 
@@ -154,6 +161,9 @@
 	Pool   Pool
 	Routes Routes
 	Self   Owner
+	// LeaseNow returns the time by which the age of an ownership is measured. It must
+	// include the time for which the host is suspended; nil takes Clock.
+	LeaseNow func() time.Time
 	// OnOwned is called on the duty's goroutine for each job that this daemon
 	// starts to own. It must not wait.
 	OnOwned func(Ownership)
@@ -167,26 +177,32 @@
 	if o.MaxObjectBytes <= 0 {
 		o.MaxObjectBytes = defaultObjectBytes
 	}
+	if o.LeaseNow == nil {
+		o.LeaseNow = o.Clock.Now
+	}
 	m := &Manager{
 		loop:    duty.New("jobs", o.Clock),
 		log:     o.Log,
-		store:   o.Store,
 		calls:   o.Calls,
 		pool:    o.Pool,
 		routes:  o.Routes,
 		self:    o.Self,
 		onOwned: o.OnOwned,
 
+		leaseNow:       o.LeaseNow,
 		maxObjectBytes: o.MaxObjectBytes,
 
 		ownerUpdates:  ring.New[[]Ownership]("jobs.owners", queryRingCapacity),
 		queries:       duty.NewQueryRing[Query, Reply]("jobs.queries", queryRingCapacity),
 		openJobCounts: duty.NewQueryRing[struct{}, int]("jobs.counts", queryRingCapacity),
-		storeReplies:  ring.New[func()]("jobs.results", storeReplyCapacity),
+		releases:      ring.New[struct{}]("jobs.releases", 1),
+		rechecks:      ring.New[struct{}]("jobs.rechecks", 1),
 		runEnds:       ring.New[runEnd]("jobs.ends", runEndCapacity),
 		jobs:          map[JobID]*jobEntry{},
 	}
-	duty.On(m.loop, m.storeReplies, func(f func()) { f() })
+	m.storeOps = newStoreOps(m.loop, o.Store, "jobs.results", storeReplyCapacity)
+	duty.On(m.loop, m.releases, func(struct{}) { m.releaseOwnedJobs() })
+	duty.On(m.loop, m.rechecks, func(struct{}) { m.recheckAllOwnerships() })
 	duty.On(m.loop, m.runEnds, m.handleRunEnd)
 	duty.OnQuery(m.loop, m.queries, m.handleQuery)
 	duty.On(m.loop, m.ownerUpdates, m.handleOwnerUpdates)
@@ -219,34 +235,25 @@
 
 // ReleaseJobs releases all owned jobs, so that other daemons take them over.
 // Any goroutine may call it.
-func (m *Manager) ReleaseJobs() { m.storeReplies.TryPut(m.releaseOwnedJobs) }
+func (m *Manager) ReleaseJobs() { m.releases.PutLatest(struct{}{}) }
 
 // RecheckOwnership checks the ownership of all jobs in the store. It is called
 // when the store is reachable again, since a job may have ended or been taken
 // over meanwhile. Any goroutine may call it.
-func (m *Manager) RecheckOwnership() {
-	m.storeReplies.TryPut(func() {
-		for _, e := range m.jobs {
-			m.checkOwnership(e)
-		}
-	})
+func (m *Manager) RecheckOwnership() { m.rechecks.PutLatest(struct{}{}) }
+
+func (m *Manager) recheckAllOwnerships() {
+	for _, e := range m.jobs {
+		e.recheckOwnership = e.checkingOwnership
+		m.checkOwnership(e)
+	}
 }
 
 // submitToStore sends an operation to the store duty; reply runs on the duty's
 // goroutine.
 func (m *Manager) submitToStore(op platform.Op, reply func(platform.Result)) {
 	op.Timeout, op.FailFast = storeTimeout, true
-	submitOp(m.store, m.storeReplies, op, reply)
-}
-
-// submitOp sends an operation to the store duty and passes the reply to the
-// reader of the ring. If the store's ring is full, reply is called at once with
-// platform.ErrQueueFull.
-func submitOp(store Store, replies *ring.Ring[func()], op platform.Op, reply func(platform.Result)) {
-	op.Reply = func(r platform.Result) { replies.TryPut(func() { reply(r) }) }
-	if !store.Submit(op) {
-		reply(platform.Result{Err: platform.ErrQueueFull})
-	}
+	m.storeOps.submit(op, reply)
 }
 
 func (m *Manager) handleQuery(request duty.Query[Query, Reply]) {
@@ -324,6 +331,7 @@
 // these have objects of their own.
 func (m *Manager) createJob(e *jobEntry, job *Job, value []byte) {
 	op := platform.Op{Kind: platform.OpPut, Key: jobPrefix + string(e.id), Value: value, IfVersion: platform.Absent}
+	e.lease = m.newLease(m.leaseNow())
 	m.submitToStore(op, func(r platform.Result) { m.handleAccepted(e, job, r) })
 }
 
@@ -382,9 +390,10 @@
 	}
 }
 
-// stopJob cancels the runs of a job's items and moves the queries that wait for
+// stopJob revokes the lease of a job, cancels the runs of its items and moves the queries that wait for
 // results to awaitingLoad.
 func (m *Manager) stopJob(e *jobEntry, next phase) {
+	e.lease.Revoke()
 	for _, item := range e.items {
 		item.cancelRun()
 	}
--- a/internal/trainer/batch/manager_test.go
+++ b/internal/trainer/batch/manager_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
 )
 
 // readAll reads until all results of the job are published.
@@ -138,7 +139,7 @@
 		}
 		return 503
 	}
-	d.holdsResults = true
+	d.holds = func(op platform.Op) bool { return op.Kind == platform.OpPut && strings.HasPrefix(op.Key, resultPrefix) }
 	cluster.query(d, submitQuery("a", 4))
 	for range 200 {
 		if len(d.heldReplies) == 0 {
@@ -285,7 +286,7 @@
 	const number = 5
 	r := &itemRun{item: &e.job.Items[0], number: number, running: true}
 	e.phase, e.items = phaseOwned, map[ItemID]*itemRun{"a.0": r}
-	m.handleRunEnd(runEnd{job: "a", item: "a.0", run: number, versionMismatch: true})
+	m.handleRunEnd(runEnd{job: "a", item: "a.0", generation: e.generation, run: number, versionMismatch: true})
 	if r.running || r.number != number || !r.notBefore.Equal(m.now().Add(itemRetryDelay)) {
 		t.Errorf("running %v, run %d after %d, next at %v", r.running, r.number, number, r.notBefore)
 	}
--- a/internal/trainer/batch/sweep.go
+++ b/internal/trainer/batch/sweep.go
@@ -10,7 +10,6 @@
 
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
-	"github.com/berylfall/berylfall/internal/ring"
 )
 
 const (
@@ -44,14 +43,14 @@
 type Sweeper struct {
 	loop     *duty.Loop
 	options  SweeperOptions
-	replies  *ring.Ring[func()]
+	storeOps *storeOps
 	sweeping bool
 }
 
 // NewSweeper returns a duty whose loop has yet to be run.
 func NewSweeper(o SweeperOptions) *Sweeper {
-	s := &Sweeper{loop: duty.New("sweep", o.Clock), options: o, replies: ring.New[func()]("sweep.answers", sweepReplyCapacity)}
-	duty.On(s.loop, s.replies, func(f func()) { f() })
+	s := &Sweeper{loop: duty.New("sweep", o.Clock), options: o}
+	s.storeOps = newStoreOps(s.loop, o.Store, "sweep.answers", sweepReplyCapacity)
 	s.loop.Every(sweepPeriod, s.sweep)
 	return s
 }
@@ -111,7 +110,7 @@
 		return
 	}
 	s.submit(platform.Op{Kind: platform.OpList, Key: prefixes[0] + string(id) + "."}, func(r platform.Result) {
-		if r.Err != nil {
+		if r.Err != nil && !isUnreachable(r.Err) {
 			s.abortSweep("objects of an ended job cannot be listed", r.Err)
 			return
 		}
@@ -122,6 +121,12 @@
 	})
 }
 
+// isUnreachable reports whether the store has no object under the key, or refuses the
+// key: another writer may have left a state whose name is no job's.
+func isUnreachable(err error) bool {
+	return errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRejected)
+}
+
 // removeObjects deletes the objects in order. An object that does not exist any
 // more is skipped.
 func (s *Sweeper) removeObjects(keys []string, next func()) {
@@ -130,7 +135,7 @@
 		return
 	}
 	s.submit(platform.Op{Kind: platform.OpDelete, Key: keys[0], IfVersion: platform.AnyVersion}, func(r platform.Result) {
-		if r.Err != nil && !errors.Is(r.Err, platform.ErrNotFound) {
+		if r.Err != nil && !isUnreachable(r.Err) {
 			s.abortSweep("object of an ended job cannot be removed", r.Err)
 			return
 		}
@@ -148,5 +153,5 @@
 // goroutine.
 func (s *Sweeper) submit(op platform.Op, reply func(platform.Result)) {
 	op.Timeout = sweepTimeout
-	submitOp(s.options.Store, s.replies, op, reply)
+	s.storeOps.submit(op, reply)
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -14,6 +14,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	hertzreq "github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"golang.org/x/sync/semaphore"
+
+	"github.com/berylfall/berylfall/internal/core"
 )
 
 const (
@@ -42,6 +44,11 @@
 	// ServerIdleTimeout is how long the server keeps an idle connection open; 0
 	// is unknown.
 	ServerIdleTimeout time.Duration
+	// AckTimeout is how long a request may stay unacknowledged until it ends with
+	// ErrUnacknowledged; 0 is no bound. It applies until the first byte of the answer, and
+	// not to a system that does not report unacknowledged bytes.
+	AckTimeout time.Duration
+	acks       ackWatch
 
 	// PeerRun is the run of the server at the other end, as it said on this connection;
 	// empty if it has not been asked. A connection does not outlive the server's process.
@@ -53,7 +60,7 @@
 	start         int // index of the first unread byte of buffer
 
 	guard       progressGuard
-	guardErr    error               // of the guard; the connection cannot be used any more
+	fatalErr    error               // after it the connection cannot be used any more
 	largeBodies *semaphore.Weighted // of the pool; nil is no limit
 }
 
@@ -72,6 +79,7 @@
 
 // dialWithKeepAlive opens a connection on which TCP keep-alive probes start after
 // the keepAlive time without data; 0 sends none and lets sent data stay unacknowledged.
+// However the connection ends, also with the process, it is reset.
 func dialWithKeepAlive(ctx context.Context, address string, readTimeout, keepAlive, dialTimeout time.Duration) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
@@ -92,6 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
+	discardOnClose(c)
 	return &Conn{Conn: c, address: address, readTimeout: readTimeout}, nil
 }
 
@@ -104,9 +113,11 @@
 }
 
 // Send writes the request and sets BytesWritten to the number of its bytes that
-// were sent.
-func (c *Conn) Send(req *protocol.Request) error {
+// were sent. It writes nothing if ctx is over: the reset that ends a connection in use
+// with its context runs on another goroutine, which may be later than the write.
+func (c *Conn) Send(ctx context.Context, req *protocol.Request) error {
 	c.BytesWritten, c.NextReadTimeout = 0, 0
+	c.startAckWatch()
 	var encoded bytes.Buffer
 	w := network.NewWriter(&encoded)
 	if err := hertzreq.Write(req, w); err != nil {
@@ -115,34 +126,43 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("encode request: %w", err)
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(c.readTimeout)); err != nil {
+	if err := core.ContextCause(ctx); err != nil {
 		return err
 	}
-	_, err := c.Write(encoded.Bytes())
-	return err
+	return c.writeAll(encoded.Bytes())
+}
+
+// writeAll writes the bytes within the read time-out.
+func (c *Conn) writeAll(b []byte) error {
+	return c.operate(c.readTimeout, func(limit time.Duration) error {
+		if err := c.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+			return err
+		}
+		n, err := c.Write(b)
+		b = b[n:]
+		return err
+	})
 }
 
 // fill blocks until n unread bytes are buffered, a read fails, or a read times
 // out and OnReadTimeout is nil or returns an error.
 func (c *Conn) fill(n int) error {
 	for len(c.buffer)-c.start < n {
-		if c.guardErr != nil {
-			return c.guardErr
+		if c.fatalErr != nil {
+			return c.fatalErr
 		}
 		c.reserve(n)
-		if err := c.SetReadDeadline(time.Now().Add(c.takeReadTimeout())); err != nil {
-			return err
-		}
-		used := len(c.buffer)
-		read, err := c.Conn.Read(c.buffer[used:cap(c.buffer)])
-		c.buffer = c.buffer[:used+read]
-		if c.guardErr = c.guard.receive(read, time.Now()); c.guardErr != nil {
+		read, err := c.receive()
+		if guardErr := c.guard.receive(read, time.Now()); guardErr != nil {
 			// The HTTP library ignores an error of Peek that comes with bytes.
 			c.buffer, c.start = nil, 0
-			return c.guardErr
+			c.fatalErr = guardErr
+			return guardErr
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.OnReadTimeout != nil {
+			// The HTTP library replaces an error before the first byte of a response.
 			err = c.OnReadTimeout()
+			c.fatalErr = err
 		}
 		if err != nil && len(c.buffer)-c.start < n {
 			return err
@@ -151,6 +171,24 @@
 	return nil
 }
 
+// receive appends the bytes of one read to the buffer, which must have room.
+func (c *Conn) receive() (read int, err error) {
+	used := len(c.buffer)
+	err = c.operate(c.takeReadTimeout(), func(limit time.Duration) error {
+		if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return err
+		}
+		var err error
+		read, err = c.Conn.Read(c.buffer[used:cap(c.buffer)])
+		return err
+	})
+	c.buffer = c.buffer[:used+read]
+	if read > 0 {
+		c.acks = ackWatch{}
+	}
+	return read, err
+}
+
 // takeReadTimeout returns the time-out of the next read and resets
 // NextReadTimeout.
 func (c *Conn) takeReadTimeout() time.Duration {
@@ -205,9 +243,7 @@
 func (c *Conn) Release() error { return nil }
 
 // Abort closes the connection with a reset and discards data that the peer has
-// not received. After a plain close the operating system keeps retransmitting, so
-// a request abandoned during a network partition could still be delivered
-// seconds later, when the partition has healed.
+// not received.
 func (c *Conn) Abort() {
 	resetConnection(c.Conn)
 }
@@ -261,7 +297,7 @@
 // RoundTrip sends the request and reads the whole response, whose body may have
 // maxBodyBytes.
 func (c *Conn) RoundTrip(ctx context.Context, req *protocol.Request, resp *protocol.Response, maxBodyBytes int) error {
-	if err := c.Send(req); err != nil {
+	if err := c.Send(ctx, req); err != nil {
 		return err
 	}
 	if err := c.ReadResponseHeader(resp); err != nil {
