--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -63,13 +63,28 @@
 	Removed bool
 }
 
+// directoryChange is a batch of changes, or the time up to which all changes were
+// submitted before.
+type directoryChange struct {
+	changes []ServerChange
+	readAt  time.Time // zero for changes
+}
+
 // Directory is the duty that maintains the list of backend servers from the
 // changes of their entries in the platform's store.
+//
+// It knows up to which time it has received all changes, and confirms the list to its
+// receiver accordingly. After a time without that knowledge the servers first get
+// lapsedEntryGrace to write their entries: one that started again while the store was
+// unavailable still has its former entry when the store returns.
 type Directory struct {
 	loop              *duty.Loop
 	log               *logrus.Entry
 	deliver           func([]Server)
-	changes           *ring.Ring[[]ServerChange]
+	confirm           func(at time.Time) // receives the time at which the delivered list was the newest; nil for no receiver
+	onOutdated        func()             // requests the whole list from the store; nil for no receiver
+	changes           *ring.Ring[directoryChange]
+	contacts          *ring.Ring[time.Time]
 	storeAvailability *ring.Ring[bool]
 	modelStatus       *ring.Ring[[]ModelStatus]
 	leavingNotices    *ring.Ring[LeavingNotice]
@@ -83,16 +98,26 @@
 	lapseGraceUntil  time.Time
 	isStoreAvailable bool
 	publishPending   bool // a delivery is scheduled
+
+	followed        *core.Lease // all changes up to its confirmation were received
+	readAt          time.Time   // its newest confirmation
+	reliedUponFrom  time.Time   // when the servers have had time to write their entries
+	isUpToDate      bool        // the list was confirmed within EntryTerm
+	confirmedAt     time.Time   // newest confirmation that was passed on
+	backInContactAt time.Time   // first contact since followed ended; zero while it is valid
+	isListRequested bool        // by onOutdated, since followed ended
 }
 
 // NewDirectory returns the duty. deliver receives the whole list, sorted by ID,
-// after changes and each republishPeriod; it must not block.
+// after changes and each republishPeriod; it must not block. The clock must include the
+// time for which the host is suspended.
 func NewDirectory(clock duty.Clock, log *logrus.Entry, deliver func([]Server)) *Directory {
 	d := &Directory{
 		loop:              duty.New("directory", clock),
 		log:               log,
 		deliver:           deliver,
-		changes:           ring.New[[]ServerChange]("directory.changes", directoryRingCapacity),
+		changes:           ring.New[directoryChange]("directory.changes", directoryRingCapacity),
+		contacts:          ring.New[time.Time]("directory.contacts", directoryRingCapacity),
 		storeAvailability: ring.New[bool]("directory.store", directoryRingCapacity),
 		modelStatus:       ring.New[[]ModelStatus]("directory.notices", directoryRingCapacity),
 		leavingNotices:    ring.New[LeavingNotice]("directory.leaving", directoryRingCapacity),
@@ -101,9 +126,11 @@
 		modelStates:       map[modelKey]modelState{},
 		lapsedUntil:       map[core.ServerID]time.Time{},
 		isStoreAvailable:  true,
+		followed:          core.NewLease(EntryTerm, clock.Now),
 	}
 	duty.On(d.loop, d.storeAvailability, d.handleStoreAvailability)
-	duty.On(d.loop, d.changes, d.handleChanges)
+	duty.On(d.loop, d.changes, d.handleChange)
+	duty.On(d.loop, d.contacts, d.handleContact)
 	duty.On(d.loop, d.modelStatus, d.handleModelStatus)
 	duty.On(d.loop, d.leavingNotices, d.handleLeavingNotice)
 	d.loop.Every(republishPeriod, d.publish)
@@ -116,7 +143,9 @@
 
 // SubmitChanges queues changes of entries in their order. It returns false if
 // the ring is full.
-func (d *Directory) SubmitChanges(changes []ServerChange) bool { return d.changes.TryPut(changes) }
+func (d *Directory) SubmitChanges(changes []ServerChange) bool {
+	return d.changes.TryPut(directoryChange{changes: changes})
+}
 
 // SetStoreAvailable records whether the store is reachable. The newest value
 // wins if the ring is full.
@@ -182,6 +211,7 @@
 func (d *Directory) handleStoreAvailability(isAvailable bool) {
 	if isAvailable && !d.isStoreAvailable {
 		d.lapseGraceUntil = d.loop.Clock().Now().Add(lapsedEntryGrace)
+		d.reliedUponFrom = d.lapseGraceUntil
 	}
 	d.isStoreAvailable = isAvailable
 }
@@ -195,7 +225,7 @@
 		case !c.Removed:
 			delete(d.lapsedUntil, c.ID)
 			d.servers[c.ID] = c.Server
-			if !isListed || previous.Leaving != c.Server.Leaving || previous.Address != c.Server.Address {
+			if !isListed || isNotable(&previous, &c.Server) {
 				log.WithFields(logrus.Fields{"service": c.Server.Description.Service, "address": c.Server.Address, "software": c.Server.Description.Software, "leaving": c.Server.Leaving}).Info("backend server changed")
 			}
 		case !isListed:
@@ -211,6 +241,13 @@
 	d.schedulePublish()
 }
 
+// isNotable reports whether the change of an entry is logged. Changes of models are not:
+// they are frequent, and roll-outs log them.
+func isNotable(before, after *Server) bool {
+	b, a := &before.Description, &after.Description
+	return before.Leaving != after.Leaving || before.Address != after.Address || b.Incarnation != a.Incarnation || b.Software != a.Software
+}
+
 func (d *Directory) removeLapsed() {
 	now := d.loop.Clock().Now()
 	for id, at := range d.lapsedUntil {
@@ -241,6 +278,7 @@
 // publish delivers the servers in the order of their IDs.
 func (d *Directory) publish() {
 	d.publishPending = false
+	d.logUpToDate()
 	now := d.loop.Clock().Now()
 	list := make([]Server, 0, len(d.servers))
 	for _, s := range d.servers {
@@ -249,4 +287,5 @@
 	}
 	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	d.deliver(list)
+	d.passConfirmation()
 }
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -34,10 +34,11 @@
 	hostSettings *adapter.Settings
 	log          *logrus.Entry
 	clock        duty.Clock
+	bootClock    duty.Clock // includes the time for which the host is suspended
 	runner       *duty.Runner
 	pools        []*duty.Pool
 	loops        []*duty.Loop
-	storeClient  *adapter.Store
+	storeClient  *contactStore
 	watchPool    *duty.Pool
 	// watchers are listed again after an outage of the store.
 	watchers []*platform.Watcher
@@ -50,7 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &base{hostSettings: set, log: log, clock: duty.SystemClock{}, runner: runner, storeClient: adapter.NewStore(set.Store.Address)}
+	b := &base{hostSettings: set, log: log, clock: duty.SystemClock{}, bootClock: duty.NewBootClock(), runner: runner}
+	b.storeClient = &contactStore{Store: adapter.NewStore(set.Store.Address), now: b.bootClock.Now, onContact: func(time.Time) {}}
 	b.watchPool, err = b.pool("watches", watchPoolSize)
 	return b, err
 }
@@ -83,6 +85,7 @@
 // watchKindVia does the same as watchKind through another object API, whose answers do
 // not show that the store answers.
 func (b *base) watchKindVia(api platform.ObjectAPI, kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
+	// The boot clock gives the ages of answers.
 	o.WatchTimeout, o.MaxRetryDelay, o.RelistAfterFailure = watchTimeout, maxWatchRetryDelay, true
 	o.Random = b.random()
 	onCallEnd := o.OnCallEnd
@@ -97,7 +100,7 @@
 			onCallEnd(err)
 		}
 	}
-	w := platform.NewWatcher(b.clock, api, b.watchPool, kind+"/", deliver, o)
+	w := platform.NewWatcher(b.bootClock, api, b.watchPool, kind+"/", deliver, o)
 	b.watchers = append(b.watchers, w)
 	b.loops = append(b.loops, w.Loop())
 	return w
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -88,7 +88,7 @@
 		Store:  adapter.StoreSettings{Address: store, WritesPerSecond: 400, ReadsPerSecond: 2000},
 		Bounds: adapter.Bounds{StopGrace: 8 * time.Second, LeaseTurn: 3 * time.Second, Drain: 2 * time.Second},
 	}
-	d, err := StartFront(set, logrus.NewEntry(log))
+	d, err := StartFront(set, log.WithField("host", set.Host))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -33,7 +33,7 @@
 // many daemons.
 func (d *frontDaemon) watchServers() {
 	maxDelay := d.hostSettings.Bounds.Drain
-	d.relay = platform.NewRelay(d.clock, d.storeClient, d.watchPool, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay})
+	d.relay = platform.NewRelay(d.clock, d.storeClient, d.watchPool, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay, IsFollowing: d.directory.IsFollowing})
 	d.loops = append(d.loops, d.relay.Loop())
 	api := platform.NewRelayedAPI(d.storeClient, d.clock, platform.RelayedOptions{
 		Client: d.peers, MaxChangeDelay: maxDelay, Relays: d.relayAddresses,
@@ -49,13 +49,15 @@
 		}
 		return time.Duration(directDelayShare * float64(maxDelay))
 	}
-	watcher = d.watchKindVia(api, adapter.KindServers, platform.WatcherOptions{BatchDelay: batchDelay, OnCallEnd: d.setStoreAvailable}, func(s platform.Snapshot) {
+	watcher = d.watchKindVia(api, adapter.KindServers, platform.WatcherOptions{BatchDelay: batchDelay, OnCallEnd: d.setStoreAvailable, OnRead: d.directory.ConfirmRead}, func(s platform.Snapshot) {
 		d.handleServers(s)
 		if !d.relay.PutSnapshot(s) {
 			d.log.WithFields(logrus.Fields{"revision": s.Revision}).Error("changes of backend servers are dropped: relay ring is full")
 			watcher.Relist()
 		}
 	})
+	d.directory.SetConfirmHandler(d.dispatch.ConfirmServers, watcher.Relist)
+	d.storeClient.onContact = d.directory.ConfirmContact
 }
 
 // rankRelays returns the addresses of the relays. There are none if there are fewer
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -50,6 +50,10 @@
 	AckTimeout time.Duration
 	acks       ackWatch
 
+	// PeerRun is the run of the server at the other end, as it said on this connection;
+	// empty if it has not been asked. A connection does not outlive the server's process.
+	PeerRun string
+
 	BytesWritten  int          // bytes of the current request
 	OnReadTimeout func() error // nil makes the read fail with the time-out error
 	buffer        []byte
