--- a/internal/daemon/daemonrpc/recentpeers_test.go
+++ b/internal/daemon/daemonrpc/recentpeers_test.go
@@ -15,11 +15,10 @@
 	"github.com/berylfall/berylfall/internal/trainer/batch"
 )
 
-// Guards against a daemon that takes peers which are gone for good, and whose addresses
-// are still listed, for the other side of a partition.
-func TestRecentPeersHaveAnswered(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
+// startContactServer starts a server for notifications. onContact receives where requests
+// come from; nil ignores it.
+func startContactServer(t *testing.T, onContact func(ip string)) *PeerServer {
+	t.Helper()
 	pool, err := duty.NewPool("peers", 8)
 	if err != nil {
 		t.Fatal(err)
@@ -28,13 +27,23 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	server, err := ListenPeers("127.0.0.1:0", pool, logrus.NewEntry(log), PeerHandlers{
+		HandleContact:             onContact,
 		HandleEngineNotifications: func([]backend.ModelStatus) {}, HandleOwnerNotifications: func([]batch.Ownership) {},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = server.Serve() }()
-	defer func() { _ = server.Shutdown(ctx) }()
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	return server
+}
+
+// Guards against a daemon that takes peers which are gone for good, and whose addresses
+// are still listed, for the other side of a partition.
+func TestRecentPeersHaveAnswered(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	server := startContactServer(t, nil)
 	gone, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -62,24 +71,9 @@
 func TestPeersThatSendRequestsAreRecent(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	pool, err := duty.NewPool("peers", 8)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(pool.Release)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	const silent = "192.0.2.1:7"
 	receiver := NewPeerClient(func() []string { return []string{"127.0.0.1:9", silent} })
-	server, err := ListenPeers("127.0.0.1:0", pool, logrus.NewEntry(log), PeerHandlers{
-		HandleContact:             receiver.RecordContact,
-		HandleEngineNotifications: func([]backend.ModelStatus) {}, HandleOwnerNotifications: func([]batch.Ownership) {},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = server.Serve() }()
-	defer func() { _ = server.Shutdown(ctx) }()
+	server := startContactServer(t, receiver.RecordContact)
 	sender := NewPeerClient(func() []string { return nil })
 	defer sender.Close()
 	if err := sender.Notify(ctx, server.Address(), Notifications{}); err != nil {
