Measure the end of a grant at admission by the clock of the shares

What callers saw: after a step of the wall clock by more than 3 s since the daemon's start, a limit did not hold. After a step back by 10 s a grant of 3 s was valid for 13 s at admission, while its owner gave it to other daemons after 3.3 s. After a step forward no grant was ever valid, and a customer with a limit of one call at a time was not served.

Now admission checks shares, and nothing else, by the clock that EnableLimitSharing gets, which is the one of the shares duty. It has no wall-clock steps after its start and counts a suspension, so a grant that ended meanwhile is not used afterwards. A duration stamped by admission's own clock on receipt was not chosen, because the time of a suspension, and the time in the ring, would not count and the sum of the shares could exceed the limit. Admission's buckets and deadlines stay on its own clock, by which callers' deadlines are set. Reading the boot clock is a system call, so it is read only while a grant is known.

Measured: tests of internal/caller and internal/server pass.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -110,6 +110,7 @@
 	contracts      *core.ContractSet
 	customers      map[core.CustomerID]*customerState
 	demandListener DemandListener // nil unless limits are shared between daemons
+	shareNow       func() time.Time
 	services       serviceTable
 	inFlightCalls  int
 	localClaims    map[claimKey]*localClaim
@@ -126,6 +127,7 @@
 		dispatch:       dispatch,
 		claims:         claims,
 		random:         random,
+		shareNow:       clock.Now,
 		calls:          ring.New[*core.Call]("admission.calls", callRingCapacity),
 		endedCalls:     ring.New[endedCall]("admission.ended", MaxInFlightCalls),
 		cancelledCalls: ring.New[*activeCall]("admission.gone", MaxInFlightCalls),
@@ -176,8 +178,9 @@
 // SetLimitShare sets this daemon's share of a customer's limit. With a zero
 // validUntil, amount is the base share, which applies whenever no grant is
 // valid. Otherwise amount is a grant, which replaces the base share until
-// validUntil. When a grant has expired and there is no base share, nothing is
-// admitted. NoShare restores the whole amount of the contract.
+// validUntil, a time of the clock that EnableLimitSharing was given. When a grant
+// has expired and there is no base share, nothing is admitted. NoShare restores the
+// whole amount of the contract.
 func (a *Admission) SetLimitShare(customer core.CustomerID, limit Limit, amount float64, validUntil time.Time) {
 	if limit < 0 || limit >= limitCount {
 		return
@@ -253,7 +256,7 @@
 func (a *Admission) customerOf(id core.CustomerID) *customerState {
 	state := a.customers[id]
 	if state == nil {
-		state = newCustomerState(a.demandListener != nil, a.now())
+		state = newCustomerState(a.demandListener != nil, a.shareNow, a.now())
 		state.setContract(a.contracts.Lookup(id), a.now())
 		a.customers[id] = state
 	}
--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -121,6 +121,38 @@
 	wantEnd(t, expired, core.NotRun, core.CodeLimited)
 }
 
+// Guards against a grant that is used after it was given to others, or is not used at all,
+// because admission measures its end by a clock that is stepped or stands still while the
+// host is suspended.
+func TestGrantEndsByTheClockOfTheShares(t *testing.T) {
+	const grant = 3 * time.Second
+	for _, ahead := range []time.Duration{0, 10 * time.Second, -10 * time.Second} {
+		cluster := newTestCluster(1, 1, newContract("c", core.Limits{Concurrency: 8, RequestsPerSecond: 100}))
+		a := cluster.firstDaemon().admission
+		// The shares' clock counts the time of a suspension, and admission's does not.
+		suspended := time.Duration(0)
+		sharesNow := func() time.Time { return cluster.clock.Now().Add(ahead + suspended) }
+		a.EnableLimitSharing(sharesNow, func(core.CustomerID, Limit, float64) {})
+		a.SetLimitShare("c", LimitRequests, 100, time.Time{})
+		a.SetLimitShare("c", LimitConcurrency, 1, time.Time{})
+		a.SetLimitShare("c", LimitConcurrency, 2, sharesNow().Add(grant))
+		submit := func() int {
+			cluster.submit(newLookCall(cluster, "c", ""), newLookCall(cluster, "c", ""))
+			return cluster.firstDaemon().dispatch.sent
+		}
+		cluster.advanceClock(time.Second) // the bucket of the requests starts empty
+		if sent := submit(); sent != 2 {
+			t.Errorf("clock of the shares %v ahead: %d calls sent within the grant, want 2", ahead, sent)
+		}
+		suspended = time.Hour
+		submit()
+		cluster.endOldest(newRanEnd(""))
+		if sent := cluster.firstDaemon().dispatch.sent; sent != 2 {
+			t.Errorf("clock of the shares %v ahead: %d calls sent, want 2 since the grant ended in a suspension", ahead, sent)
+		}
+	}
+}
+
 // Guards against an unlimited queue, and against a limit that the classes share.
 func TestQueueBound(t *testing.T) {
 	cluster := newTestCluster(1, 1, newContract("c", core.Limits{Queue: 2}))
--- a/internal/caller/customer.go
+++ b/internal/caller/customer.go
@@ -19,8 +19,8 @@
 	serviceTimes map[serviceTimeKey]time.Duration
 }
 
-func newCustomerState(isLimitShared bool, now time.Time) *customerState {
-	c := &customerState{limits: newCustomerLimiter(now), serviceTimes: map[serviceTimeKey]time.Duration{}}
+func newCustomerState(isLimitShared bool, shareNow func() time.Time, now time.Time) *customerState {
+	c := &customerState{limits: newCustomerLimiter(shareNow, now), serviceTimes: map[serviceTimeKey]time.Duration{}}
 	c.limits.isShared = isLimitShared
 	return c
 }
--- a/internal/caller/demand.go
+++ b/internal/caller/demand.go
@@ -16,8 +16,12 @@
 
 // EnableLimitSharing makes daemons share the limits of contracts: the demand is
 // reported to listener, and a limit admits nothing until SetLimitShare has set a
-// share of it. It must be called before the duty starts.
-func (a *Admission) EnableLimitSharing(listener DemandListener) { a.demandListener = listener }
+// share of it. now is the clock of those who set the shares, by which grants end. It
+// must include the time for which the host is suspended, since other daemons get an
+// expired grant. EnableLimitSharing must be called before the duty starts.
+func (a *Admission) EnableLimitSharing(now func() time.Time, listener DemandListener) {
+	a.shareNow, a.demandListener = now, listener
+}
 
 func (a *Admission) reportDemand() {
 	if a.demandListener == nil {
--- a/internal/caller/demand_test.go
+++ b/internal/caller/demand_test.go
@@ -12,7 +12,7 @@
 // no grant follows.
 func TestSharedLimitNeedsAShare(t *testing.T) {
 	now := time.Unix(1000, 0)
-	c := newCustomerState(true, now)
+	c := newCustomerState(true, func() time.Time { return now }, now)
 	c.setContract(&core.Contract{Limits: core.Limits{RequestsPerSecond: 100}}, now)
 	if _, _, ok := c.limits.admit(10, now); ok {
 		t.Error("a request was admitted without a share")
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -31,15 +31,15 @@
 // limitShare is the part of a limit that this daemon may use.
 type limitShare struct {
 	isSet         bool
-	baseAmount    float64 // applies when no grant is valid
-	grantedAmount float64 // applies until validUntil
-	validUntil    time.Time
+	baseAmount    float64   // applies when no grant is valid
+	grantedAmount float64   // applies until validUntil
+	validUntil    time.Time // by the clock of the shares; zero without a grant
 }
 
-// amountAt returns the amount in force. After an expired grant it is the base
+// amountInForce returns the amount in force. After an expired grant it is the base
 // amount and never the contract's amount, since other daemons use the rest of it.
-func (s limitShare) amountAt(now time.Time) float64 {
-	if now.Before(s.validUntil) {
+func (s limitShare) amountInForce(shareNow func() time.Time) float64 {
+	if !s.validUntil.IsZero() && shareNow().Before(s.validUntil) {
 		return s.grantedAmount
 	}
 	return s.baseAmount
@@ -48,9 +48,12 @@
 // customerLimiter enforces the limits of one customer at this daemon.
 type customerLimiter struct {
 	contractLimits core.Limits
-	shares         [limitCount]limitShare
-	requestBucket  *rate.Limiter
-	tokenBucket    *rate.Limiter
+	// shareNow is the clock of the shares. Its times are not comparable with those of
+	// the buckets, which are times of admission's clock.
+	shareNow      func() time.Time
+	shares        [limitCount]limitShare
+	requestBucket *rate.Limiter
+	tokenBucket   *rate.Limiter
 	// isShared is set when daemons share the limits. A limit without a share then
 	// admits nothing, since other daemons may use all of it.
 	isShared bool
@@ -61,8 +64,8 @@
 	}
 }
 
-func newCustomerLimiter(now time.Time) *customerLimiter {
-	l := &customerLimiter{requestBucket: rate.NewLimiter(rate.Inf, 0), tokenBucket: rate.NewLimiter(rate.Inf, 0)}
+func newCustomerLimiter(shareNow func() time.Time, now time.Time) *customerLimiter {
+	l := &customerLimiter{shareNow: shareNow, requestBucket: rate.NewLimiter(rate.Inf, 0), tokenBucket: rate.NewLimiter(rate.Inf, 0)}
 	l.updateBuckets(now)
 	return l
 }
@@ -90,9 +93,9 @@
 }
 
 // amountInForce returns the amount of the limit, and false if it is unlimited.
-func (l *customerLimiter) amountInForce(limit Limit, now time.Time) (float64, bool) {
+func (l *customerLimiter) amountInForce(limit Limit) (float64, bool) {
 	if l.shares[limit].isSet {
-		return l.shares[limit].amountAt(now), true
+		return l.shares[limit].amountInForce(l.shareNow), true
 	}
 	amount := l.contractAmount(limit)
 	if l.isShared && amount > 0 {
@@ -122,7 +125,7 @@
 }
 
 func (l *customerLimiter) updateBucket(bucket *rate.Limiter, limit Limit, now time.Time) {
-	perSecond, isLimited := l.amountInForce(limit, now)
+	perSecond, isLimited := l.amountInForce(limit)
 	if !isLimited {
 		bucket.SetLimitAt(now, rate.Inf)
 		return
@@ -192,7 +195,7 @@
 }
 
 // hasConcurrencyRoom reports whether one more request may be in flight.
-func (l *customerLimiter) hasConcurrencyRoom(running int, now time.Time) bool {
-	amount, limited := l.amountInForce(LimitConcurrency, now)
+func (l *customerLimiter) hasConcurrencyRoom(running int) bool {
+	amount, limited := l.amountInForce(LimitConcurrency)
 	return !limited || float64(running+1) <= amount
 }
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -179,14 +179,14 @@
 // first calls, so that none of them starves the others.
 func (q *customerQueue) nextCall(now time.Time) *activeCall {
 	c := q.customer
-	if !c.limits.hasConcurrencyRoom(c.runningCalls, now) {
+	if !c.limits.hasConcurrencyRoom(c.runningCalls) {
 		return nil
 	}
 	active := q.firstStartable(now)
 	if active == nil || len(c.queues) == 1 {
 		return active
 	}
-	if _, limited := c.limits.amountInForce(LimitConcurrency, now); !limited {
+	if _, limited := c.limits.amountInForce(LimitConcurrency); !limited {
 		return active
 	}
 	for _, other := range c.queues {
@@ -205,7 +205,7 @@
 		if active == nil || first != nil && first.precedes(active) {
 			continue
 		}
-		if q.service.slots.hasRoomFor(kind, now) && (kind != workRollout || q.hasRolloutRoom(now)) {
+		if q.service.slots.hasRoomFor(kind, now) && (kind != workRollout || q.hasRolloutRoom()) {
 			first = active
 		}
 	}
@@ -214,8 +214,8 @@
 
 // hasRolloutRoom reports whether the trainers' share permits one more rollout. One
 // rollout is always permitted, since a step without any would never end.
-func (q *customerQueue) hasRolloutRoom(now time.Time) bool {
-	amount, limited := q.customer.limits.amountInForce(LimitConcurrency, now)
+func (q *customerQueue) hasRolloutRoom() bool {
+	amount, limited := q.customer.limits.amountInForce(LimitConcurrency)
 	if q.trainerShare == 0 || !limited {
 		return true
 	}
--- a/internal/caller/trace.go
+++ b/internal/caller/trace.go
@@ -58,9 +58,9 @@
 	c := q.customer
 	s := &q.service.slots
 	switch {
-	case !c.limits.hasConcurrencyRoom(c.runningCalls, now):
+	case !c.limits.hasConcurrencyRoom(c.runningCalls):
 		return blockedByConcurrency
-	case kind == workRollout && !q.hasRolloutRoom(now):
+	case kind == workRollout && !q.hasRolloutRoom():
 		return blockedByTrainerShare
 	case s.hasRoomFor(kind, now):
 		return blockedByEarlierCalls
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -78,7 +78,7 @@
 func (b *builder) buildShares(peers *daemon.Peers) *daemon.Shares {
 	log := b.server.log.WithField("duty", "shares")
 	shares := daemon.NewShares(b.identity, b.leaseClock, log, peers, b.store, b.setLimitShare)
-	b.admission.EnableLimitSharing(func(customer core.CustomerID, limit caller.Limit, amount float64) {
+	b.admission.EnableLimitSharing(b.leaseClock.Now, func(customer core.CustomerID, limit caller.Limit, amount float64) {
 		shares.ReportDemand(customer, daemonLimits[limit], amount)
 	})
 	candidate := &leaseCandidate{
--- a/internal/server/latency_test.go
+++ b/internal/server/latency_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/berylfall/berylfall/internal/backend/backendhttp"
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/settings"
 	"github.com/berylfall/berylfall/internal/standin/deployment"
 	"github.com/berylfall/berylfall/internal/transport"
@@ -29,6 +30,11 @@
 const testCustomer = "prairie"
 
 func startTestDeployment(tb testing.TB, ctx context.Context, spec deployment.Spec, flags ...string) *testDeployment {
+	tb.Helper()
+	return startTestDeploymentWithLeaseClock(tb, ctx, duty.NewBootClock(), spec, flags...)
+}
+
+func startTestDeploymentWithLeaseClock(tb testing.TB, ctx context.Context, leaseClock duty.Clock, spec deployment.Spec, flags ...string) *testDeployment {
 	tb.Helper()
 	standins, err := deployment.Start(ctx, spec)
 	if err != nil {
@@ -43,7 +49,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := Start(set, log)
+	d, err := start(set, log, leaseClock)
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -49,12 +49,17 @@
 
 // Start builds and starts a daemon. On an error it stops what has been started.
 func Start(s *settings.Daemon, log *logrus.Logger) (*Server, error) {
+	return start(s, log, duty.NewBootClock())
+}
+
+// start starts a daemon that measures its leases by leaseClock.
+func start(s *settings.Daemon, log *logrus.Logger, leaseClock duty.Clock) (*Server, error) {
 	runner, err := duty.NewRunner(dutyCapacity)
 	if err != nil {
 		return nil, err
 	}
 	server := &Server{log: log, runner: runner, drainGrace: s.DrainGrace}
-	b := &builder{server: server, settings: s, clock: duty.SystemClock{}, leaseClock: duty.NewBootClock()}
+	b := &builder{server: server, settings: s, clock: duty.SystemClock{}, leaseClock: leaseClock}
 	if err := b.build(); err != nil {
 		server.Stop(context.Background())
 		return nil, err
