Time the reports of engines by the clock of the roll-out

What callers saw: after a step of the wall clock since the daemon's start, versions were no longer rolled out, or engines were ordered to load the same version again and again.

Cause: reports carried a time of the system clock, and the roll-out compared it with times of the boot clock: the end of the last load and the age at which an engine is removed. After a step back by 15 s each report counted as outdated at once; after a step forward it counted as newer than the load during which it was made.

Now a report carries its age in place of a time, and the roll-out times it by its own clock when it is handed over, so that a time of another clock cannot be passed any more. TestReportsCountFromTheStateOfTheEngine guards the meaning of the age.

The age is measured by the system clock and does not count a suspension between a poll and the delivery of its result.

--- a/internal/server/build_weights.go
+++ b/internal/server/build_weights.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"github.com/berylfall/berylfall/internal/backend"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
@@ -51,11 +53,12 @@
 func (b *builder) reportVersions(servers []backend.Server) {
 	newest := map[string]core.Version{}
 	var reports []weights.Report
+	now := b.clock.Now()
 	for _, s := range servers {
 		for _, m := range s.Description.Models {
 			newest[m.Name] = max(newest[m.Name], m.Version)
 			if s.DataCentre == b.settings.DataCentre {
-				reports = append(reports, versionReport(s, m))
+				reports = append(reports, versionReport(s, m, now))
 			}
 		}
 	}
@@ -67,9 +70,9 @@
 	}
 }
 
-func versionReport(s backend.Server, m backend.ModelDescription) weights.Report {
+func versionReport(s backend.Server, m backend.ModelDescription, now time.Time) weights.Report {
 	return weights.Report{
-		At: s.DescribedAt,
+		Age: now.Sub(s.DescribedAt),
 		Engine: weights.Engine{
 			ID:          s.ID,
 			Address:     s.Address,
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -248,7 +248,6 @@
 	if routes == nil {
 		return
 	}
-	now := time.Now()
 	for i, g := range o.groups {
 		if !g.isHolder.Load() {
 			// Another holder's assignment is visible only in the engines' versions.
@@ -262,19 +261,19 @@
 		for name, service := range routes.Services {
 			if len(service.Models) > 0 {
 				engines := enginesOf(servers, name, i)
-				reports = append(reports, g.reports(engines, service, routes.RequiresSingleVersion(name), demand, now)...)
+				reports = append(reports, g.reports(engines, service, routes.RequiresSingleVersion(name), demand)...)
 			}
 		}
 		g.rollout.ReplaceReports(reports)
 	}
 }
 
-func (g *orderGroup) reports(engines []weights.MultiModelEngine, service caller.Service, requiresSingleVersion bool, demand map[string]float64, now time.Time) []weights.Report {
+func (g *orderGroup) reports(engines []weights.MultiModelEngine, service caller.Service, requiresSingleVersion bool, demand map[string]float64) []weights.Report {
 	reports := make([]weights.Report, 0, len(engines))
 	models := g.assigner.Assign(engines, service.Models, demand)
 	for _, e := range engines {
 		model := models[e.ID]
-		reports = append(reports, weights.Report{At: now, Engine: weights.Engine{
+		reports = append(reports, weights.Report{Engine: weights.Engine{
 			ID: e.ID, Address: e.Address, Service: service.Name, Model: model, Version: e.Versions[model], RequiresSingleVersion: requiresSingleVersion,
 		}})
 	}
--- a/internal/server/hosted/orders_proof_test.go
+++ b/internal/server/hosted/orders_proof_test.go
@@ -213,7 +213,7 @@
 func (h *orderHost) report() {
 	var reports []weights.Report
 	for id, v := range h.simulation.engines {
-		reports = append(reports, weights.Report{At: h.clock.Now(), Engine: weights.Engine{ID: id, Service: "s", Model: "m", Version: v}})
+		reports = append(reports, weights.Report{Engine: weights.Engine{ID: id, Service: "s", Model: "m", Version: v}})
 	}
 	h.rollout.ReplaceReports(reports)
 }
--- a/internal/server/weights_test.go
+++ b/internal/server/weights_test.go
@@ -16,6 +16,18 @@
 // answers labelled with the ordered version instead of the one that generated the
 // tokens.
 func TestPublishedVersionReachesEveryEngine(t *testing.T) {
+	checkPublishedVersionReachesEveryEngine(t, duty.NewBootClock())
+}
+
+// Guards against reports of engines that count as outdated, so that no version is rolled
+// out, after the wall clock was stepped back: reports are timed by the system clock, and
+// orders by the clock of the lease.
+func TestPublishedVersionReachesEveryEngineAfterAStepOfTheWallClock(t *testing.T) {
+	checkPublishedVersionReachesEveryEngine(t, steppedClock{duty.NewBootClock(), -wallClockStep})
+}
+
+func checkPublishedVersionReachesEveryEngine(t *testing.T, leaseClock duty.Clock) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	runner, err := duty.NewRunner(4)
@@ -23,7 +35,7 @@
 	defer runner.Stop(ctx)
 	store, err := weightstore.Start("127.0.0.1:0", duty.SystemClock{}, runner)
 	requireNoError(t, err)
-	bed := startTestDeployment(t, ctx, deployment.Spec{Engines: []deployment.EngineSpec{{
+	bed := startTestDeploymentWithLeaseClock(t, ctx, leaseClock, deployment.Spec{Engines: []deployment.EngineSpec{{
 		Name: "wear", Count: 4, Service: "wear-model", Kind: "gpu", Model: "wear", Version: 3,
 		Slots: 8, TokenTime: time.Millisecond, ChecksFence: true, DataCentres: []string{"local"},
 	}}}, "--weights-url", store.URL())
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -54,14 +54,14 @@
 
 // Report is an engine's own report of its state.
 type Report struct {
-	Engine Engine // its State is ignored
-	At     time.Time
+	Engine Engine        // its State is ignored
+	Age    time.Duration // how long ago the engine was in this state
 }
 
 // Lease is this daemon's lease on the rollouts of its data centre.
 type Lease struct {
 	Fence      int64
-	ValidUntil time.Time // on this host's monotonic clock
+	ValidUntil time.Time // by the duty's clock
 	// TakeoverWaitDone means that the previous holder was an earlier run on this
 	// host that had completed the takeover wait, so that no order of another host
 	// can be in flight.
@@ -95,6 +95,7 @@
 // reportList is a set of engine reports. A complete list contains all engines.
 type reportList struct {
 	reports    []Report
+	receivedAt time.Time // by the duty's clock
 	isComplete bool
 }
 
@@ -183,12 +184,14 @@
 
 // AddReports passes reports of engines of the data centre to the duty. Engines
 // without a report are kept. Any goroutine may call it.
-func (r *Rollout) AddReports(reports []Report) { r.reports.PutLatest(reportList{reports: reports}) }
+func (r *Rollout) AddReports(reports []Report) {
+	r.reports.PutLatest(reportList{reports: reports, receivedAt: r.loop.Clock().Now()})
+}
 
 // ReplaceReports passes the reports of all engines to the duty. Engines without a
 // report are removed at once. Any goroutine may call it.
 func (r *Rollout) ReplaceReports(reports []Report) {
-	r.reports.PutLatest(reportList{reports: reports, isComplete: true})
+	r.reports.PutLatest(reportList{reports: reports, receivedAt: r.loop.Clock().Now(), isComplete: true})
 }
 
 // SetLease passes the daemon's current lease to the duty; the zero Lease means
@@ -218,19 +221,19 @@
 			e = &trackedEngine{}
 			r.engines[report.Engine.ID] = e
 		}
-		r.applyReport(e, report)
+		r.applyReport(e, report, list.receivedAt.Add(-report.Age))
 	}
 	r.startOrders()
 }
 
-func (r *Rollout) applyReport(e *trackedEngine, report Report) {
+func (r *Rollout) applyReport(e *trackedEngine, report Report, at time.Time) {
 	state := e.State
 	target := r.targets[report.Engine.Model]
 	if e.State == StateReady && e.Version == target && target.IsKnown() && report.Engine.Version < target {
 		// A late order of another owner, or a restart, replaced the version.
 		r.repairs++
 	}
-	if state != StateLoading && report.At.After(e.loadEndedAt) {
+	if state != StateLoading && at.After(e.loadEndedAt) {
 		state = StateReady
 		if !report.Engine.Version.IsKnown() {
 			state = StateUnknown
@@ -238,7 +241,7 @@
 	}
 	e.Engine = report.Engine
 	e.State = state
-	e.reportedAt = report.At
+	e.reportedAt = at
 }
 
 func (r *Rollout) tick() {
--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -86,7 +86,7 @@
 	f.fake.mu.Lock()
 	var reports []Report
 	for _, engine := range f.fake.engines {
-		reports = append(reports, Report{Engine: *engine, At: f.clock.Now()})
+		reports = append(reports, Report{Engine: *engine})
 	}
 	f.fake.mu.Unlock()
 	f.rollout.AddReports(reports)
@@ -274,12 +274,40 @@
 	})
 }
 
+// Guards against an engine that is ready by a report of its state before the end of its last
+// load, and against one that is kept by reports of ever older states.
+func TestReportsCountFromTheStateOfTheEngine(t *testing.T) {
+	f := newRolloutFixture(t, 1, true)
+	engine := Engine{ID: "e", Model: "wear", Version: 1}
+	report := func(age time.Duration) *trackedEngine {
+		f.rollout.AddReports([]Report{{Engine: engine, Age: age}})
+		f.rollout.Loop().RunPending()
+		return f.rollout.engines["e"]
+	}
+	report(0)
+	f.rollout.results.TryPut(orderResult{order: Order{Engine: "e", Version: 2}, model: "wear"})
+	f.rollout.Loop().RunPending()
+	f.clock.Advance(tickPeriod)
+	if e := report(tickPeriod); e.State != StateUnknown {
+		t.Errorf("the engine is in state %v by a report from before the end of its load", e.State)
+	}
+	if e := report(tickPeriod - time.Millisecond); e.State != StateReady {
+		t.Errorf("the engine is in state %v by a report from after the end of its load", e.State)
+	}
+	report(maxReportAge)
+	f.clock.Advance(tickPeriod)
+	f.rollout.Loop().RunPending()
+	if f.rollout.engines["e"] != nil {
+		t.Errorf("the engine is kept by a report of its state more than %v ago", maxReportAge)
+	}
+}
+
 // Guards against engines that are removed late after the list no longer contains
 // them.
 func TestUnlistedEnginesAreRemoved(t *testing.T) {
 	f := newRolloutFixture(t, 1, true)
 	report := func(id core.ServerID) Report {
-		return Report{At: f.clock.Now(), Engine: Engine{ID: id, Model: "wear", Version: 1}}
+		return Report{Engine: Engine{ID: id, Model: "wear", Version: 1}}
 	}
 	f.rollout.ReplaceReports([]Report{report("a"), report("b")})
 	f.rollout.ReplaceReports([]Report{report("b")})
@@ -298,7 +326,7 @@
 	f.rollout.engines["e"] = &trackedEngine{Engine: Engine{ID: "e", Model: "wear", Version: 1, State: StateLoading}}
 	order := Order{Engine: "e", Version: 12}
 	f.rollout.inProgress["e"] = order
-	f.rollout.ReplaceReports([]Report{{At: f.clock.Now(), Engine: Engine{ID: "e", Model: "crack", Version: 3}}})
+	f.rollout.ReplaceReports([]Report{{Engine: Engine{ID: "e", Model: "crack", Version: 3}}})
 	f.rollout.results.TryPut(orderResult{order: order, model: "wear", readBack: 12})
 	f.rollout.Loop().RunPending()
 	if len(events) != 1 || events[0].Model != "wear" || events[0].Version != 12 {
