Check that an order is given up at the end of its lease

What callers saw: nothing yet. With the context of the lease replaced by that of the load, an order could be written, or stay on its way, for up to a second after the lease on orders had expired, and no test failed.

Cause: TestNoOrderIsWrittenAfterTheLease left 1 ns of the lease and so ended at the check before the order, whatever context the exchange got.

Evidence: with o.call(ctx, ...) in place of o.call(sending, ...) the test still passed.

The new tests give exchanges a time-out of an hour, so that only the end of the lease can end the order, and cancel after 30 s if it does not. They compare no measured times, so that they don't depend on the speed of the machine: if a lease ends before the order is written, the first test tries a longer one. The program's time-outs are as before.

--- a/internal/transport/transporttest/partition.go
+++ b/internal/transport/transporttest/partition.go
@@ -13,7 +13,32 @@
 // the partition.
 func Partition(t *testing.T, c net.Conn) (heal func()) {
 	t.Helper()
-	raw, err := c.(syscall.Conn).SyscallConn()
+	return dropArrivals(t, c.(syscall.Conn))
+}
+
+// Listen returns a listener for PartitionListener. The operating system refuses it for the
+// default listener, which uses multipath TCP.
+func Listen(t *testing.T) net.Listener {
+	t.Helper()
+	config := net.ListenConfig{}
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// PartitionListener makes the operating system drop all attempts to connect to the
+// listener, so that opening a connection takes until the caller gives up.
+func PartitionListener(t *testing.T, l net.Listener) {
+	t.Helper()
+	dropArrivals(t, l.(syscall.Conn))
+}
+
+func dropArrivals(t *testing.T, c syscall.Conn) (heal func()) {
+	t.Helper()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
