Show operators the end of a lease by the wall clock

What callers saw: after a step of the wall clock since the daemon's start, the status of the daemon of the own interface showed the ends of its leases shifted by the step, so that a valid lease seemed to have expired.

Evidence without the change: TestStatusOfALeaseShowsTheWallClock: 'a lease that ends in 3s is shown to end in -12s'.

Now the time that is left is added to the wall clock at each gain and renewal. The comment on the boot clock says that its times are not comparable with those of other clocks.

--- a/internal/duty/bootclock.go
+++ b/internal/duty/bootclock.go
@@ -7,7 +7,9 @@
 )
 
 // BootClock is a clock that includes the time for which the host is suspended.
-// Leases are checked against it, because the monotonic clock stops meanwhile.
+// Leases are checked against it, because the monotonic clock stops meanwhile. Its times
+// must not be compared with those of another clock: they differ by each step of the wall
+// clock, and each suspension of the host, since the clock was created.
 type BootClock struct {
 	SystemClock
 	start time.Time
--- a/internal/server/build_platform.go
+++ b/internal/server/build_platform.go
@@ -6,9 +6,11 @@
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/daemon"
+	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/operator"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/platform/platformhttp"
@@ -33,7 +35,7 @@
 		Random: b.random(),
 	})
 	b.leaseManager = platform.NewLeaseManager(b.leaseClock, b.store, string(b.daemonID()), b.random())
-	b.leaseReporter = &leaseStatusReporter{status: b.status, held: map[string]operator.LeaseStatus{}}
+	b.leaseReporter = &leaseStatusReporter{status: b.status, leaseClock: b.leaseClock, held: map[string]operator.LeaseStatus{}}
 	b.start(b.store.Loop(), b.leaseManager.Loop())
 	return nil
 }
@@ -53,14 +55,15 @@
 // leaseStatusReporter reports the leases that this daemon holds to the status duty.
 // It is used on the lease manager's goroutine only.
 type leaseStatusReporter struct {
-	status *operator.Status
-	held   map[string]operator.LeaseStatus
+	status     *operator.Status
+	leaseClock duty.Clock
+	held       map[string]operator.LeaseStatus
 }
 
 func (h *leaseStatusReporter) handleEvent(e platform.LeaseEvent) {
 	switch e.Kind {
 	case platform.LeaseGained, platform.LeaseRenewed:
-		h.held[e.Lease.Name] = operator.LeaseStatus{Name: e.Lease.Name, Fencing: e.Lease.Fence, Until: e.Lease.Deadline}
+		h.held[e.Lease.Name] = leaseStatus(e.Lease, h.leaseClock.Now(), time.Now())
 	case platform.LeaseLost:
 		delete(h.held, e.Lease.Name)
 	default:
@@ -69,6 +72,12 @@
 	h.status.SetLeases(slices.Collect(maps.Values(h.held)))
 }
 
+// leaseStatus returns the status of a lease at the time leaseNow of the lease's clock and
+// wallNow of the wall clock, which differ after a step of the latter.
+func leaseStatus(l platform.Lease, leaseNow, wallNow time.Time) operator.LeaseStatus {
+	return operator.LeaseStatus{Name: l.Name, Fencing: l.Fence, Until: wallNow.Add(l.Deadline.Sub(leaseNow))}
+}
+
 // leaseCandidate keeps this daemon a candidate for a lease while it is one of the
 // daemons of its data centre that watch the store. The others do not compete for
 // the lease, so that the calls to the platform grow with the number of data
--- a/internal/server/clocks_test.go
+++ b/internal/server/clocks_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/standin/deployment"
 	"github.com/berylfall/berylfall/internal/transport"
 )
@@ -24,6 +25,18 @@
 
 func (c steppedClock) Now() time.Time { return c.BootClock.Now().Add(-c.step) }
 
+// Guards against a lease that operators see as expired, or as valid for too long, after a step
+// of the wall clock.
+func TestStatusOfALeaseShowsTheWallClock(t *testing.T) {
+	const left = 3 * time.Second
+	now := time.Unix(1e9, 0)
+	leaseNow := now.Add(-wallClockStep)
+	shown := leaseStatus(platform.Lease{Name: "l", Fence: 1, Deadline: leaseNow.Add(left)}, leaseNow, now).Until
+	if !shown.Equal(now.Add(left)) {
+		t.Errorf("a lease that ends in %v is shown to end in %v", left, shown.Sub(now))
+	}
+}
+
 // Guards against grants of limits that admission takes as expired after the wall clock was
 // stepped forward: a limit of one call at a time needs a grant.
 func TestGrantsAreUsedAfterAStepOfTheWallClock(t *testing.T) {
