Keep the back-off while watches are answered and this duty's calls fail

Callers saw: while the store refused the calls of a daemon's store duty and answered its watches, the daemon made a call for each answer to a watch, in place of one per back-off of up to 2 s. Calls of the store are priced and count toward its rate.

Cause: each answer to another duty ended the pause of the store duty, also when the calls that were made because of the former answers had failed.

The new test failed before: availability_test.go:138: 201 calls in 10 s of refusals with a watch answer each 50 ms, want at most 30

Fix: an answer to another duty ends the pause only if it ends an outage. After quick refusals without an outage the calls keep to the back-off until one of them is answered, so their number no longer follows that of the answers. A call without an answer is an outage unless others were answered meanwhile, and then it starts no pause, so recovery from cuts is as fast as before. An older answer no longer starts a pause either.

The end of an outage now also starts the back-off at 50 ms. Without this, a store that answered only pings in the first second after a cut got the next call of the duty up to 2 s later, because the back-off had grown in the cut. TestStoreAnswersSoonAfterACut gets this case.

--- a/internal/platform/availability_test.go
+++ b/internal/platform/availability_test.go
@@ -123,3 +123,18 @@
 		t.Errorf("%d calls in 10 s of refusals, want at most 30", calls)
 	}
 }
+
+// Guards against a call for each answer to a watch while the store refuses this duty's calls.
+func TestAnswersToWatchesDoNotRemoveTheRetryDelay(t *testing.T) {
+	f := newStoreFixture(StoreOptions{})
+	f.api.chooseOutcome = func(bool) callOutcome { return rejectUnavailable }
+	f.submit(Op{Kind: OpGet, Key: "k", Timeout: time.Minute})
+	before := len(f.api.calls)
+	for range 200 {
+		f.store.ReportCall(CallEnd{Started: f.clock.Now(), Ended: f.clock.Now()})
+		f.advance(50 * time.Millisecond)
+	}
+	if calls := len(f.api.calls) - before; calls > 30 {
+		t.Errorf("%d calls in 10 s of refusals with a watch answer each 50 ms, want at most 30", calls)
+	}
+}
--- a/internal/platform/recovery_test.go
+++ b/internal/platform/recovery_test.go
@@ -19,7 +19,7 @@
 	// read may be refused.
 	recoveryBound      = 1200 * time.Millisecond
 	recoveryReadPeriod = 200 * time.Millisecond
-	// recoveryFaultTime is how long answers are slow or get lost after the return.
+	// recoveryFaultTime is how long answers are slow, lost or refused after the return.
 	recoveryFaultTime   = time.Second
 	recoveryCallTimeout = 800 * time.Millisecond
 	recoveryRoundTrip   = 10 * time.Millisecond
@@ -34,6 +34,7 @@
 	cutPrompt cutFault = "prompt answers"
 	cutSlow   cutFault = "slow answers"
 	cutLossy  cutFault = "one lost answer in three"
+	cutStaged cutFault = "answers to pings only"
 	// cutRefused is a store that refuses all calls in place of the cut.
 	cutRefused cutFault = "refusals"
 )
@@ -43,6 +44,7 @@
 	run      func()
 	endsAt   time.Time
 	answered bool
+	refused  bool // unless it is a ping
 }
 
 // cutSimulation is one daemon whose store does not answer between cutAt and healAt.
@@ -55,6 +57,7 @@
 	cutAt, healAt time.Time
 	pending       []cutCall
 	answering     bool // result of the call that is being run
+	refusing      bool // the store refuses it unless it is a ping
 	callsInCut    int
 
 	firstAnswer time.Time // of a read submitted after the return
@@ -76,6 +79,8 @@
 		call.answered = false
 	case isCut, isFaulty && c.fault == cutLossy && c.random.IntN(3) == 0:
 		call.endsAt, call.answered = now.Add(recoveryCallTimeout), false
+	case isFaulty && c.fault == cutStaged:
+		call.refused = true
 	case isFaulty && c.fault == cutSlow:
 		call.endsAt = now.Add(recoverySlowAnswer)
 	}
@@ -87,6 +92,13 @@
 }
 
 func (c *cutSimulation) outcome() error {
+	if c.refusing {
+		return ErrUnavailable
+	}
+	return c.pingOutcome()
+}
+
+func (c *cutSimulation) pingOutcome() error {
 	switch {
 	case c.answering:
 		return nil
@@ -96,7 +108,7 @@
 	return fmt.Errorf("%w: %w", ErrUnavailable, ErrUnknownOutcome)
 }
 
-func (c *cutSimulation) Ping(context.Context) error { return c.outcome() }
+func (c *cutSimulation) Ping(context.Context) error { return c.pingOutcome() }
 
 func (c *cutSimulation) Get(_ context.Context, key string) (Object, error) {
 	return Object{Key: key, Version: 1}, c.outcome()
@@ -111,7 +123,7 @@
 }
 
 func (c *cutSimulation) Put(_ context.Context, w Write) (Object, error) {
-	if err := c.outcome(); err == nil || c.fault == cutRefused {
+	if err := c.outcome(); err == nil || c.refusing || c.fault == cutRefused {
 		return Object{Key: w.Key, Version: 2, Token: w.Token}, err
 	}
 	return Object{}, ErrUnknownOutcome
@@ -180,7 +192,7 @@
 			c.pending = append(c.pending, call)
 			continue
 		}
-		c.answering = call.answered
+		c.answering, c.refusing = call.answered, call.refused
 		call.run()
 		c.runLoops()
 	}
@@ -207,11 +219,11 @@
 
 // Guards against a daemon that learns seconds after a cut what changed in the store,
 // because its reads are refused or wait although the store answers again. With lost
-// answers the store counts as answering once they have ended.
+// answers, or refused calls, the store counts as answering once they have ended.
 func TestStoreAnswersSoonAfterACut(t *testing.T) {
-	for _, fault := range []cutFault{cutPrompt, cutSlow, cutLossy, cutRefused} {
+	for _, fault := range []cutFault{cutPrompt, cutSlow, cutLossy, cutStaged, cutRefused} {
 		bound := recoveryBound
-		if fault == cutLossy {
+		if fault == cutLossy || fault == cutStaged {
 			bound += recoveryFaultTime
 		}
 		var longestAnswer, longestRefusal time.Duration
--- a/internal/platform/storecalls.go
+++ b/internal/platform/storecalls.go
@@ -38,16 +38,20 @@
 }
 
 // handleReport updates the view of the store by a call of another duty. An answer ends
-// the pause unless this duty's calls failed after it.
+// the pause only if it ends an outage: the store may answer others and refuse this duty.
 func (s *Store) handleReport(e CallEnd) {
+	wasDown := s.availability.isDown
 	s.recordAvailability(e)
 	switch {
-	case e.isAnswer() && !s.isRateLimited && !e.Ended.Before(s.lastFailureFrom):
+	case wasDown && !s.availability.isDown && !s.isRateLimited:
 		s.endPause()
+		s.retryDelay.reset()
 		s.startCalls()
-	case s.availability.isDown && !s.isFailing:
+	case e.isAnswer() || !s.availability.isDown:
+		// Only the failures of an outage delay the next call.
+	case !s.isFailing:
 		s.pause(e)
-	case s.availability.isDown && e.IsPing:
+	case e.IsPing:
 		s.extendPause(e.Ended)
 	}
 }
