Fail fast while the store refuses calls and answers only pings

Callers saw: reads with FailFast waited for their whole time (1.5 s in the test, 700 ms for the question of another daemon about a job) while the store refused all calls of the daemon but its pings. Pings do not count toward the store's rate, so this is the state in a spell of rate limits. The other daemon could take the silence for a dead owner.

Cause: operations with FailFast were refused only if the view of the store is down, and an answered ping keeps it up.

Fix: they are also refused while the last call of the duty failed and the back-off or another call runs, whatever pings show. Then a check is due or on its way, and its answer ends the refusals. One operation is still accepted as the check when no other waits.

--- a/internal/platform/operations.go
+++ b/internal/platform/operations.go
@@ -25,8 +25,8 @@
 	// Urgent operations start before others and may use the reserved share of the
 	// budget and of the concurrent calls. Only lease operations are urgent.
 	Urgent bool
-	// FailFast rejects the operation at once while the store is down, except for
-	// the one call that checks whether it is up again.
+	// FailFast rejects the operation at once while the store is down or refuses the
+	// calls of this daemon, except for the one call that checks whether it is up again.
 	FailFast bool
 	// Reply is called with the result on the store duty's goroutine. It must not
 	// block: it puts the result into a ring of the calling duty.
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -17,7 +17,7 @@
 var (
 	// ErrQueueFull means that too many operations are queued.
 	ErrQueueFull = fmt.Errorf("%w: store queue is full", ErrUnavailable)
-	// ErrStoreDown means that the store does not answer.
+	// ErrStoreDown means that the store does not answer, or not the calls of this duty.
 	ErrStoreDown = fmt.Errorf("%w: store does not answer", ErrUnavailable)
 	// ErrQueueDeadline means that the operation was not executed before its deadline.
 	ErrQueueDeadline = fmt.Errorf("%w: deadline passed before the call was carried out", ErrUnavailable)
@@ -311,10 +311,11 @@
 	s.startCalls()
 }
 
-// isRefusing reports whether the store does not answer and no operation is needed to
-// check whether it is up again.
+// isRefusing reports whether the store does not answer, or not the calls of this duty, and
+// no operation is needed to check whether it does again.
 func (s *Store) isRefusing() bool {
-	return s.availability.isDown && (s.callsInProgress > 0 || s.loop.Clock().Now().Before(s.pausedUntil))
+	isChecking := s.callsInProgress > 0 || s.loop.Clock().Now().Before(s.pausedUntil)
+	return (s.availability.isDown || s.isFailing) && isChecking
 }
 
 func (s *Store) enqueue(t *task) {
--- a/internal/platform/store_test.go
+++ b/internal/platform/store_test.go
@@ -216,3 +216,29 @@
 		t.Errorf("counters %+v", s)
 	}
 }
+
+// Guards against operations that fail fast and yet wait for their whole time while the
+// store refuses this daemon's calls and answers only its pings.
+func TestFailFastWhileOnlyPingsAreAnswered(t *testing.T) {
+	for name, outcome := range map[string]callOutcome{"unavailable": rejectUnavailable, "rate limit": rejectRateLimited} {
+		f := newStoreFixture(StoreOptions{})
+		f.api.chooseOutcome = func(bool) callOutcome { return outcome }
+		f.submit(Op{Kind: OpGet, Key: "k", Timeout: time.Minute})
+		f.advance(3 * time.Second)
+		longest := time.Duration(0)
+		for range 50 {
+			f.store.ReportCall(CallEnd{Started: f.clock.Now(), Ended: f.clock.Now(), IsPing: true})
+			started := f.clock.Now()
+			read := f.submit(Op{Kind: OpGet, Key: "x", FailFast: true, Timeout: 1500 * time.Millisecond})
+			for len(*read) == 0 && f.clock.Now().Sub(started) < 5*time.Second {
+				f.advance(10 * time.Millisecond)
+			}
+			longest = max(longest, f.clock.Now().Sub(started))
+			f.advance(200 * time.Millisecond)
+		}
+		t.Logf("%s: longest wait %v", name, longest)
+		if longest > time.Second {
+			t.Errorf("%s: an operation that fails fast waited for %v", name, longest)
+		}
+	}
+}
