Require two lost calls for a short outage that has ended

Callers saw: one lost answer of a quiet daemon counted as an outage and a recovery. Each one lists all watches again and checks all jobs, with calls that are priced.

Cause: a call without an answer showed a short outage if it began in a time of 0.5 s or more without answers. A quiet daemon has such a time between any two pings, which are 1 s apart.

The new tests failed before: availability_test.go:61: one call is lost in a quiet time: changes [down up], want [] availability_test.go:120: answers after 3 ms: 2 changes of the store's state by one lost answer between answered pings

Fix: two calls must be lost in the same time without answers, or one if that time was longer than 1.5 s (ProbePeriod and noAnswerTime): a ping was sent in it, and a store that answers would have answered that ping. The bound is not ProbePeriod alone, because a quiet daemon exceeds that by the response time of each ping (the test has 3 and 250 ms). Lost pings count, so an outage that a ping falls into still needs only one other lost call, and watches are listed again as before.

Not found any more: an outage of less than 1.5 s in which only one call was made, if that call fails after the next answer. A call that fails before any other answer still shows an outage at once.

--- a/internal/platform/availability.go
+++ b/internal/platform/availability.go
@@ -9,6 +9,14 @@
 // answering. It is twice the response time of a slow store.
 const noAnswerTime = 500 * time.Millisecond
 
+// maxQuietTime is the longest time between two answers of a store that answers a daemon
+// whose only calls are pings.
+const maxQuietTime = ProbePeriod + noAnswerTime
+
+// minLostCalls is the number of calls without an answer that show a short outage. One is
+// no proof, since a quiet daemon has no other answers at that time.
+const minLostCalls = 2
+
 // CallEnd is the end of one call of the store: an answer shows that the store answers,
 // a failure may show that it does not. Duties that call the store exchange them.
 type CallEnd struct {
@@ -54,9 +62,21 @@
 	since        time.Time    // of the last change
 	lastAnswerAt time.Time
 	failedFrom   time.Time // start of the call that showed the current outage
-	// The last time of noAnswerTime or more without an answer that an answer ended;
-	// cleared once it is known as an outage.
-	silentFrom, silentTo time.Time
+	silence      silence   // the last one; cleared once it is known as an outage
+}
+
+// silence is a time of noAnswerTime or more without an answer that an answer ended.
+type silence struct {
+	from, to  time.Time
+	lostCalls int // calls that started in it and got no answer
+}
+
+func (s silence) contains(t time.Time) bool { return t.After(s.from) && t.Before(s.to) }
+
+// isOutage reports whether the store did not answer in this time, as opposed to a daemon
+// that made few calls and lost one answer.
+func (s silence) isOutage() bool {
+	return s.lostCalls >= minLostCalls || (s.lostCalls > 0 && s.to.Sub(s.from) > maxQuietTime)
 }
 
 // newAvailability returns the view of a store that answers.
@@ -72,22 +92,31 @@
 		return a.recordAnswer(e.Ended)
 	case !a.answeredSince(e.Started):
 		return a.recordFailure(e)
-	case e.isSilent() && !a.isDown && e.Started.After(a.silentFrom) && e.Started.Before(a.silentTo):
-		outage := AvailabilityChange{Reason: e.outageReason(), Err: e.Err, Lasted: a.silentFrom.Sub(a.since)}
-		recovery := AvailabilityChange{Up: true, Reason: outage.Reason, Lasted: a.silentTo.Sub(a.silentFrom)}
-		a.reason, a.since = outage.Reason, a.silentTo
-		a.silentFrom, a.silentTo = time.Time{}, time.Time{}
-		return []AvailabilityChange{outage, recovery}
+	case e.isSilent() && !a.isDown && a.silence.contains(e.Started):
+		return a.recordLostCall(e)
 	}
 	return nil
 }
 
+// recordLostCall records a call that started in the last silence and got no answer.
+func (a *availability) recordLostCall(e CallEnd) []AvailabilityChange {
+	a.silence.lostCalls++
+	if !a.silence.isOutage() {
+		return nil
+	}
+	outage := AvailabilityChange{Reason: e.outageReason(), Err: e.Err, Lasted: a.silence.from.Sub(a.since)}
+	recovery := AvailabilityChange{Up: true, Reason: outage.Reason, Lasted: a.silence.to.Sub(a.silence.from)}
+	a.reason, a.since = outage.Reason, a.silence.to
+	a.silence = silence{}
+	return []AvailabilityChange{outage, recovery}
+}
+
 func (a *availability) recordAnswer(at time.Time) []AvailabilityChange {
 	if !at.After(a.lastAnswerAt) {
 		return nil
 	}
 	if !a.isDown && at.Sub(a.lastAnswerAt) >= noAnswerTime {
-		a.silentFrom, a.silentTo = a.lastAnswerAt, at
+		a.silence = silence{from: a.lastAnswerAt, to: at}
 	}
 	a.lastAnswerAt = at
 	if !a.isDown || at.Before(a.failedFrom) {
--- a/internal/platform/availability_test.go
+++ b/internal/platform/availability_test.go
@@ -40,6 +40,10 @@
 		{"ping is lost, others are answered", []CallEnd{endAfter(100, 300, nil), ping(endAfter(100, 900, silent))}, "[]"},
 		{"answer from before the failed call", []CallEnd{ping(endAfter(100, 900, silent)), endAfter(10, 50, nil)}, "[down]"},
 		{"failed twice", []CallEnd{endAfter(0, 800, silent), ping(endAfter(100, 900, silent)), ping(endAfter(950, 955, nil))}, "[down up]"},
+		{"one call is lost in a quiet time", []CallEnd{endAfter(0, 5, nil), endAfter(700, 705, nil), endAfter(50, 850, silent)}, "[]"},
+		{"two calls are lost in quiet times of their own", []CallEnd{endAfter(0, 5, nil), endAfter(700, 705, nil), endAfter(50, 850, silent), endAfter(1400, 1405, nil), endAfter(750, 1550, silent)}, "[]"},
+		{"call is lost, and no ping was answered", []CallEnd{endAfter(0, 5, nil), endAfter(1600, 1605, nil), endAfter(1000, 1800, silent)}, "[down up]"},
+		{"call and ping are lost", []CallEnd{endAfter(0, 5, nil), endAfter(1200, 1205, nil), endAfter(900, 1700, silent), ping(endAfter(1005, 1805, silent))}, "[down up]"},
 		{"short outage", []CallEnd{endAfter(0, 5, nil), endAfter(700, 705, nil), endAfter(50, 850, silent), endAfter(60, 860, silent)}, "[down up]"},
 	}
 	for _, c := range cases {
@@ -98,6 +102,26 @@
 	}
 }
 
+// Guards against an outage that is reported, and watches that are listed again, because
+// one answer was lost between two answered pings.
+func TestOneLostAnswerOfAQuietDaemonIsNoOutage(t *testing.T) {
+	for _, answerMs := range []int{3, 250} {
+		a := newAvailability(testStart)
+		changes, pingMs := 0, 0
+		for second := range 10 {
+			// Pings are answered and sent a second later; once a call in between is lost.
+			changes += len(a.record(ping(endAfter(pingMs, pingMs+answerMs, nil))))
+			if second == 5 {
+				changes += len(a.record(endAfter(pingMs-700, pingMs+answerMs+50, ErrUnavailable)))
+			}
+			pingMs += 1000 + answerMs
+		}
+		if changes != 0 {
+			t.Errorf("answers after %d ms: %d changes of the store's state by one lost answer between answered pings", answerMs, changes)
+		}
+	}
+}
+
 // Guards against operations that are refused because pings fail although the duty's own
 // calls succeed, and against an unbounded call rate when only pings succeed.
 func TestStoreTrustsItsOwnCalls(t *testing.T) {
