Report the ends of watches to the probe in the test of configurations

TestConfigurationTakesEffectInTime built its watch without OnCallEnd, so its probe saw only pings, while in the daemon answers to watches delay the next ping and refused ones bring it forward. The test therefore could not find an outage that is seen late because of such an answer.

The daemon's way of reporting, from the error of a watch to the end of a call, is now a method that the test uses as well.

--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -73,8 +73,7 @@
 func (b *base) watchKind(kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
 	onCallEnd := o.OnCallEnd
 	o.OnCallEnd = func(err error) {
-		now := b.clock.Now()
-		b.reportStoreCall(platform.CallEnd{Started: now, Ended: now, Err: err})
+		b.reportWatchEnd(err)
 		if onCallEnd != nil {
 			onCallEnd(err)
 		}
@@ -106,6 +105,13 @@
 	return w
 }
 
+// reportWatchEnd passes the end of a call of a watch. An answer counts from the time of
+// its arrival, since the store holds watches, and a failure shows no silence.
+func (b *base) reportWatchEnd(err error) {
+	now := b.clock.Now()
+	b.reportStoreCall(platform.CallEnd{Started: now, Ended: now, Err: err})
+}
+
 // reportStoreCall passes the end of a watch of the store to the duties that know whether
 // the store answers: first to the store duty, which must not refuse the operations that
 // others submit because of an answer.
--- a/internal/server/hosted/config_proof_test.go
+++ b/internal/server/hosted/config_proof_test.go
@@ -126,17 +126,18 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w.pending = nil
-	w.front = &frontDaemon{routes: &caller.RouteTable{}, base: &base{log: logrus.NewEntry(log)}}
+	w.front = &frontDaemon{routes: &caller.RouteTable{}, base: &base{log: logrus.NewEntry(log), clock: w.clock}}
 	watcher := platform.NewWatcher(w.clock, w, w.calls, adapter.KindConfig+"/", w.front.handleConfig, platform.WatcherOptions{
 		WatchTimeout: watchTimeout, MaxRetryDelay: maxWatchRetryDelay, RelistAfterFailure: true, Random: w.random,
+		OnCallEnd: w.front.reportWatchEnd,
 	})
-	probe := platform.NewProbe(w.clock, w, w.calls, func(c platform.AvailabilityChange) {
+	w.front.probe = platform.NewProbe(w.clock, w, w.calls, func(c platform.AvailabilityChange) {
 		if c.Up {
 			watcher.Relist()
 		}
 	})
 	w.front.watchers = []*platform.Watcher{watcher}
-	w.front.loops = []*duty.Loop{watcher.Loop(), probe.Loop()}
+	w.front.loops = []*duty.Loop{watcher.Loop(), w.front.probe.Loop()}
 }
 
 // step advances the clock by configStep. Calls are answered soon after the store can
