Guard the count of a request's bytes against reads beside writes

The HTTP library reads a caller's connection while a handler writes the answer, to notice that the caller leaves. Both used the bounds of the request without synchronisation, so a connection could be reset by bounds that were half written.

--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"time"
 )
 
@@ -27,28 +28,37 @@
 	return guarded, nil
 }
 
-// guardedConn is the server's side of a connection. The HTTP library reads and writes
-// it on one goroutine at a time.
+// guardedConn is the server's side of a connection. The HTTP library reads it while a
+// handler writes, to notice that the caller leaves.
 type guardedConn struct {
 	net.Conn
 	maxRequestBytes int
-	guard           progressGuard
+	mu              sync.Mutex
+	guard           progressGuard // under mu
 }
 
 // Read closes the connection with a reset if the request has too many bytes or takes
 // too long.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if guardErr := c.guard.receive(n, time.Now()); guardErr != nil {
+	if guardErr := c.receive(n); guardErr != nil {
 		resetConnection(c.Conn)
 		return 0, guardErr
 	}
 	return n, err
 }
 
+func (c *guardedConn) receive(n int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.receive(n, time.Now())
+}
+
 // Write sends a part of a response, which ends the request.
 func (c *guardedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
 	c.guard.reset(c.maxRequestBytes, requestTimeout)
+	c.mu.Unlock()
 	return c.Conn.Write(b)
 }
 
