Log failed checks of ownership once per kind of reason

The errors of refused operations say how long the store has not answered, so each failed check had a text of its own and was logged: five lines a second and job in an outage. Lines are compared by the kind of the error now; the text stays in the line.

TestFailedChecksAreLoggedOncePerReason failed before: '20 lines for 20 failed checks of two reasons'.

--- a/internal/trainer/batch/ownership.go
+++ b/internal/trainer/batch/ownership.go
@@ -146,12 +146,24 @@
 		f.since = m.now()
 	}
 	f.count++
-	if reason := err.Error(); reason != f.reason {
+	if reason := failureReason(err); reason != f.reason {
 		f.reason = reason
 		m.ownershipLog(e).WithError(err).WithField("failures", f.count).Info("ownership of a job could not be checked")
 	}
 }
 
+// failureReason returns the kind of the error. Its text may hold times and ports, which
+// differ each time.
+func failureReason(err error) string {
+	kinds := []error{platform.ErrStoreDown, platform.ErrQueueDeadline, platform.ErrQueueFull, platform.ErrUnknownOutcome, platform.ErrUnavailable}
+	for _, kind := range kinds {
+		if errors.Is(err, kind) {
+			return kind.Error()
+		}
+	}
+	return err.Error()
+}
+
 // endCheckFailures logs how long checks have failed, if they have.
 func (m *Manager) endCheckFailures(e *jobEntry) {
 	f := e.checkFailures
--- a/internal/trainer/batch/ownership_test.go
+++ b/internal/trainer/batch/ownership_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 )
@@ -350,3 +353,24 @@
 		t.Errorf("%d checks have failed, next check in progress: %v", e.checkFailures.count, e.checkingOwnership)
 	}
 }
+
+// Guards against a log line for each failed check of an outage: the errors of refused
+// operations say how long the store has not answered.
+func TestFailedChecksAreLoggedOncePerReason(t *testing.T) {
+	cluster := newCluster(t, 1, 15)
+	d := cluster.daemons[0]
+	cluster.query(d, submitQuery("a", 1))
+	log, lines := logtest.NewNullLogger()
+	d.manager.log = log.WithField("duty", "jobs")
+	e := d.manager.jobs["a"]
+	for i := range 20 {
+		err := fmt.Errorf("%w; no answer known for %d ms", platform.ErrStoreDown, i)
+		if i >= 10 {
+			err = fmt.Errorf("%w; read from port %d", platform.ErrUnavailable, i)
+		}
+		d.manager.recordCheckFailure(e, err)
+	}
+	if n := len(lines.AllEntries()); n != 2 || e.checkFailures.count != 20 {
+		t.Errorf("%d lines for %d failed checks of two reasons", n, e.checkFailures.count)
+	}
+}
