Check the lease of a job once a round, and ask for its validity without an error

launchDueItems checked the lease for each item that is due, and IsValid built the whole error of Check to compare it with nil: while a lease has expired, each tick formatted an error for each item of each job, and the choice of a server one for each candidate. The lease is checked once before the loop, and Check builds its error only when it is asked for. Behaviour stays as it is.

--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -56,12 +56,18 @@
 
 // IsValid reports whether the lease may be used now. A nil lease is always valid: it
 // stands for an act that needs none.
-func (l *Lease) IsValid() bool { return l.Check() == nil }
+func (l *Lease) IsValid() bool {
+	if l == nil {
+		return true
+	}
+	age, ok := l.Age()
+	return ok && age >= 0 && age <= l.term
+}
 
 // Check returns nil if the lease may be used now, and otherwise an error with the verdict
 // NotRun that says why not.
 func (l *Lease) Check() *Error {
-	if l == nil {
+	if l.IsValid() {
 		return nil
 	}
 	age, ok := l.Age()
@@ -70,10 +76,8 @@
 		return NotRunError(CodeLeaseExpired, "the right to send the request was revoked")
 	case !ok:
 		return NotRunError(CodeLeaseExpired, "the right to send the request was never confirmed")
-	case age < 0 || age > l.term:
-		err := NotRunError(CodeLeaseExpired, "the right to send the request has expired")
-		err.Field, err.Value, err.Allowed = "confirmation age", age.String(), fmt.Sprintf("at most %v", l.term)
-		return err
 	}
-	return nil
+	err := NotRunError(CodeLeaseExpired, "the right to send the request has expired")
+	err.Field, err.Value, err.Allowed = "confirmation age", age.String(), fmt.Sprintf("at most %v", l.term)
+	return err
 }
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -144,6 +144,7 @@
 	rules, ok := m.routes.JobRules(e.job.Host, e.job.Target)
 	now := m.now()
 	expired := ok && rules.AbandonAfter > 0 && now.After(e.job.AcceptedAt.Add(rules.AbandonAfter))
+	mayLaunch := ok && e.lease.IsValid()
 	for _, id := range e.launchOrder {
 		r := e.items[id]
 		if r == nil || r.finished {
@@ -153,7 +154,7 @@
 			m.abandonItem(e, r, "time limit of the job has passed")
 			continue
 		}
-		if !ok || r.running || now.Before(r.notBefore) || !e.lease.IsValid() {
+		if !mayLaunch || r.running || now.Before(r.notBefore) {
 			continue
 		}
 		m.launchItem(e, r, rules)
