Pass the bodies and headers of requests on as they arrived

Callers that sent a form (multipart/form-data with a length) got a success for a body that they had not sent: its parts reached the backend server in another order and written anew. A form that cannot be parsed was answered with 400.

Cause: the HTTP library parses forms before any handler runs, unless an option turns that off, and Body() then encodes the parsed form again. On the same path, the target of an item could hold a line break, which makes a second request; such jobs are refused.

Why it works: no code between the socket and the server reads a body by its type any more.

A chunk extension is still answered with 400 by the library.

--- a/internal/caller/callerhttp/callerhttp_test.go
+++ b/internal/caller/callerhttp/callerhttp_test.go
@@ -342,3 +342,21 @@
 		t.Errorf("unknown request has status %d, want 404", response.StatusCode)
 	}
 }
+
+// Guards against a form that is parsed on its way to the plain service and passed on in
+// another form, or rejected because it cannot be parsed.
+func TestOperationBodyIsPassedOnUnchanged(t *testing.T) {
+	f := newTestServer(t, eventTimeout)
+	f.admission.answerCall = func(c *core.Call) { c.End(core.End{Verdict: core.Ran, Status: http.StatusOK}) }
+	file := "--cut\r\nContent-Disposition: form-data; name=\"p\"; filename=\"s.jpg\"\r\nX-Shop: 7\r\n\r\nJPEG\r\n"
+	field := "--cut\r\nContent-Disposition: form-data; name=\"n\"\r\n\r\nworn\r\n"
+	for _, body := range []string{file + field + "--cut--\r\n", file, "no form", "a=%zz&&b"} {
+		for _, kind := range []string{"multipart/form-data; boundary=cut", "application/x-www-form-urlencoded"} {
+			response := f.send(http.MethodPost, "/v1/services/s/o", body, "Content-Type: "+kind)
+			call, ok := f.admission.calls.TryTake()
+			if !ok || string(call.Request.Body) != body {
+				t.Errorf("body %q of type %s: status %d, passed on: %v", body, kind, response.StatusCode, ok)
+			}
+		}
+	}
+}
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -233,6 +233,9 @@
 		{"JSON of another type", "/batch/j", []byte(`[1,2]`), http.StatusBadRequest},
 		{"an item without id", "/batch/j", []byte(`{"items":[{"path":"/batch/1"}]}`), http.StatusBadRequest},
 		{"an item listed twice", "/batch/j", []byte(`{"items":[` + item + "," + item + `]}`), http.StatusBadRequest},
+		{"an item with a request in its path", "/batch/j", []byte(`{"items":[{"id":"a","path":"/batch/1 HTTP/1.1\r\nAttempt-Id: smuggled\r\n\r\nGET /batch/2","body":"eA=="}]}`), http.StatusBadRequest},
+		{"an item without a path", "/batch/j", []byte(`{"items":[{"id":"a","body":"eA=="}]}`), http.StatusBadRequest},
+		{"a reward call with a space in its path", "/batch/j", []byte(`{"items":[{"id":"a","path":"/batch/1","scorer":{"id":"r","host":"h","path":"/plain/ r"}}]}`), http.StatusBadRequest},
 		{"a body that is no base64", "/batch/j", []byte(`{"items":[{"id":"a","body":"%"}]}`), http.StatusBadRequest},
 	}
 	for _, test := range cases {
--- a/internal/server/hosted/streams_test.go
+++ b/internal/server/hosted/streams_test.go
@@ -59,6 +59,7 @@
 	})
 	if err := f.store.Put(adapter.KindServers, id, map[string]any{
 		"service": service, "address": address, "zone": "a", "version": software, "slots": 4, "state": "ready",
+		"models": []map[string]any{{"name": deployment.Model, "version": 1}},
 	}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -49,6 +49,8 @@
 		}
 		const firstFinalStatus = 200
 		if resp.StatusCode() >= firstFinalStatus {
+			// A response without a Content-Type has none.
+			resp.Header.SetNoDefaultContentType(true)
 			c.guard.reset(MaxResponseHeadBytes, progressTimeout)
 			return nil
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -85,6 +85,9 @@
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(o.MaxBodyBytes),
 		server.WithStreamBody(o.StreamLargeBodies),
+		// A body is passed on as it arrived. The library would parse forms, reject those
+		// that it cannot read, and return the others written anew.
+		server.WithDisablePreParseMultipartForm(true),
 		server.WithReadTimeout(o.ReadTimeout),
 		server.WithIdleTimeout(o.IdleTimeout),
 		server.WithMaxHeaderBytes(o.MaxHeaderBytes),
