Keep the origins of callers' streams when their daemons are lost

Callers whose streams broke when daemons were killed could not take them up again: after a loss of four and then of the other five of nine daemons most were refused (503, not-continued) for good, while new streams began.

Cause: the origin of a stream was sent to two other daemons once and held in memory only. A daemon that started again got nothing back, one that found an origin kept it for itself, and replicas that were lost were not made anew.

Fix: holders save their origins in the store, at most one write a second for each daemon; a daemon that starts reads its own object and asks the others for what it should hold; what is found is sent to its holders again; a lookup reads the saved origins when memory has nothing, and waits for the list of daemons. Why it works: at each time an origin is held by two holders or in the store, and every way back restores it; it is only ever copied, so versions are not joined.

--- a/internal/caller/streamorigins_test.go
+++ b/internal/caller/streamorigins_test.go
@@ -20,38 +20,93 @@
 	daemons []*originDaemon
 	pending []func()
 	sent    int // messages with origins
+	store   originObjects
 }
 
 type originDaemon struct {
 	cluster *originCluster
 	address string
 	isDown  bool // answers nothing
-	origins *StreamOrigins
+	// isUnlisted means that it has no list of the other daemons yet.
+	isUnlisted bool
+	origins    *StreamOrigins
+}
+
+// originObjects is the store of a cluster. Like messages, its answers wait in pending.
+type originObjects struct {
+	saved  map[string]SavedOrigins
+	isDown bool
+	writes int
 }
 
 var errDown = errors.New("the daemon does not answer")
 
 func newOriginCluster(n int) *originCluster {
-	cluster := &originCluster{clock: duty.NewManualClock(time.Unix(1e9, 0))}
+	cluster := &originCluster{clock: duty.NewManualClock(time.Unix(1e9, 0)), store: originObjects{saved: map[string]SavedOrigins{}}}
 	for i := range n {
 		d := &originDaemon{cluster: cluster, address: fmt.Sprint("d", i)}
 		cluster.daemons = append(cluster.daemons, d)
+	}
+	for _, d := range cluster.daemons {
 		d.start()
 	}
+	cluster.run()
 	return cluster
 }
 
 // start makes the daemon answer again, with nothing in its memory.
 func (d *originDaemon) start() {
 	d.isDown = false
-	d.origins = NewStreamOrigins(d.cluster.clock, d, func(f func()) bool {
+	d.origins = NewStreamOrigins(StreamOriginOptions{Clock: d.cluster.clock, Self: d.address, Peers: d, Store: d, TryGo: func(f func()) bool {
 		d.cluster.pending = append(d.cluster.pending, f)
 		return true
+	}})
+	d.origins.ReportDaemons()
+}
+
+// LoadOrigins implements OriginStore.
+func (d *originDaemon) LoadOrigins(address string, reply func(SavedOrigins, error)) {
+	store := &d.cluster.store
+	d.cluster.pending = append(d.cluster.pending, func() {
+		if store.isDown {
+			reply(SavedOrigins{}, errDown)
+			return
+		}
+		reply(store.saved[address], nil)
 	})
 }
 
+// SaveOrigins implements OriginStore.
+func (d *originDaemon) SaveOrigins(saved SavedOrigins, reply func(int64, error)) {
+	store := &d.cluster.store
+	d.cluster.pending = append(d.cluster.pending, func() {
+		if store.isDown || store.saved[d.address].Version != saved.Version {
+			reply(0, errDown)
+			return
+		}
+		store.writes++
+		saved.Version++
+		store.saved[d.address] = saved
+		reply(saved.Version, nil)
+	})
+}
+
+// Addresses implements OriginPeers.
+func (d *originDaemon) Addresses() []string {
+	addresses, _ := d.Holders("")
+	return addresses
+}
+
+// PullOrigins implements OriginPeers.
+func (d *originDaemon) PullOrigins(_ context.Context, address string) ([]StreamOrigin, error) {
+	if d.isDown || d.peer(address).isDown {
+		return nil, errDown
+	}
+	return d.peer(address).origins.replicasOf(d.address), nil
+}
+
 // Holders implements OriginPeers. Each stream has a fixed random order of the daemons.
-func (d *originDaemon) Holders(stream core.RequestID) []string {
+func (d *originDaemon) Holders(stream core.RequestID) ([]string, bool) {
 	var seed uint64
 	for _, c := range stream {
 		seed = seed*131 + uint64(c)
@@ -62,7 +117,10 @@
 			addresses = append(addresses, other.address)
 		}
 	}
-	return addresses
+	if d.isUnlisted {
+		return nil, false
+	}
+	return addresses, true
 }
 
 func (d *originDaemon) peer(address string) *originDaemon {
@@ -174,7 +232,8 @@
 // Guards against a resumed stream that goes to a service to which its route leads no
 // more, and against one that another version continues because its origin is unknown.
 func TestResumeIsRefusedWithoutOrigin(t *testing.T) {
-	s := NewStreamOrigins(duty.SystemClock{}, (&originCluster{}).nobody(), func(func()) bool { return false })
+	nobody := (&originCluster{}).nobody()
+	s := NewStreamOrigins(StreamOriginOptions{Clock: duty.SystemClock{}, Peers: nobody, Store: emptyOriginStore{}, TryGo: func(func()) bool { return false }})
 	runner, err := duty.NewRunner(4)
 	if err != nil {
 		t.Fatal(err)
@@ -202,6 +261,17 @@
 	}
 }
 
+// emptyOriginStore answers at once.
+type emptyOriginStore struct{}
+
+func (emptyOriginStore) LoadOrigins(_ string, reply func(SavedOrigins, error)) {
+	reply(SavedOrigins{}, nil)
+}
+
+func (emptyOriginStore) SaveOrigins(saved SavedOrigins, reply func(int64, error)) {
+	reply(saved.Version+1, nil)
+}
+
 // nobody returns a daemon without peers.
 func (cluster *originCluster) nobody() *originDaemon {
 	d := &originDaemon{cluster: cluster}
--- a/internal/daemon/daemonrpc/fuzz_test.go
+++ b/internal/daemon/daemonrpc/fuzz_test.go
@@ -81,6 +81,7 @@
 	for _, q := range []*Question{
 		encodeOrigins([]caller.StreamOrigin{testOrigin, {}}),
 		{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(testOrigin.Stream)}}},
+		{Kind: &Question_OriginPull{OriginPull: &StreamOriginPull{Address: "127.0.0.1:1"}}},
 	} {
 		data, err := proto.Marshal(q)
 		if err != nil {
@@ -108,6 +109,9 @@
 			HandleOriginQuestion: func(context.Context, core.RequestID) (caller.OriginLookup, error) {
 				return caller.OriginLookup{Origin: testOrigin, IsKnown: true}, nil
 			},
+			HandleOriginPull: func(context.Context, string) ([]caller.StreamOrigin, error) {
+				return []caller.StreamOrigin{testOrigin}, nil
+			},
 			HandleWatchRequest: func(context.Context, int64) (platform.Listing, error) { return platform.Listing{}, nil },
 			HandleJobRequest:   func(context.Context, batch.Query) batch.Reply { return batch.Reply{} },
 			HandlePermitRequest: func(_ context.Context, r backend.PermitRequest) (backend.PermitGrant, error) {
--- a/internal/daemon/daemonrpc/peerclient.go
+++ b/internal/daemon/daemonrpc/peerclient.go
@@ -127,6 +127,16 @@
 	return o, true, nil
 }
 
+// PullOrigins asks the daemon at the address for the origins that the daemon at the address
+// self should hold.
+func (p *PeerClient) PullOrigins(ctx context.Context, address, self string) ([]caller.StreamOrigin, error) {
+	response, err := p.request(ctx, address, &Question{Kind: &Question_OriginPull{OriginPull: &StreamOriginPull{Address: self}}})
+	if err != nil {
+		return nil, err
+	}
+	return decodeOrigins(response.GetOrigins()), nil
+}
+
 // Ping opens a connection to the peer and closes it. It returns an error if the peer
 // does not accept it.
 func (p *PeerClient) Ping(ctx context.Context, address string) error {
--- a/internal/daemon/daemonrpc/peerserver.go
+++ b/internal/daemon/daemonrpc/peerserver.go
@@ -46,6 +46,8 @@
 	HandleOrigins       func([]caller.StreamOrigin) // must not block
 	// HandleOriginQuestion may block.
 	HandleOriginQuestion func(context.Context, core.RequestID) (caller.OriginLookup, error)
+	// HandleOriginPull returns the origins for the daemon at the address. It may block.
+	HandleOriginPull func(ctx context.Context, address string) ([]caller.StreamOrigin, error)
 }
 
 // ListenPeers opens the listener. The pool runs one goroutine for each session
@@ -147,12 +149,15 @@
 		return s.handlePermitRequest(p)
 	}
 	if o := m.GetOrigins(); o != nil {
-		s.handlers.HandleOrigins(decodeOrigins(o))
+		s.handlers.HandleOrigins(decodeOrigins(o.GetOrigins()))
 		return &JobAnswer{}, nil
 	}
 	if o := m.GetOrigin(); o != nil {
 		return s.handleOriginQuestion(core.RequestID(o.GetStream()))
 	}
+	if o := m.GetOriginPull(); o != nil {
+		return s.handleOriginPull(o.GetAddress())
+	}
 	q, err := decodeJobRequest(m.GetJob())
 	if err != nil {
 		return nil, err
@@ -173,6 +178,16 @@
 	return &JobAnswer{Origin: encodeOrigin(lookup.Origin)}, nil
 }
 
+func (s *PeerServer) handleOriginPull(address string) (*JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerIOTimeout)
+	defer cancel()
+	origins, err := s.handlers.HandleOriginPull(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &JobAnswer{Origins: encodeOriginList(origins)}, nil
+}
+
 func (s *PeerServer) handlePermitRequest(m *PermitQuestion) (*JobAnswer, error) {
 	r, err := decodePermitRequest(m)
 	if err != nil {
--- a/internal/daemon/daemonrpc/wireorigins.go
+++ b/internal/daemon/daemonrpc/wireorigins.go
@@ -14,17 +14,21 @@
 }
 
 func encodeOrigins(origins []caller.StreamOrigin) *Question {
-	list := &StreamOriginList{}
+	return &Question{Kind: &Question_Origins{Origins: &StreamOriginList{Origins: encodeOriginList(origins)}}}
+}
+
+func encodeOriginList(origins []caller.StreamOrigin) []*StreamOrigin {
+	list := make([]*StreamOrigin, 0, len(origins))
 	for _, o := range origins {
-		list.Origins = append(list.Origins, encodeOrigin(o))
+		list = append(list, encodeOrigin(o))
 	}
-	return &Question{Kind: &Question_Origins{Origins: list}}
+	return list
 }
 
 // decodeOrigins leaves out origins that name no stream.
-func decodeOrigins(m *StreamOriginList) []caller.StreamOrigin {
+func decodeOrigins(list []*StreamOrigin) []caller.StreamOrigin {
 	var origins []caller.StreamOrigin
-	for _, o := range m.GetOrigins() {
+	for _, o := range list {
 		if o.GetStream() != "" {
 			origins = append(origins, decodeOrigin(o))
 		}
--- a/internal/daemon/daemonrpc/wireorigins_test.go
+++ b/internal/daemon/daemonrpc/wireorigins_test.go
@@ -35,6 +35,13 @@
 	if !reflect.DeepEqual(received, []caller.StreamOrigin{testOrigin}) {
 		t.Errorf("received %+v", received)
 	}
+	s.handlers.HandleOriginPull = func(_ context.Context, address string) ([]caller.StreamOrigin, error) {
+		return []caller.StreamOrigin{{Stream: core.RequestID(address), Software: testOrigin.Software}, {}, testOrigin}, nil
+	}
+	pulled, err := s.handleRequest(&Question{Kind: &Question_OriginPull{OriginPull: &StreamOriginPull{Address: "d1"}}})
+	if err != nil || !reflect.DeepEqual(decodeOrigins(pulled.GetOrigins()), []caller.StreamOrigin{{Stream: "d1", Software: testOrigin.Software}, testOrigin}) {
+		t.Errorf("pulled origins: %v, %v", pulled, err)
+	}
 	for stream, isKnown := range map[core.RequestID]bool{testOrigin.Stream: true, "other": false} {
 		answer, err := s.handleRequest(&Question{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(stream)}}})
 		if err != nil || (answer.GetOrigin() != nil) != isKnown {
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -289,6 +289,7 @@
 		HandleRateLimits:          d.dispatch.UpdateRateLimits,
 		HandleOrigins:             d.origins.Receive,
 		HandleOriginQuestion:      d.origins.FindHeld,
+		HandleOriginPull:          d.origins.FindReplicas,
 	})
 	if err != nil {
 		return err
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/transport"
 	adapter "github.com/berylfall/berylfall/platform"
 	"github.com/berylfall/berylfall/platform/standin"
 )
@@ -96,6 +97,34 @@
 	f.callers = append(f.callers, set.Callers)
 }
 
+// restartAll ends all daemons at the same time, as a loss does, and starts them again at
+// their addresses.
+func (f *fleet) restartAll(t *testing.T) {
+	t.Helper()
+	ended, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for _, d := range f.daemons {
+		for _, s := range []*transport.Server{d.callers, d.readiness} {
+			if err := s.Close(ended); err != nil {
+				t.Fatal(err)
+			}
+		}
+		d.runner.Stop(ended)
+		d.peers.Close()
+		d.releasePools()
+	}
+	for i, d := range f.daemons {
+		again, err := StartFront(d.hostSettings, d.log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.daemons[i] = again.(*frontDaemon)
+	}
+	for _, d := range f.daemons {
+		waitFor(t, "a configuration", d.isReady)
+	}
+}
+
 // newServingFleet starts a fleet and a client, and waits until plain requests of the
 // client are served. The context bounds the test.
 func newServingFleet(t *testing.T, n int) (*fleet, context.Context, *standin.Client) {
--- a/internal/server/hosted/peerlist.go
+++ b/internal/server/hosted/peerlist.go
@@ -34,8 +34,12 @@
 	addressByKey map[string]string
 	addresses    atomic.Pointer[[]string]
 	relays       atomic.Pointer[[]string]
+	onChange     func() // called after each change of the addresses
 }
 
+// isKnown reports whether the list of daemons has arrived.
+func (r *peerList) isKnown() bool { return r.addresses.Load() != nil }
+
 // otherAddresses returns the sorted addresses of the other daemons.
 func (r *peerList) otherAddresses() []string { return loadList(&r.addresses) }
 
@@ -107,6 +111,7 @@
 	d.peerList.addresses.Store(&list)
 	relays := rankRelays(list, d.hostSettings.PeerAddress)
 	d.peerList.relays.Store(&relays)
+	d.peerList.onChange()
 }
 
 // handleOddDaemon removes a daemon whose entry names no address, as each daemon that
--- a/internal/server/hosted/streams_test.go
+++ b/internal/server/hosted/streams_test.go
@@ -271,6 +271,48 @@
 	f.stop(t)
 }
 
+// Guards against streams that cannot be taken up again after all daemons were stopped or
+// lost: what they knew of the streams must outlive them.
+func TestStreamIsResumedAfterAllDaemonsRestarted(t *testing.T) {
+	f, _, _ := newServingFleet(t, 3)
+	hold := make(chan struct{})
+	defer close(hold)
+	for i := range 4 {
+		software := fmt.Sprint("v", 1+i%2)
+		f.addServer(t, "advice", fmt.Sprint("advice-", i), software, func(_ *http.Request, last int, c net.Conn) {
+			if last > 0 {
+				interruptingServer(software)(nil, last, c)
+				return
+			}
+			_, _ = io.WriteString(c, streamHead)
+			writeChunk(c, event(software, 1))
+			<-hold
+		})
+	}
+	first := map[string]string{}
+	for i := range 12 {
+		id := fmt.Sprint("s", i)
+		begun := openStream(t, f.callers[i%3], standin.StreamPrefix, id)
+		event, err := begun.readEvent()
+		if err != nil {
+			t.Fatal(err)
+		}
+		first[id] = event
+		_ = begun.conn.Close()
+	}
+	time.Sleep(2 * time.Second) // longer than a daemon waits before it saves
+	f.restartAll(t)
+	for i := range 12 {
+		id := fmt.Sprint("s", i)
+		resumed := openStream(t, f.callers[(i+1)%3], standin.StreamPrefix, id+"-again", "Resumes: "+id, "Last-Event-Id: 1")
+		rest, err := io.ReadAll(resumed.body)
+		if text := first[id] + string(rest); err != nil || (text != eventsFrom("v1", 0, streamEvents) && text != eventsFrom("v2", 0, streamEvents)) {
+			t.Errorf("stream %d: status %d, %q, %v", i, resumed.status, text, err)
+		}
+	}
+	f.stop(t)
+}
+
 // Guards against a stream whose recorded origin is a server that sent only a comment before
 // it broke off, while another version sent the events, and against events without an ID
 // that come twice because the stream is begun anew.
