Confirm a list by answers to its own reads only

Requests reached servers up to 8 s after they had reported draining, and an old configuration stayed in force, at daemons to which the store had been silent for 0.4 s some seconds before.

Cause: a watch that is sent into a silence waits on a connection that stays open. That the list was current was concluded from answers to other calls, and only the watch's own time-out of 32 s found it.

Fix: lists have a bounded age that only answers to their own reads renew; the store holds a watch so shortly that the next answer is due before, and a watch without one is replaced. A relay answers by the proof of its own watch, and says in its answers how far that goes; its pings are gone. Why it works: the connection that brings the changes is the one that is checked.

Replaced tests: TestDirectoryIsOldAfterDaemonStoodStill and TestRelayRejectsQueriesWithoutStore tested that answers to other calls confirm a list, which is the fault. Their successors demand the stricter rule: without answers to its own reads a list is old and a relay rejects, whatever else the store answers.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -82,9 +82,7 @@
 	log               *logrus.Entry
 	deliver           func([]Server)
 	confirm           func(at time.Time) // receives the time at which the delivered list was the newest; nil for no receiver
-	onOutdated        func()             // requests the whole list from the store; nil for no receiver
 	changes           *ring.Ring[directoryChange]
-	contacts          *ring.Ring[time.Time]
 	storeAvailability *ring.Ring[bool]
 	modelStatus       *ring.Ring[[]ModelStatus]
 	leavingNotices    *ring.Ring[LeavingNotice]
@@ -99,13 +97,11 @@
 	isStoreAvailable bool
 	publishPending   bool // a delivery is scheduled
 
-	followed        *core.Lease // all changes up to its confirmation were received
-	readAt          time.Time   // its newest confirmation
-	reliedUponFrom  time.Time   // when the servers have had time to write their entries
-	isUpToDate      bool        // the list was confirmed within EntryTerm
-	confirmedAt     time.Time   // newest confirmation that was passed on
-	backInContactAt time.Time   // first contact since followed ended; zero while it is valid
-	isListRequested bool        // by onOutdated, since followed ended
+	followed       *core.Lease // all changes up to its confirmation were received
+	readAt         time.Time   // its newest confirmation
+	reliedUponFrom time.Time   // when the servers have had time to write their entries
+	isUpToDate     bool        // the list was confirmed within EntryTerm
+	confirmedAt    time.Time   // newest confirmation that was passed on
 }
 
 // NewDirectory returns the duty. deliver receives the whole list, sorted by ID,
@@ -117,7 +113,6 @@
 		log:               log,
 		deliver:           deliver,
 		changes:           ring.New[directoryChange]("directory.changes", directoryRingCapacity),
-		contacts:          ring.New[time.Time]("directory.contacts", directoryRingCapacity),
 		storeAvailability: ring.New[bool]("directory.store", directoryRingCapacity),
 		modelStatus:       ring.New[[]ModelStatus]("directory.notices", directoryRingCapacity),
 		leavingNotices:    ring.New[LeavingNotice]("directory.leaving", directoryRingCapacity),
@@ -130,7 +125,6 @@
 	}
 	duty.On(d.loop, d.storeAvailability, d.handleStoreAvailability)
 	duty.On(d.loop, d.changes, d.handleChange)
-	duty.On(d.loop, d.contacts, d.handleContact)
 	duty.On(d.loop, d.modelStatus, d.handleModelStatus)
 	duty.On(d.loop, d.leavingNotices, d.handleLeavingNotice)
 	d.loop.Every(republishPeriod, d.publish)
--- a/internal/backend/directoryage_test.go
+++ b/internal/backend/directoryage_test.go
@@ -9,25 +9,27 @@
 type ageHarness struct {
 	*directoryHarness
 	confirmed []time.Time
-	lists     int // requested
 }
 
 func newAgeHarness() *ageHarness {
 	b := &ageHarness{directoryHarness: newDirectoryHarness()}
-	b.directory.SetConfirmHandler(func(at time.Time) { b.confirmed = append(b.confirmed, at) }, func() { b.lists++ })
+	b.directory.SetConfirmHandler(func(at time.Time) { b.confirmed = append(b.confirmed, at) })
 	return b
 }
 
-// read receives the answer to a request for changes that was sent at the time.
-func (b *ageHarness) read(sentAt time.Time) {
-	b.directory.ConfirmRead(sentAt)
+// read receives an answer to the reads of changes, which has all up to the time.
+func (b *ageHarness) read(upTo time.Time) {
+	b.directory.ConfirmRead(upTo)
 	b.directory.Loop().RunPending()
 }
 
-// contact receives an answer of the store to a request that was sent at the time.
-func (b *ageHarness) contact(sentAt time.Time) {
-	b.directory.ConfirmContact(sentAt)
-	b.directory.Loop().RunPending()
+// follow reads for a while, as often as a watch is answered.
+func (b *ageHarness) follow(d time.Duration) {
+	const period = 500 * time.Millisecond
+	for ; d > 0; d -= period {
+		b.wait(min(d, period))
+		b.read(b.clock.Now())
+	}
 }
 
 // expect fails unless the directory has since passed on only the confirmation of the time,
@@ -50,53 +52,36 @@
 	b := newAgeHarness()
 	b.read(b.clock.Now())
 	b.expect(t, "first list", time.Time{})
-	b.wait(lapsedEntryGrace)
-	b.contact(b.clock.Now())
+	b.follow(lapsedEntryGrace)
 	b.expect(t, "entries are settled", b.clock.Now())
 	b.directory.SetStoreAvailable(false)
 	b.wait(time.Second)
-	b.contact(b.clock.Now())
 	b.expect(t, "changes fail", time.Time{})
 	b.directory.SetStoreAvailable(true)
 	b.read(b.clock.Now())
-	b.contact(b.clock.Now())
 	b.expect(t, "the store is back", time.Time{})
-	b.wait(lapsedEntryGrace)
-	b.contact(b.clock.Now())
+	b.follow(lapsedEntryGrace)
 	b.expect(t, "entries are settled again", b.clock.Now())
 }
 
-// Guards against a daemon that stood still and, in its first second after that, relies on
-// its list: because an answer from before arrives, or because the store answers it although
-// the changes of that time have not arrived.
-func TestDirectoryIsOldAfterDaemonStoodStill(t *testing.T) {
+// Guards against a list that counts as current although its reads are not answered any
+// more: after its daemon stood still, an answer from before arrives, or the watch is dead
+// while the store answers all other calls.
+func TestDirectoryIsOldWithoutAnswersToItsReads(t *testing.T) {
 	b := newAgeHarness()
 	b.read(b.clock.Now())
-	b.wait(lapsedEntryGrace)
-	b.contact(b.clock.Now())
+	b.follow(lapsedEntryGrace)
 	before := b.clock.Now()
 	b.expect(t, "in step", before)
 	b.clock.Advance(EntryTerm + time.Millisecond)
-	if b.directory.IsFollowing() {
-		t.Error("a daemon that stood still counts as in step")
-	}
-	b.contact(before.Add(1))
-	b.contact(b.clock.Now())
-	if b.lists > 0 {
-		t.Error("a list was requested that may be on its way")
-	}
-	b.wait(listRequestDelay)
-	b.contact(b.clock.Now())
-	b.contact(b.clock.Now())
-	b.expect(t, "contacts after it stood still", time.Time{})
-	if b.lists != 1 {
-		t.Errorf("%d lists were requested, want 1", b.lists)
+	if b.directory.followed.IsValid() {
+		t.Error("a daemon whose reads are not answered counts as in step")
 	}
 	b.read(before.Add(2))
 	b.expect(t, "an answer from before", time.Time{})
 	b.read(b.clock.Now())
-	b.wait(lapsedEntryGrace)
-	b.contact(b.clock.Now())
+	b.expect(t, "the first answer", time.Time{})
+	b.follow(lapsedEntryGrace)
 	b.expect(t, "in step again", b.clock.Now())
 }
 
@@ -104,8 +89,7 @@
 func TestDirectoryConfirmsOnlyDeliveredChanges(t *testing.T) {
 	b := newAgeHarness()
 	b.read(b.clock.Now())
-	b.wait(lapsedEntryGrace)
-	b.contact(b.clock.Now())
+	b.follow(lapsedEntryGrace)
 	b.expect(t, "in step", b.clock.Now())
 	b.wait(time.Millisecond)
 	var changes []ServerChange
--- a/internal/daemon/daemonrpc/wirewatch.go
+++ b/internal/daemon/daemonrpc/wirewatch.go
@@ -1,12 +1,16 @@
 package daemonrpc
 
-import "github.com/berylfall/berylfall/internal/platform"
+import (
+	"time"
+
+	"github.com/berylfall/berylfall/internal/platform"
+)
 
 func encodeWatchResponse(l platform.Listing, err error) *WatchAnswer {
 	if err != nil {
 		return &WatchAnswer{Refused: true}
 	}
-	m := &WatchAnswer{Revision: l.Revision}
+	m := &WatchAnswer{Revision: l.Revision, UpToNs: l.UpTo.Nanoseconds()}
 	for _, o := range l.Objects {
 		m.Objects = append(m.Objects, &WatchedObject{Key: o.Key, Version: o.Version, Revision: o.Revision, Deleted: o.Deleted, Value: o.Value})
 	}
@@ -17,7 +21,8 @@
 	if m == nil || m.GetRefused() {
 		return platform.Listing{}, platform.ErrRelayUnavailable
 	}
-	l := platform.Listing{Revision: m.GetRevision()}
+	// No state counts as newer than the question.
+	l := platform.Listing{Revision: m.GetRevision(), UpTo: min(0, time.Duration(m.GetUpToNs()))}
 	for _, o := range m.GetObjects() {
 		l.Objects = append(l.Objects, platform.Object{
 			Key: o.GetKey(), Version: o.GetVersion(), Revision: o.GetRevision(), Deleted: o.GetDeleted(), Value: o.GetValue(),
--- a/internal/platform/objectapi.go
+++ b/internal/platform/objectapi.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of the object API. Implementations of ObjectAPI wrap them.
@@ -68,8 +69,20 @@
 type Listing struct {
 	Objects  []Object `json:"objects"`
 	Revision int64    `json:"revision"`
+	// UpTo is the time, from the sending of the call on, up to which all changes are
+	// contained. It is positive for a watch that the store has held, and negative if a
+	// relay answered that had read the store before.
+	UpTo time.Duration `json:"-"`
 }
 
+// watchAnswerTime is the part of the time-out of a watch that is left for the way of its
+// answer; the store holds the watch for the rest.
+const watchAnswerTime = 600 * time.Millisecond
+
+// WatchMargin is the time before the deadline of its context at which a watch without
+// changes is answered at the latest.
+const WatchMargin = watchAnswerTime + abandonedCallGrace
+
 // Write is a conditional change of one object.
 type Write struct {
 	Key       string
@@ -86,7 +99,8 @@
 	Put(ctx context.Context, w Write) (Object, error)
 	Delete(ctx context.Context, w Write) (Object, error)
 	// Watch waits for changes after the revision and returns them. It returns
-	// an empty listing when there are none for some time.
+	// an empty listing when there are none for some time, which ends WatchMargin
+	// before the deadline of ctx at the latest.
 	Watch(ctx context.Context, prefix string, after int64) (Listing, error)
 }
 
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -11,20 +11,25 @@
 
 // Limits of a relay. Capacities count entries.
 const (
-	relayQueryCapacity       = 4096
-	relaySnapshotCapacity    = 1024
-	relayStoreAnswerCapacity = 16
+	relayQueryCapacity = 4096
+	relayReadCapacity  = 1024
 	// relayLogSnapshots is the number of snapshots that a relay keeps for daemons
 	// that are behind.
 	relayLogSnapshots = 256
 	// Shares of RelayOptions.MaxChangeDelay: a relay replies at the latest after
-	// the reply share, and rejects queries when the store has not answered it
-	// within the freshness share. The rest is for the daemon, which then calls
-	// the store itself.
+	// the reply share, and rejects queries when its own watch has not confirmed its
+	// state within the freshness share. A daemon waits for a relay for the call share.
+	// The rest is for the daemon, which then calls the store itself.
 	relayReplyShare     = 0.2
-	relayFreshnessShare = 0.4
+	relayCallShare      = 0.4
+	relayFreshnessShare = 0.6
 )
 
+// RelayMaxAge returns the age that the state of a relay may reach.
+func RelayMaxAge(maxChangeDelay time.Duration) time.Duration {
+	return shareOf(maxChangeDelay, relayFreshnessShare)
+}
+
 // ErrRelayUnavailable means that the relay lacks the changes or has lost the store.
 // The caller must call the store itself.
 var ErrRelayUnavailable = errors.New("platform: the relay cannot answer")
@@ -36,10 +41,6 @@
 	// IsActive reports whether this daemon is a relay, so that its own watch goes
 	// to the store. It is called on the duty's goroutine.
 	IsActive func() bool
-	// IsFollowing reports whether this daemon's own watch has received all changes. It
-	// may not have after it stood still or was cut off, although the store answers again.
-	// It is called on the duty's goroutine.
-	IsFollowing func() bool
 }
 
 // WatchQuery requests the changes after a revision.
@@ -51,6 +52,13 @@
 	Err     error // nil or ErrRelayUnavailable
 }
 
+// relayRead is a snapshot of this daemon's own watch, or the time up to which all changes
+// were passed before. Both share a ring, since their order counts.
+type relayRead struct {
+	snapshot *Snapshot // nil for a time
+	upTo     time.Time
+}
+
 type waitingQuery struct {
 	query duty.Query[WatchQuery, WatchReply]
 	since time.Time
@@ -61,17 +69,14 @@
 // daemons. Its answers carry revisions of the store, so a daemon may switch
 // between relays and the store at any call.
 type Relay struct {
-	loop         *duty.Loop
-	pinger       Pinger
-	pool         Pool
-	options      RelayOptions
-	queries      *duty.QueryRing[WatchQuery, WatchReply]
-	snapshots    *ring.Ring[Snapshot]
-	storeAnswers *ring.Ring[time.Time]
+	loop    *duty.Loop
+	options RelayOptions
+	queries *duty.QueryRing[WatchQuery, WatchReply]
+	reads   *ring.Ring[relayRead]
 
-	log             changeLog
-	storeAnsweredAt time.Time // sending time of the last ping that the store answered
-	waiting         []waitingQuery
+	log      changeLog
+	readUpTo time.Time // all changes up to this time are in the log
+	waiting  []waitingQuery
 }
 
 // changeLog holds the newest changes of a prefix.
@@ -114,20 +119,17 @@
 	return listing, true
 }
 
-// NewRelay returns the duty. While it is active it pings the store to know whether
-// its own watch is current.
-func NewRelay(clock duty.Clock, pinger Pinger, pool Pool, o RelayOptions) *Relay {
+// NewRelay returns the duty. The clock must be that of the daemon's own watch and include
+// the time for which the host is suspended.
+func NewRelay(clock duty.Clock, o RelayOptions) *Relay {
 	r := &Relay{
-		loop: duty.New("relay", clock), pinger: pinger, pool: pool, options: o,
-		queries:      duty.NewQueryRing[WatchQuery, WatchReply]("relay.asks", relayQueryCapacity),
-		snapshots:    ring.New[Snapshot]("relay.snapshots", relaySnapshotCapacity),
-		storeAnswers: ring.New[time.Time]("relay.contacts", relayStoreAnswerCapacity),
+		loop: duty.New("relay", clock), options: o,
+		queries: duty.NewQueryRing[WatchQuery, WatchReply]("relay.asks", relayQueryCapacity),
+		reads:   ring.New[relayRead]("relay.snapshots", relayReadCapacity),
 	}
-	duty.On(r.loop, r.snapshots, r.handleSnapshot)
-	duty.On(r.loop, r.storeAnswers, r.handleStoreAnswer)
+	duty.On(r.loop, r.reads, r.handleRead)
 	duty.OnQuery(r.loop, r.queries, r.handleQuery)
 	r.loop.Every(r.maxReplyDelay()/2, r.checkWaiting)
-	r.loop.Every(r.maxReplyDelay(), r.pingStore)
 	return r
 }
 
@@ -144,7 +146,11 @@
 
 // PutSnapshot passes a snapshot of this daemon's own watch to the duty. False
 // means that it was lost and the watch must list again. Any goroutine may call it.
-func (r *Relay) PutSnapshot(s Snapshot) bool { return r.snapshots.TryPut(s) }
+func (r *Relay) PutSnapshot(s Snapshot) bool { return r.reads.TryPut(relayRead{snapshot: &s}) }
+
+// ConfirmRead records that all changes up to the time were passed before, as shown by an
+// answer to this daemon's own watch. Any goroutine may call it.
+func (r *Relay) ConfirmRead(upTo time.Time) { r.reads.TryPut(relayRead{upTo: upTo}) }
 
 // Watch returns the changes after the revision. It blocks until there are any, but
 // at most for the reply share of RelayOptions.MaxChangeDelay. Duties must not call
@@ -157,13 +163,15 @@
 	return reply.Listing, reply.Err
 }
 
-func (r *Relay) handleSnapshot(s Snapshot) {
-	r.log.add(s)
+func (r *Relay) handleRead(read relayRead) {
+	if read.snapshot == nil {
+		r.readUpTo = read.upTo
+		return
+	}
+	r.log.add(*read.snapshot)
 	r.checkWaiting()
 }
 
-func (r *Relay) handleStoreAnswer(at time.Time) { r.storeAnsweredAt = at }
-
 func (r *Relay) handleQuery(query duty.Query[WatchQuery, WatchReply]) {
 	r.replyOrWait(waitingQuery{query: query, since: r.loop.Clock().Now()})
 }
@@ -180,18 +188,21 @@
 		r.waiting = append(r.waiting, w)
 		return
 	}
+	// The query was sent before it arrived, so its sender confirms its own state by an
+	// earlier time than this one.
+	listing.UpTo = r.readUpTo.Sub(w.since)
 	w.query.Reply(WatchReply{Listing: listing})
 }
 
-// isFresh reports whether the store has answered this daemon recently, so that its
-// own watch has received all changes.
+// isFresh reports whether this daemon's own watch has received all changes until
+// recently. That the store answers other calls of this daemon shows nothing of it.
 func (r *Relay) isFresh() bool {
-	age := r.loop.Clock().Now().Sub(r.storeAnsweredAt)
-	return r.options.IsActive() && r.options.IsFollowing() && age < shareOf(r.options.MaxChangeDelay, relayFreshnessShare)
+	age := r.loop.Clock().Now().Sub(r.readUpTo)
+	return r.options.IsActive() && age < RelayMaxAge(r.options.MaxChangeDelay)
 }
 
 // checkWaiting checks the waiting queries again: some have waited for
-// maxReplyDelay, and all are rejected when the store has not answered for too
+// maxReplyDelay, and all are rejected when the own watch was not confirmed for too
 // long.
 func (r *Relay) checkWaiting() {
 	queries := r.waiting
@@ -200,20 +211,3 @@
 		r.replyOrWait(w)
 	}
 }
-
-// pingStore checks whether the store answers. The age of an answer counts from the
-// sending of the ping.
-func (r *Relay) pingStore() {
-	if !r.options.IsActive() {
-		return
-	}
-	sentAt := r.loop.Clock().Now()
-	timeout := shareOf(r.options.MaxChangeDelay, relayFreshnessShare)
-	r.pool.TryGo(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		defer cancel()
-		if r.pinger.Ping(ctx) == nil {
-			r.storeAnswers.PutLatest(sentAt)
-		}
-	})
-}
--- a/internal/platform/relay_test.go
+++ b/internal/platform/relay_test.go
@@ -130,66 +130,77 @@
 	}
 }
 
-// relayFixture is a relay whose store can be up or down.
+// relayFixture is a relay whose own watch is answered while its connection lives.
 type relayFixture struct {
-	clock     *duty.ManualClock
-	relay     *Relay
-	isStoreUp bool
-	isActive  bool
-	isBehind  bool // the daemon's own watch has not received all changes
-}
-
-func (f *relayFixture) Ping(context.Context) error {
-	if !f.isStoreUp {
-		return ErrUnavailable
-	}
-	return nil
+	clock    *duty.ManualClock
+	relay    *Relay
+	isRead   bool // the own watch is answered
+	isActive bool
 }
 
 func newRelayFixture() *relayFixture {
-	f := &relayFixture{clock: duty.NewManualClock(testStart), isStoreUp: true, isActive: true}
-	f.relay = NewRelay(f.clock, f, inlinePool{}, RelayOptions{MaxChangeDelay: time.Second, IsActive: func() bool { return f.isActive }, IsFollowing: func() bool { return !f.isBehind }})
+	f := &relayFixture{clock: duty.NewManualClock(testStart), isRead: true, isActive: true}
+	f.relay = NewRelay(f.clock, RelayOptions{MaxChangeDelay: time.Second, IsActive: func() bool { return f.isActive }})
 	return f
 }
 
-// inlinePool runs each call at once on the caller's goroutine.
-type inlinePool struct{}
-
-func (inlinePool) TryGo(f func()) bool { f(); return true }
-
 func (f *relayFixture) advance(d time.Duration) {
 	for ; d > 0; d -= 10 * time.Millisecond {
 		f.clock.Advance(10 * time.Millisecond)
+		if f.isRead {
+			f.relay.ConfirmRead(f.clock.Now())
+		}
 		f.relay.Loop().RunPending()
 	}
 }
 
-// Guards against a relay that serves an outdated state after it has lost the store or
-// stood still, and against a daemon that answers although it is not a relay.
-func TestRelayRejectsQueriesWithoutStore(t *testing.T) {
+// Guards against a relay that serves an outdated state after its own watch has died or it
+// stood still, whatever other calls the store answers, and against a daemon that answers
+// although it is not a relay.
+func TestRelayRejectsQueriesWithoutItsOwnWatch(t *testing.T) {
 	f := newRelayFixture()
 	f.relay.PutSnapshot(Snapshot{Revision: 5, Full: true})
-	f.advance(time.Second)
-	if !f.relay.isFresh() {
-		t.Fatal("a relay rejects queries although its store answers")
-	}
-	f.isStoreUp = false
-	f.advance(shareOf(time.Second, relayFreshnessShare) + shareOf(time.Second, relayReplyShare))
 	if f.relay.isFresh() {
-		t.Error("a relay answers although its store has not answered for the freshness and reply shares")
+		t.Fatal("a relay answers although its watch was never answered")
 	}
-	f.isStoreUp = true
 	f.advance(time.Second)
-	f.isBehind = true
+	if !f.relay.isFresh() {
+		t.Fatal("a relay rejects queries although its watch is answered")
+	}
+	f.isRead = false
+	f.advance(RelayMaxAge(time.Second))
 	if f.relay.isFresh() {
-		t.Error("a relay whose own watch is behind answers, since the store answers")
+		t.Error("a relay answers although its watch has not been answered for the freshness share")
 	}
-	f.isBehind, f.isActive = false, false
+	f.isRead = true
+	f.advance(10 * time.Millisecond)
+	f.isActive = false
 	if f.relay.isFresh() {
 		t.Error("a daemon that is not a relay answers")
 	}
 }
 
+// Guards against an answer that confirms the asking daemon's state up to a time at which
+// the relay had not read the store itself.
+func TestRelayAnswerConfirmsOnlyWhatTheRelayRead(t *testing.T) {
+	f := newRelayFixture()
+	f.relay.PutSnapshot(Snapshot{Revision: 5, Full: true})
+	f.relay.PutSnapshot(Snapshot{Revision: 6, Objects: []Object{{Key: "a", Revision: 6}}})
+	f.advance(10 * time.Millisecond)
+	f.isRead = false
+	const age = 300 * time.Millisecond
+	f.advance(age)
+	replies, err := f.relay.queries.Send(t.Context(), WatchQuery{After: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.relay.Loop().RunPending()
+	reply, ok := replies.TryTake()
+	if !ok || len(reply.Listing.Objects) != 1 || reply.Listing.UpTo != -age {
+		t.Errorf("reply %+v, %v, want changes up to %v before the question", reply, ok, age)
+	}
+}
+
 type fakeRelayClient struct {
 	addresses []string
 	err       error
--- a/internal/platform/relayed.go
+++ b/internal/platform/relayed.go
@@ -59,7 +59,7 @@
 		return a.ObjectAPI.Watch(ctx, prefix, after)
 	}
 	address := relays[int(a.relayIndex.Load())%len(relays)]
-	relayCtx, cancel := context.WithTimeout(ctx, shareOf(a.options.MaxChangeDelay, relayFreshnessShare))
+	relayCtx, cancel := context.WithTimeout(ctx, shareOf(a.options.MaxChangeDelay, relayCallShare))
 	defer cancel()
 	listing, err := a.options.Client.WatchRelay(relayCtx, address, after)
 	if err == nil {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -24,6 +24,8 @@
 	// abandonedCallGrace is the time for which an abandoned call may still occupy a
 	// pool goroutine after its timeout.
 	abandonedCallGrace = time.Second
+	// minWatchTimeout leaves a watch that is due for confirmation the time for its answer.
+	minWatchTimeout    = watchAnswerTime + 100*time.Millisecond
 	minWatchRetryDelay = 100 * time.Millisecond
 	maxWatchRetryDelay = 2 * time.Second
 	watchRingCapacity  = 64 // results, those of abandoned calls included
@@ -42,10 +44,16 @@
 
 // WatcherOptions sets the limits of a watcher. Zero values take the defaults.
 type WatcherOptions struct {
-	Budget        *Budget       // shared with the store duty; nil is no limit
-	WatchTimeout  time.Duration // for one watch; 0 takes DefaultWatchTimeout
-	StartInactive bool          // start without watching until SetActive(true)
-	Random        *rand.Rand    // for jitter
+	Budget       *Budget       // shared with the store duty; nil is no limit
+	WatchTimeout time.Duration // for one watch; 0 takes DefaultWatchTimeout
+	// MaxAge returns the age that the last confirmed state may reach; nil or 0 is no bound
+	// but WatchTimeout. Only an answer to this watcher's own calls confirms the state: an
+	// answer to any other call does not show that a waiting watch is still alive. Watches
+	// are held by the store so shortly that the next answer is due before that age, and a
+	// watch without one is replaced then.
+	MaxAge        func() time.Duration
+	StartInactive bool       // start without watching until SetActive(true)
+	Random        *rand.Rand // for jitter
 	// RelistAfterFailure lists again after every failed call. A store that has
 	// dropped its history may keep the next watch waiting without reporting the
 	// changes before it.
@@ -59,9 +67,9 @@
 	// call; a nil error means that the store answered. It must not block.
 	OnCallEnd func(err error)
 	// OnRead, if set, is called on the duty's goroutine after the changes of an answer
-	// were delivered. All changes before sentAt, when the call was sent, have then been
-	// delivered. It must not block.
-	OnRead func(sentAt time.Time)
+	// were delivered. All changes up to the time have then been delivered. It must not
+	// block.
+	OnRead func(upTo time.Time)
 }
 
 // WatcherStats are the counters of a watcher.
@@ -106,6 +114,7 @@
 	counters    watcherCounters
 
 	revision   int64
+	readUpTo   time.Time // all changes up to this time were delivered
 	isListed   bool
 	isActive   bool
 	callNumber uint64 // number of the call in progress
@@ -215,10 +224,7 @@
 	w.callNumber++
 	number, isListed, after := w.callNumber, w.isListed, w.revision
 	sentAt := w.loop.Clock().Now()
-	timeout := w.options.WatchTimeout
-	if !isListed {
-		timeout = listTimeout
-	}
+	timeout := w.callTimeout(sentAt)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout+abandonedCallGrace)
 	started := w.pool.TryGo(func() {
 		defer cancel()
@@ -238,6 +244,21 @@
 	w.loop.After(timeout, func() { w.checkTimeout(number) })
 }
 
+// callTimeout returns the time within which the next call must be answered.
+func (w *Watcher) callTimeout(now time.Time) time.Duration {
+	if !w.isListed {
+		return listTimeout
+	}
+	maxAge := time.Duration(0)
+	if w.options.MaxAge != nil {
+		maxAge = w.options.MaxAge()
+	}
+	if maxAge <= 0 {
+		return w.options.WatchTimeout
+	}
+	return min(w.options.WatchTimeout, max(minWatchTimeout, maxAge-now.Sub(w.readUpTo)))
+}
+
 // pause starts the next call after d.
 func (w *Watcher) pause(d time.Duration) {
 	w.isPaused = true
@@ -248,13 +269,21 @@
 	})
 }
 
-// checkTimeout abandons the call if it was not answered in time and starts the next.
+// checkTimeout abandons the call if it was not answered in time and starts the next. A
+// bounded age needs a delay, since the next call may be due at once again.
 func (w *Watcher) checkTimeout(number uint64) {
 	if !w.isCalling || w.callNumber != number {
 		return
 	}
 	w.counters.timedOut.Inc(1)
 	w.abandonCall()
+	if w.options.RelistAfterFailure {
+		w.isListed = false
+	}
+	if w.options.MaxAge != nil {
+		w.pause(w.retryDelay.next())
+		return
+	}
 	w.startCall()
 }
 
@@ -297,6 +326,9 @@
 	w.retryDelay.reset()
 	w.isListed = true
 	w.revision = r.listing.Revision
+	if upTo := r.sentAt.Add(r.listing.UpTo); upTo.After(w.readUpTo) {
+		w.readUpTo = upTo
+	}
 	w.counters.revision.Update(w.revision)
 	if r.isFull {
 		w.deliverList(r.listing)
@@ -304,7 +336,7 @@
 		w.deliverChanges(r.listing)
 	}
 	if w.options.OnRead != nil {
-		w.options.OnRead(r.sentAt)
+		w.options.OnRead(w.readUpTo)
 	}
 	if w.options.BatchDelay != nil && len(r.listing.Objects) > 0 {
 		w.pause(w.options.BatchDelay())
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -276,3 +276,143 @@
 		t.Errorf("%d calls in progress, want the watch alone", waiting)
 	}
 }
+
+// ageFixture is a watcher with a bounded age on a store that holds watches as long as they
+// allow and may stop answering them without closing their connections.
+type ageFixture struct {
+	*watchFixture
+	clockStep   time.Duration
+	isSilent    bool // calls that arrive now are never answered
+	waiting     []*heldWatch
+	confirmed   time.Time
+	oldest      time.Duration // greatest age of the confirmed state so far
+	deliveredAt time.Time     // of the newest snapshot with objects
+}
+
+// heldWatch is a watch that the store holds.
+type heldWatch struct {
+	run   func()
+	until time.Time
+}
+
+const testMaxAge = 3 * time.Second
+
+func newAgeFixture() *ageFixture {
+	f := &ageFixture{watchFixture: &watchFixture{api: newFakeAPI(), clock: duty.NewManualClock(testStart), pool: &manualPool{}}, clockStep: 20 * time.Millisecond}
+	f.api.watch = f.watch
+	f.watcher = NewWatcher(f.clock, f.api, f.pool, "c/", func(s Snapshot) {
+		if len(s.Objects) > 0 {
+			f.deliveredAt = f.clock.Now()
+		}
+		f.snapshots = append(f.snapshots, s)
+	}, WatcherOptions{
+		WatchTimeout: 30 * time.Second, MaxAge: func() time.Duration { return testMaxAge }, RelistAfterFailure: true,
+		Random: rand.New(rand.NewPCG(1, 2)), OnRead: func(upTo time.Time) { f.confirmed = upTo },
+	})
+	return f
+}
+
+// watch answers with the changes after the revision. It runs when the store ends the watch.
+func (f *ageFixture) watch(after int64) (Listing, error) {
+	l := Listing{Revision: after, UpTo: f.clock.Now().Sub(f.watcherSentAt())}
+	for _, o := range f.api.changes {
+		if o.Revision > after {
+			l.Objects, l.Revision, l.UpTo = append(l.Objects, o), o.Revision, 0
+		}
+	}
+	return l, nil
+}
+
+// watcherSentAt returns when the store received the watch that ends now.
+func (f *ageFixture) watcherSentAt() time.Time {
+	return f.waiting[0].until.Add(-testMaxAge + watchAnswerTime)
+}
+
+// advance lets the time pass. The store answers lists at once, and watches at a change or
+// once their time is over.
+func (f *ageFixture) advance(d time.Duration) {
+	for ; d > 0; d -= f.clockStep {
+		f.clock.Advance(f.clockStep)
+		f.watcher.Loop().RunPending()
+		f.receive()
+		f.answerWaiting()
+		f.watcher.Loop().RunPending()
+		if !f.confirmed.IsZero() {
+			f.oldest = max(f.oldest, f.clock.Now().Sub(f.confirmed))
+		}
+	}
+}
+
+// receive passes the calls of the watcher to the store.
+func (f *ageFixture) receive() {
+	calls := f.pool.calls
+	f.pool.calls = nil
+	for _, run := range calls {
+		switch {
+		case f.isSilent:
+		case f.watcher.isListed:
+			timeout := f.watcher.callTimeout(f.clock.Now())
+			f.waiting = []*heldWatch{{run: run, until: f.clock.Now().Add(timeout - watchAnswerTime)}}
+		default:
+			run()
+		}
+	}
+}
+
+func (f *ageFixture) answerWaiting() {
+	if len(f.waiting) == 0 {
+		return
+	}
+	w := f.waiting[0]
+	hasChange := len(f.api.changes) > 0 && f.api.changes[len(f.api.changes)-1].Revision > f.watcher.revision
+	if hasChange || !f.clock.Now().Before(w.until) {
+		w.run()
+		f.waiting = nil
+	}
+}
+
+// Guards against a list that stays old for as long as the store may hold a watch, because
+// the watch was sent while the store was silent for a moment: its connection stays open,
+// and the store answers all other calls.
+func TestWatcherReplacesWatchThatWasSentIntoSilence(t *testing.T) {
+	for offset := time.Duration(0); offset < testMaxAge; offset += 100 * time.Millisecond {
+		f := newAgeFixture()
+		f.advance(5*time.Second + offset)
+		f.isSilent = true
+		f.put("c/a") // its answer ends the watch, and the next one is lost
+		f.advance(400 * time.Millisecond)
+		f.isSilent = false
+		silentUntil := f.clock.Now()
+		f.advance(100 * time.Millisecond)
+		f.put("c/b")
+		f.advance(2 * testMaxAge)
+		objects := f.last(t).Objects
+		if len(objects) == 0 || objects[len(objects)-1].Key != "c/b" || f.deliveredAt.Sub(silentUntil) > testMaxAge {
+			t.Errorf("silence after %v: %v was delivered %v after it, want c/b within %v", offset, objects, f.deliveredAt.Sub(silentUntil), testMaxAge)
+		}
+	}
+}
+
+// Guards against a state that counts as current by an answer to another call, is not
+// confirmed while its watch is answered, or costs more calls than that needs.
+func TestWatcherConfirmsItsStateByItsOwnAnswers(t *testing.T) {
+	f := newAgeFixture()
+	const quiet = time.Minute
+	f.advance(quiet)
+	if f.oldest > testMaxAge {
+		t.Errorf("the state became %v old although its watches are answered, want at most %v", f.oldest, testMaxAge)
+	}
+	stats := f.watcher.Stats()
+	if most := int64(quiet/(testMaxAge-2*watchAnswerTime)) + 1; stats.Watches+stats.Lists > most {
+		t.Errorf("%d watches and %d lists in %v without changes, want at most %d", stats.Watches, stats.Lists, quiet, most)
+	}
+	f.put("c/a")
+	f.advance(time.Second)
+	f.isSilent = true
+	f.waiting = nil
+	before := f.confirmed
+	f.advance(quiet)
+	if !f.confirmed.Equal(before) {
+		t.Errorf("a state whose watch is dead was confirmed %v later", f.confirmed.Sub(before))
+	}
+}
--- a/internal/server/hosted/base.go
+++ b/internal/server/hosted/base.go
@@ -21,9 +21,15 @@
 	storePoolSize = 32
 	// watchPoolSize has room for each watch and, in addition, one abandoned call of it.
 	watchPoolSize = 16
-	// watchTimeout is longer than the store holds a watch; keep-alive probes detect a
-	// dead connection much earlier.
+	// watchTimeout is longer than the store holds a watch of a list whose age is not
+	// bounded; keep-alive probes detect a dead connection much earlier.
 	watchTimeout = 32 * time.Second
+	// Ages that the state of a list may reach before it is confirmed by its own watch. A
+	// dead watch is found within this time after the disturbance that killed it. The
+	// configuration must be in force 3 s after a change; the others delay work only.
+	maxConfigAge   = 3 * time.Second
+	maxVersionsAge = 5 * time.Second
+	maxDaemonsAge  = 10 * time.Second
 	// maxWatchRetryDelay bounds the delay after a failed call of a watch. After an
 	// outage a new configuration must be in force within 2 s.
 	maxWatchRetryDelay = 700 * time.Millisecond
@@ -38,7 +44,7 @@
 	runner       *duty.Runner
 	pools        []*duty.Pool
 	loops        []*duty.Loop
-	storeClient  *contactStore
+	storeClient  *adapter.Store
 	watchPool    *duty.Pool
 	// watchers are listed again after an outage of the store.
 	watchers []*platform.Watcher
@@ -52,7 +58,7 @@
 		return nil, err
 	}
 	b := &base{hostSettings: set, log: log, clock: duty.SystemClock{}, bootClock: duty.NewBootClock(), runner: runner}
-	b.storeClient = &contactStore{Store: adapter.NewStore(set.Store.Address), now: b.bootClock.Now, onContact: func(time.Time) {}}
+	b.storeClient = adapter.NewStore(set.Store.Address)
 	b.watchPool, err = b.pool("watches", watchPoolSize)
 	return b, err
 }
@@ -69,6 +75,9 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), uint64(time.Now().UnixNano())))
 }
 
+// fixedAge returns an age for platform.WatcherOptions.
+func fixedAge(age time.Duration) func() time.Duration { return func() time.Duration { return age } }
+
 // watchKind adds a duty that watches the objects of a kind in the store.
 func (b *base) watchKind(kind string, o platform.WatcherOptions, deliver func(platform.Snapshot)) *platform.Watcher {
 	onCallEnd := o.OnCallEnd
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -211,7 +211,7 @@
 }
 
 func (d *frontDaemon) buildConfig() error {
-	d.watchKind(adapter.KindConfig, platform.WatcherOptions{}, d.handleConfig)
+	d.watchKind(adapter.KindConfig, platform.WatcherOptions{MaxAge: fixedAge(maxConfigAge)}, d.handleConfig)
 	pool, err := d.pool("isolation", isolationPoolSize)
 	if err != nil {
 		return err
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -95,7 +95,7 @@
 		d.loops = append(d.loops, g.rollout.Loop())
 		d.becomeCandidate(o, g, limits.TakeoverWait)
 	}
-	o.versionWatcher = d.watchKind(adapter.KindVersions, platform.WatcherOptions{StartInactive: true}, func(s platform.Snapshot) { d.handleVersions(o, s) })
+	o.versionWatcher = d.watchKind(adapter.KindVersions, platform.WatcherOptions{StartInactive: true, MaxAge: fixedAge(maxVersionsAge)}, func(s platform.Snapshot) { d.handleVersions(o, s) })
 	d.orders = o
 	return nil
 }
--- a/internal/server/hosted/peerlist.go
+++ b/internal/server/hosted/peerlist.go
@@ -52,7 +52,7 @@
 
 func (d *frontDaemon) buildPeerList() error {
 	d.peerList.addressByKey = map[string]string{}
-	d.watchKind(kindDaemons, platform.WatcherOptions{BatchDelay: func() time.Duration { return peerListBatchDelay }}, d.handleDaemons)
+	d.watchKind(kindDaemons, platform.WatcherOptions{MaxAge: fixedAge(maxDaemonsAge), BatchDelay: func() time.Duration { return peerListBatchDelay }}, d.handleDaemons)
 	d.store.Loop().After(0, d.register)
 	return nil
 }
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/berylfall/berylfall/internal/backend"
 	rendezvous "github.com/berylfall/berylfall/internal/daemon"
 	"github.com/berylfall/berylfall/internal/platform"
 	adapter "github.com/berylfall/berylfall/platform"
@@ -33,7 +34,7 @@
 // many daemons.
 func (d *frontDaemon) watchServers() {
 	maxDelay := d.hostSettings.Bounds.Drain
-	d.relay = platform.NewRelay(d.clock, d.storeClient, d.watchPool, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay, IsFollowing: d.directory.IsFollowing})
+	d.relay = platform.NewRelay(d.bootClock, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay})
 	d.loops = append(d.loops, d.relay.Loop())
 	api := platform.NewRelayedAPI(d.storeClient, d.clock, platform.RelayedOptions{
 		Client: d.peers, MaxChangeDelay: maxDelay, Relays: d.relayAddresses,
@@ -49,15 +50,24 @@
 		}
 		return time.Duration(directDelayShare * float64(maxDelay))
 	}
-	watcher = d.watchKindVia(api, adapter.KindServers, platform.WatcherOptions{BatchDelay: batchDelay, OnCallEnd: d.setStoreAvailable, OnRead: d.directory.ConfirmRead}, func(s platform.Snapshot) {
+	maxAge := func() time.Duration {
+		if d.isRelay() {
+			return platform.RelayMaxAge(maxDelay)
+		}
+		return backend.EntryTerm
+	}
+	onRead := func(upTo time.Time) {
+		d.directory.ConfirmRead(upTo)
+		d.relay.ConfirmRead(upTo)
+	}
+	watcher = d.watchKindVia(api, adapter.KindServers, platform.WatcherOptions{BatchDelay: batchDelay, MaxAge: maxAge, OnCallEnd: d.setStoreAvailable, OnRead: onRead}, func(s platform.Snapshot) {
 		d.handleServers(s)
 		if !d.relay.PutSnapshot(s) {
 			d.log.WithFields(logrus.Fields{"revision": s.Revision}).Error("changes of backend servers are dropped: relay ring is full")
 			watcher.Relist()
 		}
 	})
-	d.directory.SetConfirmHandler(d.dispatch.ConfirmServers, watcher.Relist)
-	d.storeClient.onContact = d.directory.ConfirmContact
+	d.directory.SetConfirmHandler(d.dispatch.ConfirmServers)
 }
 
 // rankRelays returns the addresses of the relays. There are none if there are fewer
--- a/internal/server/hosted/streams_test.go
+++ b/internal/server/hosted/streams_test.go
@@ -46,10 +46,10 @@
 
 // addServer starts a raw backend server of the service and registers it. serve gets each
 // request with the last event that its sender has, and its connection, which is closed
-// afterwards.
-func (f *fleet) addServer(t *testing.T, service, id, software string, serve func(r *http.Request, last int, c net.Conn)) {
+// afterwards. It returns the server's address.
+func (f *fleet) addServer(t *testing.T, service, id, software string, serve func(r *http.Request, last int, c net.Conn)) (address string) {
 	t.Helper()
-	address := transporttest.Serve(t, func(c net.Conn) {
+	address = transporttest.Serve(t, func(c net.Conn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
@@ -66,6 +66,7 @@
 	waitFor(t, "server at each daemon", func() bool {
 		return len(f.linesOf(t, "backend server changed", "backend_server", id)) >= len(f.daemons)
 	})
+	return address
 }
 
 // callerStream is the caller's side of a stream.
