Let relays show other daemons that their lists lack a change

From 16 daemons on, relays answer each other daemon several times a second already. They now name in the answer how far their own, confirmed watches of the configuration and the daemons have come. A daemon that lacks a change for a second lists again; while it gets such answers, its watches may be held for 30 s, and without them the bounded ages apply to it again.

--- a/internal/platform/objectapi.go
+++ b/internal/platform/objectapi.go
@@ -73,6 +73,8 @@
 	// contained. It is positive for a watch that the store has held, and negative if a
 	// relay answered that had read the store before.
 	UpTo time.Duration `json:"-"`
+	// Positions are those of a relay's current watchers of other prefixes.
+	Positions []Position `json:"-"`
 }
 
 // watchAnswerTime is the part of the time-out of a watch that is left for the way of its
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -41,6 +41,9 @@
 	// IsActive reports whether this daemon is a relay, so that its own watch goes
 	// to the store. It is called on the duty's goroutine.
 	IsActive func() bool
+	// Positions returns the positions of this daemon's current watchers, which the other
+	// daemons compare with their own. It must not block; nil is none.
+	Positions func() []Position
 }
 
 // WatchQuery requests the changes after a revision.
@@ -191,6 +194,9 @@
 	// The query was sent before it arrived, so its sender confirms its own state by an
 	// earlier time than this one.
 	listing.UpTo = r.readUpTo.Sub(w.since)
+	if r.options.Positions != nil {
+		listing.Positions = r.options.Positions()
+	}
 	w.query.Reply(WatchReply{Listing: listing})
 }
 
--- a/internal/platform/relayed.go
+++ b/internal/platform/relayed.go
@@ -19,7 +19,7 @@
 }
 
 // RelayedOptions are the settings of a RelayedAPI. All are required except
-// FirstRelay.
+// FirstRelay and OnPosition.
 type RelayedOptions struct {
 	Client RelayClient
 	// MaxChangeDelay is the time within which a change must be received.
@@ -29,6 +29,9 @@
 	Relays func() []string
 	// FirstRelay is the index of the relay that is used first.
 	FirstRelay int
+	// OnPosition is called with each position in the answer of a relay. It must not block;
+	// nil ignores them.
+	OnPosition func(Position)
 	// OnRelayFailure is called for a relay that has failed. It must not block.
 	OnRelayFailure func(address string, err error)
 }
@@ -63,6 +66,7 @@
 	defer cancel()
 	listing, err := a.options.Client.WatchRelay(relayCtx, address, after)
 	if err == nil {
+		a.reportPositions(listing)
 		return listing, nil
 	}
 	a.options.OnRelayFailure(address, err)
@@ -70,3 +74,12 @@
 	a.directUntil.Store(a.clock.Now().Add(directAfterFailure).UnixNano())
 	return a.ObjectAPI.Watch(ctx, prefix, after)
 }
+
+func (a *RelayedAPI) reportPositions(l Listing) {
+	if a.options.OnPosition == nil {
+		return
+	}
+	for _, p := range l.Positions {
+		a.options.OnPosition(p)
+	}
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -111,19 +112,25 @@
 	results     *ring.Ring[watchResult]
 	activations *ring.Ring[bool]
 	relists     *ring.Ring[struct{}]
+	positions   *ring.Ring[Position]
 	counters    watcherCounters
 
 	revision   int64
 	readUpTo   time.Time // all changes up to this time were delivered
-	isListed   bool
-	isActive   bool
-	callNumber uint64 // number of the call in progress
-	isCalling  bool
-	isPaused   bool // a timer will start the next call
-	stopPause  func() bool
-	cancel     context.CancelFunc
-	delivered  map[string]deliveredVersion
-	retryDelay *retryDelay
+	callSentAt time.Time // of the call in progress
+	oversight  oversight
+	// Position reads these on other goroutines.
+	newestChange atomic.Int64 // revision of the newest delivered change
+	confirmedAt  atomic.Int64 // readUpTo in Unix nanoseconds
+	isListed     bool
+	isActive     bool
+	callNumber   uint64 // number of the call in progress
+	isCalling    bool
+	isPaused     bool // a timer will start the next call
+	stopPause    func() bool
+	cancel       context.CancelFunc
+	delivered    map[string]deliveredVersion
+	retryDelay   *retryDelay
 }
 
 // NewWatcher returns the duty that follows prefix. deliver is called on the
@@ -149,6 +156,7 @@
 		results:     ring.New[watchResult]("watch.results", watchRingCapacity),
 		activations: ring.New[bool]("watch.switches", 1),
 		relists:     ring.New[struct{}]("watch.relists", 1),
+		positions:   ring.New[Position]("watch.positions", 1),
 		counters: watcherCounters{
 			lists: metrics.NewCounter(), watches: metrics.NewCounter(),
 			timedOut: metrics.NewCounter(), failed: metrics.NewCounter(), revision: metrics.NewGauge(),
@@ -162,6 +170,10 @@
 	duty.On(w.loop, w.results, w.handleResult)
 	duty.On(w.loop, w.activations, w.handleActivation)
 	duty.On(w.loop, w.relists, func(struct{}) { w.relist() })
+	duty.On(w.loop, w.positions, w.handlePosition)
+	if o.MaxAge != nil {
+		w.loop.Every(ageCheckPeriod, w.checkAge)
+	}
 	w.loop.After(0, w.startCall)
 	w.loop.OnStop(func() { w.cancel() })
 	return w
@@ -170,6 +182,9 @@
 // Loop returns the duty's loop.
 func (w *Watcher) Loop() *duty.Loop { return w.loop }
 
+// Prefix returns the prefix that the watcher follows.
+func (w *Watcher) Prefix() string { return w.prefix }
+
 // SetActive starts or stops watching. Any goroutine may call it. A restarted
 // watcher continues after the last revision that it received.
 func (w *Watcher) SetActive(active bool) { w.activations.PutLatest(active) }
@@ -239,7 +254,7 @@
 		w.pause(w.retryDelay.next())
 		return
 	}
-	w.isCalling = true
+	w.isCalling, w.callSentAt = true, sentAt
 	w.cancel = cancel
 	w.loop.After(timeout, func() { w.checkTimeout(number) })
 }
@@ -249,11 +264,8 @@
 	if !w.isListed {
 		return listTimeout
 	}
-	maxAge := time.Duration(0)
-	if w.options.MaxAge != nil {
-		maxAge = w.options.MaxAge()
-	}
-	if maxAge <= 0 {
+	maxAge := w.maxAge()
+	if maxAge <= 0 || w.isOverseen(now) {
 		return w.options.WatchTimeout
 	}
 	return min(w.options.WatchTimeout, max(minWatchTimeout, maxAge-now.Sub(w.readUpTo)))
@@ -328,8 +340,12 @@
 	w.revision = r.listing.Revision
 	if upTo := r.sentAt.Add(r.listing.UpTo); upTo.After(w.readUpTo) {
 		w.readUpTo = upTo
+		w.confirmedAt.Store(upTo.UnixNano())
 	}
 	w.counters.revision.Update(w.revision)
+	for i := range r.listing.Objects {
+		w.newestChange.Store(max(w.newestChange.Load(), r.listing.Objects[i].Revision))
+	}
 	if r.isFull {
 		w.deliverList(r.listing)
 	} else {
@@ -338,8 +354,8 @@
 	if w.options.OnRead != nil {
 		w.options.OnRead(w.readUpTo)
 	}
-	if w.options.BatchDelay != nil && len(r.listing.Objects) > 0 {
-		w.pause(w.options.BatchDelay())
+	if delay := w.batchDelay(); delay > 0 && len(r.listing.Objects) > 0 {
+		w.pause(delay)
 		return
 	}
 	w.startCall()
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -291,8 +291,8 @@
 
 // heldWatch is a watch that the store holds.
 type heldWatch struct {
-	run   func()
-	until time.Time
+	run           func()
+	sentAt, until time.Time
 }
 
 const testMaxAge = 3 * time.Second
@@ -323,11 +323,19 @@
 	return l, nil
 }
 
-// watcherSentAt returns when the store received the watch that ends now.
-func (f *ageFixture) watcherSentAt() time.Time {
-	return f.waiting[0].until.Add(-testMaxAge + watchAnswerTime)
+// oversee reports the position of another watcher that is current, as a relay does, while
+// the time passes.
+func (f *ageFixture) oversee(d time.Duration) {
+	const period = 400 * time.Millisecond
+	for ; d > 0; d -= period {
+		f.watcher.ReportPosition(Position{Prefix: "c/", Change: f.api.revision})
+		f.advance(min(d, period))
+	}
 }
 
+// watcherSentAt returns when the store received the watch that ends now.
+func (f *ageFixture) watcherSentAt() time.Time { return f.waiting[0].sentAt }
+
 // advance lets the time pass. The store answers lists at once, and watches at a change or
 // once their time is over.
 func (f *ageFixture) advance(d time.Duration) {
@@ -352,7 +360,7 @@
 		case f.isSilent:
 		case f.watcher.isListed:
 			timeout := f.watcher.callTimeout(f.clock.Now())
-			f.waiting = []*heldWatch{{run: run, until: f.clock.Now().Add(timeout - watchAnswerTime)}}
+			f.waiting = []*heldWatch{{run: run, sentAt: f.clock.Now(), until: f.clock.Now().Add(timeout - watchAnswerTime)}}
 		default:
 			run()
 		}
@@ -416,3 +424,33 @@
 		t.Errorf("a state whose watch is dead was confirmed %v later", f.confirmed.Sub(before))
 	}
 }
+
+// Guards against a watcher that relies on the reports of another one and misses a change
+// that the other has, makes as many calls as without them, or keeps waiting when the reports
+// end.
+func TestOverseenWatcher(t *testing.T) {
+	f := newAgeFixture()
+	f.oversee(5 * time.Second)
+	const quiet = time.Minute
+	before := f.watcher.Stats()
+	f.oversee(quiet)
+	if calls := f.watcher.Stats().Watches - before.Watches; calls > 3 {
+		t.Errorf("%d watches in %v, want at most 3", calls, quiet)
+	}
+	f.waiting = nil // the watch is lost
+	f.put("c/a")
+	f.oversee(behindTime + time.Second)
+	if s := f.last(t); len(s.Objects) == 0 || s.Objects[len(s.Objects)-1].Key != "c/a" {
+		t.Errorf("a change that another watcher has was not delivered: %v", s.Objects)
+	}
+	f.oversee(10 * time.Second)
+	if calls := f.watcher.Stats().Lists; calls > 3 {
+		t.Errorf("%d lists", calls)
+	}
+	f.waiting = nil
+	f.put("c/b")
+	f.advance(2*testMaxAge + ageCheckPeriod)
+	if s := f.last(t); s.Objects[len(s.Objects)-1].Key != "c/b" {
+		t.Errorf("after the reports ended, a lost watch was not replaced: %v", s.Objects)
+	}
+}
--- a/internal/server/hosted/relays.go
+++ b/internal/server/hosted/relays.go
@@ -34,11 +34,12 @@
 // many daemons.
 func (d *frontDaemon) watchServers() {
 	maxDelay := d.hostSettings.Bounds.Drain
-	d.relay = platform.NewRelay(d.bootClock, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay})
+	d.relay = platform.NewRelay(d.bootClock, platform.RelayOptions{MaxChangeDelay: maxDelay, IsActive: d.isRelay, Positions: d.watchPositions})
 	d.loops = append(d.loops, d.relay.Loop())
 	api := platform.NewRelayedAPI(d.storeClient, d.clock, platform.RelayedOptions{
 		Client: d.peers, MaxChangeDelay: maxDelay, Relays: d.relayAddresses,
 		FirstRelay: int(xxhash.Sum64String(d.hostSettings.PeerAddress) % relayCount),
+		OnPosition: d.reportPosition,
 		OnRelayFailure: func(address string, err error) {
 			d.log.WithError(err).WithField("daemon", address).Info("relay does not respond; the store is watched directly")
 		},
@@ -92,3 +93,24 @@
 	}
 	return loadList(&d.peerList.relays)
 }
+
+// watchPositions returns the positions of this daemon's current watchers, for the daemons
+// that ask it as a relay. That of the servers is in the answer itself.
+func (d *frontDaemon) watchPositions() []platform.Position {
+	var positions []platform.Position
+	for _, w := range d.watchers {
+		if p, isCurrent := w.Position(); isCurrent && p.Prefix != adapter.KindServers+"/" {
+			positions = append(positions, p)
+		}
+	}
+	return positions
+}
+
+// reportPosition passes the position of a relay's watcher to this daemon's own one.
+func (d *frontDaemon) reportPosition(p platform.Position) {
+	for _, w := range d.watchers {
+		if w.Prefix() == p.Prefix {
+			w.ReportPosition(p)
+		}
+	}
+}
