Judge crashes of servers by the reports of all daemons

One request that crashes each server that runs it crashed 18 servers in 60 s: at each daemon to which its caller sent it again it could crash two.

Cause: only the composition of the own interface connected the exchange of suspects that dispatch offers; on the platform each daemon knew of its own crashes alone, in its memory. Connecting it as it was would spread wrong judgements: a daemon whose only request on a crashed server is sound counts the crash against it, although another daemon had the cause there.

Fix: daemons report at once what they had on a crashed server, merge the reports and judge the crash 1 s later; a request that such crashes may confirm waits for the judgement; a daemon that starts asks others. The sender is a parameter of the dispatcher's constructor. Why it works: every daemon knows every crash and judges by all that was on the server.

--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -75,6 +75,7 @@
 	servers        *ring.Ring[serverTable]
 	cancels        *ring.Ring[core.RequestID]
 	suspectReports *ring.Ring[SuspectReport]
+	suspectQueries *duty.QueryRing[struct{}, SuspectReport]
 	peerWork       *ring.Ring[[]PeerWork]
 	cacheEvents    *ring.Ring[CacheEvents]
 	answerLoads    *ring.Ring[answerLoad]
@@ -94,7 +95,8 @@
 	waitQueue               []*callState
 	slotsUpdatePending      bool
 	deliverSlots            func([]ServiceSlots)
-	deliverSuspectReport    func(SuspectReport)
+	sendSuspects            SuspectSender
+	deliverSuspectSummary   func(SuspectReport)
 	deliverOwnWork          func([]OwnWork)
 	onAttemptEnd            func(AttemptEnd)
 	onLeaving               func(LeavingNotice)
@@ -107,11 +109,13 @@
 }
 
 // NewDispatcher returns the dispatch duty. The size of the pool bounds the
-// attempts in progress.
-func NewDispatcher(clock duty.Clock, random *rand.Rand, exchanger Exchanger, pool *duty.Pool) *Dispatcher {
+// attempts in progress. sendSuspects passes reports to the MergeSuspectReport of all other
+// daemons: a request that crashes servers may come to each of them.
+func NewDispatcher(clock duty.Clock, random *rand.Rand, exchanger Exchanger, pool *duty.Pool, sendSuspects SuspectSender) *Dispatcher {
 	d := &Dispatcher{
 		loop:             duty.New("dispatch", clock),
 		exchanger:        exchanger,
+		sendSuspects:     sendSuspects,
 		tryGo:            pool.TryGo,
 		filters:          CapabilityFilters(),
 		router:           newRouter(clock.Now, random),
@@ -121,6 +125,7 @@
 		servers:          ring.New[serverTable]("dispatch.servers", serverRingCapacity),
 		cancels:          ring.New[core.RequestID]("dispatch.cancels", maxCallsInProgress),
 		suspectReports:   ring.New[SuspectReport]("dispatch.suspects", reportRingCapacity),
+		suspectQueries:   duty.NewQueryRing[struct{}, SuspectReport]("dispatch.suspectqueries", reportRingCapacity),
 		peerWork:         ring.New[[]PeerWork]("dispatch.others", reportRingCapacity),
 		cacheEvents:      ring.New[CacheEvents]("dispatch.cache", reportRingCapacity),
 		answerLoads:      ring.New[answerLoad]("dispatch.told", answerLoadRingCapacity),
@@ -135,11 +140,15 @@
 		health:           newHealth(clock.Now),
 		retryBudget:      newRetryBudget(clock.Now()),
 	}
+	d.health.onCrash = d.handleCrash
 	d.bindRouter()
 	duty.On(d.loop, d.servers, d.handleTable)
 	duty.On(d.loop, d.ends, d.handleAttemptEnd)
 	duty.On(d.loop, d.cancels, d.handleCancel)
 	duty.On(d.loop, d.suspectReports, d.handleSuspectReport)
+	duty.OnQuery(d.loop, d.suspectQueries, func(q duty.Query[struct{}, SuspectReport]) {
+		q.Reply(d.health.suspects.Report(d.loop.Clock().Now()))
+	})
 	duty.On(d.loop, d.calls, d.handleCall)
 	duty.On(d.loop, d.peerWork, d.handlePeerWork)
 	duty.On(d.loop, d.cacheEvents, d.handleCacheEvents)
--- a/internal/backend/harness_test.go
+++ b/internal/backend/harness_test.go
@@ -26,6 +26,8 @@
 	cancels  []Attempt
 	servers  []Server
 	nextID   int
+
+	sentSuspects []SuspectReport
 }
 
 func newDispatchHarness(t *testing.T, servers int, exchange func(Attempt) AttemptEnd) *dispatchHarness {
@@ -38,7 +40,7 @@
 	}
 	t.Cleanup(pool.Release)
 	b := &dispatchHarness{t: t, clock: clock, exchange: exchange}
-	b.dispatch = NewDispatcher(clock, rand.New(rand.NewPCG(seed, seed)), b, pool)
+	b.dispatch = NewDispatcher(clock, rand.New(rand.NewPCG(seed, seed)), b, pool, func(r SuspectReport) { b.sentSuspects = append(b.sentSuspects, r) })
 	b.dispatch.tryGo = func(f func()) bool {
 		b.pending = append(b.pending, f)
 		return true
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -61,11 +61,12 @@
 	servers              map[core.ServerID]*serverHealth
 	runningByFingerprint map[uint64]int // attempts in progress, by request fingerprint
 	startCount           uint64
-	copiesToCancel       []attemptKey // surplus attempts of new suspects, to be cancelled
+	copiesToCancel       []attemptKey  // surplus attempts of new suspects, to be cancelled
+	onCrash              func(CrashID) // receives each crash that this daemon saw
 }
 
 func newHealth(now func() time.Time) *health {
-	return &health{suspects: NewSuspectSet(), now: now, servers: map[core.ServerID]*serverHealth{}, runningByFingerprint: map[uint64]int{}}
+	return &health{suspects: NewSuspectSet(), now: now, onCrash: func(CrashID) {}, servers: map[core.ServerID]*serverHealth{}, runningByFingerprint: map[uint64]int{}}
 }
 
 func (h *health) stateOf(id core.ServerID) *serverHealth {
@@ -125,7 +126,10 @@
 	key := attemptKey{e.Attempt.Call.Request.ID, e.Attempt.Number}
 	fingerprint := state.inFlight[key].fingerprint
 	if e.Crashed {
-		h.recordCrash(state, e.Attempt.Incarnation, now)
+		h.recordCrash(state, CrashID{Server: e.Attempt.Server, Run: e.Attempt.Incarnation}, now)
+		if len(e.Tokens) > 0 {
+			h.suspects.Exonerate(CrashID{Server: e.Attempt.Server, Run: e.Attempt.Incarnation}, fingerprint)
+		}
 	}
 	state.recordIncarnation(e.Incarnation)
 	state.recordReplacedRun(&e.Attempt, now)
@@ -162,7 +166,8 @@
 
 // recordCrash counts one crash per incarnation, however many attempts report
 // it.
-func (h *health) recordCrash(state *serverHealth, incarnation string, now time.Time) {
+func (h *health) recordCrash(state *serverHealth, id CrashID, now time.Time) {
+	incarnation := id.Run
 	if incarnation != "" && state.crashedIncarnation == incarnation {
 		return
 	}
@@ -179,7 +184,8 @@
 			inFlight = append(inFlight, f.fingerprint)
 		}
 	}
-	h.suspects.RecordCrash(inFlight, accepted, now)
+	h.suspects.RecordCrash(CrashReport{CrashID: id, InFlight: inFlight, Accepted: accepted}, now)
+	h.onCrash(id)
 	for _, fingerprint := range distinct(inFlight) {
 		h.collectCopies(fingerprint, state)
 	}
@@ -247,14 +253,14 @@
 	return !r.Accepted && h.suspects.IsSuspected(r.Fingerprint, now)
 }
 
-// mayRunSuspect isolates crash suspects: a suspect runs once at a time, and a
-// server runs at most one suspect at a time. Requests that are not suspects
+// mayRunSuspect isolates crash suspects: a suspect runs once at a time, not while crashes
+// that may confirm it are not judged, and a server runs at most one suspect at a time. Requests that are not suspects
 // always pass.
 func (h *health) mayRunSuspect(r *core.Request, c *Candidate, now time.Time) bool {
 	if !h.isSuspect(r, now) {
 		return true
 	}
-	if h.runningByFingerprint[r.Fingerprint] > 0 {
+	if h.runningByFingerprint[r.Fingerprint] > 0 || h.suspects.MustAwaitJudgement(r.Fingerprint) {
 		return false
 	}
 	state := h.servers[c.Server.ID]
--- a/internal/backend/poller_test.go
+++ b/internal/backend/poller_test.go
@@ -155,7 +155,7 @@
 // Guards against cache events that are read again from the start or not at all.
 func TestPollerReadsCacheEvents(t *testing.T) {
 	b := newPollHarness(t, 0)
-	d := NewDispatcher(b.clock, rand.New(rand.NewPCG(seed, seed)), nil, &duty.Pool{})
+	d := NewDispatcher(b.clock, rand.New(rand.NewPCG(seed, seed)), nil, &duty.Pool{}, func(SuspectReport) {})
 	b.poller.deliver = d.SetServers
 	b.poller.SetCacheSource(b, d.AddCacheEvents)
 	b.poller.SetServers(namedServers(1))
--- a/internal/backend/resume_test.go
+++ b/internal/backend/resume_test.go
@@ -46,7 +46,7 @@
 	clock := duty.SystemClock{}
 	f := &testFleet{ctx: ctx}
 	f.client = backendhttp.NewClient(backendhttp.Options{ReadIdleTimeout: 200 * time.Millisecond, ProbeTimeout: testTimeout})
-	f.dispatch = backend.NewDispatcher(clock, rand.New(rand.NewPCG(11, 11)), f.client, pool)
+	f.dispatch = backend.NewDispatcher(clock, rand.New(rand.NewPCG(11, 11)), f.client, pool, func(backend.SuspectReport) {})
 	var servers []backend.Server
 	add := func(address string) {
 		d, err := f.client.Describe(ctx, address)
--- a/internal/backend/routing_bench_test.go
+++ b/internal/backend/routing_bench_test.go
@@ -138,7 +138,7 @@
 		tb.Fatal(err)
 	}
 	tb.Cleanup(pool.Release)
-	d := NewDispatcher(duty.SystemClock{}, rand.New(rand.NewPCG(seed, seed)), nil, pool)
+	d := NewDispatcher(duty.SystemClock{}, rand.New(rand.NewPCG(seed, seed)), nil, pool, func(SuspectReport) {})
 	d.SetDataCentre("regina")
 	var servers []Server
 	for i := range engines {
--- a/internal/backend/sim_test.go
+++ b/internal/backend/sim_test.go
@@ -142,7 +142,7 @@
 		s.servers = append(s.servers, &simServer{index: i})
 	}
 	for i := range o.daemons {
-		d := NewDispatcher(s.clock, rand.New(rand.NewPCG(seed, uint64(i)+2)), s, pool)
+		d := NewDispatcher(s.clock, rand.New(rand.NewPCG(seed, uint64(i)+2)), s, pool, func(SuspectReport) {})
 		d.tryGo = func(f func()) bool { return s.startAttempt(d, f) }
 		if o.configure != nil {
 			o.configure(d.router)
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -32,12 +32,26 @@
 	Remaining   time.Duration
 }
 
-// SuspectReport holds the crash suspects of one daemon, for the other daemons.
+// SuspectReport holds the crash suspects of one daemon and the crashes that it saw, for the
+// other daemons.
 type SuspectReport struct {
+	Crashes         []CrashReport
 	Suspects        []SuspectRequest
 	ConfirmedCauses []ConfirmedCause
 }
 
+// IsEmpty reports whether the report holds nothing.
+func (r *SuspectReport) IsEmpty() bool {
+	return len(r.Crashes)+len(r.Suspects)+len(r.ConfirmedCauses) == 0
+}
+
+// Add appends another report.
+func (r *SuspectReport) Add(other SuspectReport) {
+	r.Crashes = append(r.Crashes, other.Crashes...)
+	r.Suspects = append(r.Suspects, other.Suspects...)
+	r.ConfirmedCauses = append(r.ConfirmedCauses, other.ConfirmedCauses...)
+}
+
 type suspectState struct {
 	crashesAlone int
 	until        time.Time
@@ -48,6 +62,7 @@
 type SuspectSet struct {
 	suspected map[uint64]suspectState
 	confirmed map[uint64]time.Time
+	crashes   []*crash // oldest first
 }
 
 // NewSuspectSet returns an empty set.
@@ -74,29 +89,6 @@
 	return max(0, s.confirmed[fingerprint].Sub(now))
 }
 
-// RecordCrash records a crash of a server with the given requests in flight, and with
-// a number of parts of accepted jobs, which are never suspects. If exactly one of the
-// requests was a suspect before, or only one was in flight and nothing else, the crash
-// is attributed to it.
-func (s *SuspectSet) RecordCrash(inFlight []uint64, accepted int, now time.Time) {
-	inFlight = distinct(inFlight)
-	var suspectedBefore []uint64
-	for _, f := range inFlight {
-		if s.IsSuspected(f, now) {
-			suspectedBefore = append(suspectedBefore, f)
-		}
-	}
-	if len(suspectedBefore) == 0 && len(inFlight) == 1 && accepted == 0 {
-		suspectedBefore = inFlight
-	}
-	for _, f := range inFlight {
-		s.addSuspect(f, 0, now.Add(suspicionDuration))
-	}
-	if len(suspectedBefore) == 1 {
-		s.recordSoleSuspectCrash(suspectedBefore[0], now)
-	}
-}
-
 func (s *SuspectSet) recordSoleSuspectCrash(fingerprint uint64, now time.Time) {
 	suspect := s.suspected[fingerprint]
 	suspect.crashesAlone++
@@ -137,10 +129,16 @@
 }
 
 // ClearSuspicion removes a request from the suspects after a server has
-// completed it.
+// completed it. It is not the cause of a crash that is not judged yet either.
 func (s *SuspectSet) ClearSuspicion(fingerprint uint64) {
-	if len(s.suspected) > 0 {
-		delete(s.suspected, fingerprint)
+	if len(s.suspected) == 0 {
+		return
+	}
+	delete(s.suspected, fingerprint)
+	for _, c := range s.crashes {
+		if !c.isJudged {
+			delete(c.inFlight, fingerprint)
+		}
 	}
 }
 
@@ -158,7 +156,7 @@
 	}
 }
 
-// Merge adds the suspects of another daemon. A report never shortens or removes
+// Merge adds the suspects of another daemon, and its reports of crashes. A report never shortens or removes
 // a known entry, so reports may arrive late, repeatedly and in any order.
 func (s *SuspectSet) Merge(r SuspectReport, now time.Time) {
 	for _, cause := range r.ConfirmedCauses {
@@ -166,6 +164,9 @@
 			s.confirm(cause.Fingerprint, now.Add(min(cause.Remaining, QuarantineDuration)))
 		}
 	}
+	for _, c := range r.Crashes {
+		s.RecordCrash(c, now)
+	}
 	for _, suspect := range r.Suspects {
 		if suspect.Remaining > 0 && s.QuarantineRemaining(suspect.Fingerprint, now) == 0 {
 			s.addSuspect(suspect.Fingerprint, suspect.CrashesAlone, now.Add(min(suspect.Remaining, suspicionDuration)))
--- a/internal/backend/suspects_test.go
+++ b/internal/backend/suspects_test.go
@@ -117,7 +117,7 @@
 func TestOneSuspectRunsPerServer(t *testing.T) {
 	b := newDispatchHarness(t, 3, completed)
 	now := b.clock.Now()
-	b.dispatch.health.suspects.RecordCrash([]uint64{1, 2, 3, 4, 5}, 0, now)
+	b.dispatch.health.suspects.RecordCrash(CrashReport{InFlight: []uint64{1, 2, 3, 4, 5}}, now)
 	var calls []*core.Call
 	for i := range 10 {
 		calls = append(calls, b.submit(context.Background(), uint64(1+i/2), true))
@@ -172,7 +172,7 @@
 func TestExpiredCauseKeepsSuspect(t *testing.T) {
 	s := NewSuspectSet()
 	now := time.Unix(1e9, 0)
-	s.RecordCrash([]uint64{8}, 0, now)
+	s.RecordCrash(CrashReport{InFlight: []uint64{8}}, now)
 	s.Merge(SuspectReport{ConfirmedCauses: []ConfirmedCause{{Fingerprint: 8}}}, now)
 	if !s.IsSuspected(8, now) {
 		t.Error("the request is no longer a suspect")
@@ -197,7 +197,8 @@
 	if got := s.QuarantineRemaining(7, b.clock.Now()); got != QuarantineDuration {
 		t.Errorf("the quarantine lasts %v, want %v", got, QuarantineDuration)
 	}
-	s.RecordCrash([]uint64{8}, 0, b.clock.Now())
+	s.RecordCrash(CrashReport{InFlight: []uint64{8}}, b.clock.Now())
+	s.Judge(b.clock.Now().Add(crashSettleTime))
 	if s.QuarantineRemaining(8, b.clock.Now()) == 0 {
 		t.Error("one crash as the only suspect here and one on another daemon did not quarantine the request")
 	}
--- a/internal/daemon/daemonrpc/fuzz_test.go
+++ b/internal/daemon/daemonrpc/fuzz_test.go
@@ -81,6 +81,8 @@
 	for _, q := range []*Question{
 		encodeOrigins([]caller.StreamOrigin{testOrigin, {}}),
 		{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(testOrigin.Stream)}}},
+		{Kind: &Question_Suspects{Suspects: &SuspectQuestion{}}},
+		encodeNotifications(Notifications{Suspects: testSuspects}),
 		{Kind: &Question_OriginPull{OriginPull: &StreamOriginPull{Address: "127.0.0.1:1"}}},
 	} {
 		data, err := proto.Marshal(q)
@@ -109,6 +111,14 @@
 			HandleOriginQuestion: func(context.Context, core.RequestID) (caller.OriginLookup, error) {
 				return caller.OriginLookup{Origin: testOrigin, IsKnown: true}, nil
 			},
+			HandleSuspects: func(r backend.SuspectReport) {
+				for _, c := range r.Crashes {
+					if c.Server == "" || c.Daemon == "" || c.Accepted < 0 {
+						t.Errorf("crash %+v", c)
+					}
+				}
+			},
+			HandleSuspectQuestion: func(context.Context) (backend.SuspectReport, error) { return backend.SuspectReport{}, nil },
 			HandleOriginPull: func(context.Context, string) ([]caller.StreamOrigin, error) {
 				return []caller.StreamOrigin{testOrigin}, nil
 			},
--- a/internal/daemon/daemonrpc/peerclient.go
+++ b/internal/daemon/daemonrpc/peerclient.go
@@ -137,6 +137,16 @@
 	return decodeOrigins(response.GetOrigins()), nil
 }
 
+// PullSuspects asks the daemon at the address for all suspects and confirmed causes that it
+// knows.
+func (p *PeerClient) PullSuspects(ctx context.Context, address string) (backend.SuspectReport, error) {
+	response, err := p.request(ctx, address, &Question{Kind: &Question_Suspects{Suspects: &SuspectQuestion{}}})
+	if err != nil {
+		return backend.SuspectReport{}, err
+	}
+	return decodeSuspects(response.GetSuspects()), nil
+}
+
 // Ping opens a connection to the peer and closes it. It returns an error if the peer
 // does not accept it.
 func (p *PeerClient) Ping(ctx context.Context, address string) error {
--- a/internal/daemon/daemonrpc/peerserver.go
+++ b/internal/daemon/daemonrpc/peerserver.go
@@ -38,6 +38,9 @@
 	HandleEngineNotifications func([]backend.ModelStatus)                    // must not block
 	HandleOwnerNotifications  func([]batch.Ownership)                        // must not block
 	HandleRateLimits          func([]backend.ServerRateLimit)                // must not block
+	HandleSuspects            func(backend.SuspectReport)                    // must not block
+	// HandleSuspectQuestion returns what this daemon knows. It may block.
+	HandleSuspectQuestion func(context.Context) (backend.SuspectReport, error)
 	// HandleWatchRequest responds as a relay. It blocks for at most one period
 	// of the relay.
 	HandleWatchRequest func(ctx context.Context, after int64) (platform.Listing, error)
@@ -139,6 +142,9 @@
 		if len(notifications.RateLimits) > 0 {
 			s.handlers.HandleRateLimits(notifications.RateLimits)
 		}
+		if !notifications.Suspects.IsEmpty() {
+			s.handlers.HandleSuspects(notifications.Suspects)
+		}
 		return &JobAnswer{}, nil
 	}
 	if w := m.GetWatch(); w != nil {
@@ -158,6 +164,9 @@
 	if o := m.GetOriginPull(); o != nil {
 		return s.handleOriginPull(o.GetAddress())
 	}
+	if m.GetSuspects() != nil {
+		return s.handleSuspectQuestion()
+	}
 	q, err := decodeJobRequest(m.GetJob())
 	if err != nil {
 		return nil, err
@@ -188,6 +197,16 @@
 	return &JobAnswer{Origins: encodeOriginList(origins)}, nil
 }
 
+func (s *PeerServer) handleSuspectQuestion() (*JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerIOTimeout)
+	defer cancel()
+	r, err := s.handlers.HandleSuspectQuestion(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &JobAnswer{Suspects: encodeSuspects(r)}, nil
+}
+
 func (s *PeerServer) handlePermitRequest(m *PermitQuestion) (*JobAnswer, error) {
 	r, err := decodePermitRequest(m)
 	if err != nil {
--- a/internal/daemon/daemonrpc/wirenotifications.go
+++ b/internal/daemon/daemonrpc/wirenotifications.go
@@ -12,10 +12,11 @@
 	Engines    []backend.ModelStatus
 	Owners     []batch.Ownership
 	RateLimits []backend.ServerRateLimit
+	Suspects   backend.SuspectReport
 }
 
 func encodeNotifications(n Notifications) *Question {
-	m := &NoticeList{Limits: encodeServerLimits(n.RateLimits)}
+	m := &NoticeList{Limits: encodeServerLimits(n.RateLimits), Suspects: encodeSuspects(n.Suspects)}
 	for _, e := range n.Engines {
 		m.Engines = append(m.Engines, &ServerNotice{Server: string(e.Server), Model: e.Model, Version: int64(e.Version), Loading: e.Loading})
 	}
@@ -26,7 +27,7 @@
 }
 
 func decodeNotifications(m *NoticeList) Notifications {
-	n := Notifications{RateLimits: decodeServerLimits(m.Limits)}
+	n := Notifications{RateLimits: decodeServerLimits(m.Limits), Suspects: decodeSuspects(m.Suspects)}
 	for _, e := range m.Engines {
 		n.Engines = append(n.Engines, backend.ModelStatus{Server: core.ServerID(e.Server), Model: e.Model, Version: core.Version(e.Version), Loading: e.Loading})
 	}
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -36,6 +36,7 @@
 	leaseManager   *platform.LeaseManager
 	leaseReporter  *leaseStatusReporter
 	dispatch       *backend.Dispatcher
+	suspects       *daemon.Suspects
 	poller         *backend.Poller
 	claims         *caller.Claims
 	admission      *caller.Admission
--- a/internal/server/build_backend.go
+++ b/internal/server/build_backend.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return err
 	}
-	b.dispatch = backend.NewDispatcher(b.clock, b.random(), client, exchanges)
+	b.dispatch = backend.NewDispatcher(b.clock, b.random(), client, exchanges, b.reportSuspects)
 	b.dispatch.SetDataCentre(b.settings.DataCentre)
 	b.dispatch.SetSlotsHandler(b.setServiceSlots)
 	b.poller = backend.NewPoller(b.clock, nil, client, probes, b.setServers)
--- a/internal/server/build_daemon.go
+++ b/internal/server/build_daemon.go
@@ -117,12 +117,18 @@
 	suspects := daemon.NewSuspects(b.identity, b.clock, peers, func(r daemon.SuspectReport) {
 		b.dispatch.MergeSuspectReport(fromPeerSuspects(r))
 	})
-	b.dispatch.SetSuspectReportHandler(func(r backend.SuspectReport) { suspects.Report(toPeerSuspects(r)) })
+	b.suspects = suspects
+	b.dispatch.SetSuspectSummaryHandler(b.reportSuspects)
 	peers.OnMembers(suspects.SetMembers)
 	peers.OnMessage(suspects.Receive)
 	return suspects
 }
 
+// reportSuspects passes what dispatch knows of crashes to the duty that distributes it. The
+// daemons of this interface exchange counts of crashes, each judged by the daemon that saw
+// it; the reports of single crashes are not passed on.
+func (b *builder) reportSuspects(r backend.SuspectReport) { b.suspects.Report(toPeerSuspects(r)) }
+
 // buildLoad exchanges load reports and the outstanding work at backend servers
 // with the other daemons of the data centre.
 func (b *builder) buildLoad(peers *daemon.Peers) *daemon.Load {
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	d.dispatch = backend.NewDispatcher(d.clock, d.random(), adapter.NewExchanger(), exchanges)
+	d.dispatch = backend.NewDispatcher(d.clock, d.random(), adapter.NewExchanger(), exchanges, d.sendSuspects)
 	d.dispatch.SetDataCentre(d.hostSettings.DataCentre)
 	d.dispatch.SetAttemptEndHandler(d.logAttempt)
 	d.dispatch.SetRateLimitObserver(backend.RateLimitObserver{OnChange: d.logRateLimit, OnUsage: d.logRateUsage})
@@ -290,6 +290,8 @@
 		HandleOrigins:             d.origins.Receive,
 		HandleOriginQuestion:      d.origins.FindHeld,
 		HandleOriginPull:          d.origins.FindReplicas,
+		HandleSuspects:            d.mergeSuspects,
+		HandleSuspectQuestion:     d.dispatch.Suspects,
 	})
 	if err != nil {
 		return err
--- a/internal/server/hosted/notifier.go
+++ b/internal/server/hosted/notifier.go
@@ -20,19 +20,23 @@
 	// notificationBatchDelay is how long notifications are collected for one message.
 	notificationBatchDelay = 10 * time.Millisecond
 	// notificationTimeout bounds the sending of one message. A lost notification only
-	// delays its receiver, which reads the same state from the store later.
+	// delays its receiver, which reads the same state from the store later. A crash is not
+	// in the store, so its message is sent once more, in time for the judgement.
 	notificationTimeout = time.Second
+	crashTimeout        = 300 * time.Millisecond
 )
 
 // notifier is the duty that notifies all peers of the state that this daemon knows
-// first: the versions of engines that it orders, the jobs that it owns, and the rate
-// limits that it distributes. It also sums the recent demand of all jobs by model.
+// first: the versions of engines that it orders, the jobs that it owns, the rate
+// limits that it distributes, and the crashes that it sees. It also sums the recent demand of all jobs by model.
 type notifier struct {
 	loop           *duty.Loop
 	log            *logrus.Entry
+	self           string // address of this daemon, as the others know it
 	modelStatuses  *ring.Ring[backend.ModelStatus]
 	ownerships     *ring.Ring[batch.Ownership]
 	rateLimits     *ring.Ring[backend.ServerRateLimit]
+	suspects       *ring.Ring[backend.SuspectReport]
 	peerOwnerships *ring.Ring[[]batch.Ownership]
 	demand         weights.Demand
 	latestDemand   atomic.Pointer[map[string]float64] // of demand
@@ -51,16 +55,18 @@
 		return err
 	}
 	n := &notifier{
-		loop: duty.New("notices", d.clock), log: d.log,
+		loop: duty.New("notices", d.clock), log: d.log, self: d.hostSettings.PeerAddress,
 		modelStatuses:  ring.New[backend.ModelStatus]("notices.engines", notificationRingCapacity),
 		ownerships:     ring.New[batch.Ownership]("notices.owners", notificationRingCapacity),
 		rateLimits:     ring.New[backend.ServerRateLimit]("notices.limits", notificationRingCapacity),
+		suspects:       ring.New[backend.SuspectReport]("notices.suspects", notificationRingCapacity),
 		peerOwnerships: ring.New[[]batch.Ownership]("notices.learned", notificationRingCapacity),
 		pool:           pool, applyLocally: d.directory.UpdateModelStatus, applyLimits: d.dispatch.UpdateRateLimits, peerAddresses: d.peerList.otherAddresses, send: d.peers.Notify,
 	}
 	duty.On(n.loop, n.modelStatuses, n.handleModelStatus)
 	duty.On(n.loop, n.ownerships, n.handleOwnership)
 	duty.On(n.loop, n.rateLimits, n.handleRateLimit)
+	duty.On(n.loop, n.suspects, n.handleSuspects)
 	duty.On(n.loop, n.peerOwnerships, func(list []batch.Ownership) { n.addDemand(list...) })
 	d.rateLimiter.SetAnnouncer(n.addRateLimit)
 	d.notifier = n
@@ -92,6 +98,14 @@
 	}
 }
 
+// addSuspects queues what dispatch has learnt of crashes. It never blocks; a full ring drops
+// it.
+func (n *notifier) addSuspects(r backend.SuspectReport) {
+	if !n.suspects.TryPut(r) {
+		n.log.Warn("notification of a crash is dropped: ring is full")
+	}
+}
+
 // addPeerOwnerships queues the jobs that peers have started to own. It never blocks;
 // a full ring drops them.
 func (n *notifier) addPeerOwnerships(list []batch.Ownership) {
@@ -128,6 +142,20 @@
 	n.scheduleFlush()
 }
 
+func (n *notifier) handleSuspects(r backend.SuspectReport) {
+	for _, c := range r.Crashes {
+		n.log.WithFields(logrus.Fields{"backend_server": c.Server, "run": c.Run, "requests": len(c.InFlight), "items": c.Accepted}).Info("backend server crashed")
+	}
+	for _, c := range r.ConfirmedCauses {
+		n.log.WithField("fingerprint", c.Fingerprint).Warn("a request is confirmed to crash backend servers; it is refused")
+	}
+	for i := range r.Crashes {
+		r.Crashes[i].Daemon = n.self
+	}
+	n.pending.Suspects.Add(r)
+	n.scheduleFlush()
+}
+
 func (n *notifier) handleOwnership(o batch.Ownership) {
 	n.addDemand(o)
 	n.pending.Owners = append(n.pending.Owners, o)
@@ -159,9 +187,21 @@
 
 // sendTo sends the notifications to one peer. It runs on a pool goroutine.
 func (n *notifier) sendTo(address string, list daemonrpc.Notifications) {
-	ctx, cancel := context.WithTimeout(context.Background(), notificationTimeout)
-	defer cancel()
-	if err := n.send(ctx, address, list); err != nil {
+	err := n.trySend(address, list)
+	if err != nil && !list.Suspects.IsEmpty() {
+		err = n.trySend(address, list)
+	}
+	if err != nil {
 		n.log.WithError(err).WithField("daemon", address).Debug("notification could not be sent")
 	}
 }
+
+func (n *notifier) trySend(address string, list daemonrpc.Notifications) error {
+	timeout := notificationTimeout
+	if !list.Suspects.IsEmpty() {
+		timeout = crashTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return n.send(ctx, address, list)
+}
--- a/internal/server/hosted/peerlist.go
+++ b/internal/server/hosted/peerlist.go
@@ -34,7 +34,6 @@
 	addressByKey map[string]string
 	addresses    atomic.Pointer[[]string]
 	relays       atomic.Pointer[[]string]
-	onChange     func() // called after each change of the addresses
 }
 
 // isKnown reports whether the list of daemons has arrived.
@@ -108,10 +107,14 @@
 		}
 	}
 	slices.Sort(list)
+	isFirst := !d.peerList.isKnown()
 	d.peerList.addresses.Store(&list)
 	relays := rankRelays(list, d.hostSettings.PeerAddress)
 	d.peerList.relays.Store(&relays)
-	d.peerList.onChange()
+	d.origins.ReportDaemons()
+	if isFirst {
+		d.pullSuspects()
+	}
 }
 
 // handleOddDaemon removes a daemon whose entry names no address, as each daemon that
--- a/internal/server/hosted/streamorigins.go
+++ b/internal/server/hosted/streamorigins.go
@@ -149,7 +149,6 @@
 		Peers: originPeers{PeerClient: d.peers, list: d.peerList, self: self},
 		Store: originStore{store: d.store, self: self},
 	})
-	d.peerList.onChange = d.origins.ReportDaemons
 	d.loops = append(d.loops, d.origins.Loop())
 	return nil
 }
