Bound the memory for the bodies of all requests

One request with a body of the largest allowed size (33,554,432 bytes) took a front with 134 MB over its memory; the process was killed, and the requests of all other callers on it ended.

Cause: a body was held up to five times, and nothing bounded all bodies together.

Fix: the listener of callers passes bodies as streams; the handler reads each into one slice within one memory for all, refuses as not run what does not fit, and hashes and sends that slice without a copy. Why it works: the sum of all bodies is bounded before their bytes are read.

TestRequestEndsWhenItsCallerLeaves covers the callers that leave, which the library does not notice for streams.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -121,14 +121,20 @@
 func (r *Request) ComputeFingerprint() uint64 {
 	h := xxhash.New()
 	var length [8]byte
-	write := func(part string) {
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+	writeLength := func(n int) {
+		binary.LittleEndian.PutUint64(length[:], uint64(n))
 		_, _ = h.Write(length[:])
+	}
+	write := func(part string) {
+		writeLength(len(part))
 		_, _ = h.WriteString(part)
 	}
-	for _, part := range []string{string(r.Customer), r.Service, r.Operation, r.Model, r.Adapter, r.Prompt, string(r.Body)} {
+	for _, part := range []string{string(r.Customer), r.Service, r.Operation, r.Model, r.Adapter, r.Prompt} {
 		write(part)
 	}
+	// A body may be large, and a string of it would be a copy.
+	writeLength(len(r.Body))
+	_, _ = h.Write(r.Body)
 	if r.Forward != nil {
 		write(r.Forward.Target)
 	}
--- a/internal/server/hosted/bodies_test.go
+++ b/internal/server/hosted/bodies_test.go
@@ -189,6 +189,18 @@
 func newRawFleet(t *testing.T, server, engine *recordingServer) *fleet {
 	t.Helper()
 	f, _, _ := newServingFleet(t, 2)
+	f.configureRaw(t, 4, rawMaxBytes)
+	for _, d := range f.daemons {
+		waitFor(t, "configuration", func() bool { return d.routes.Current().Version == 4 })
+	}
+	f.addServer(t, rawService, "raw-1", "1", server.serve)
+	f.addServer(t, rawEngines, "raw-2", "1", engine.serve)
+	return f
+}
+
+// configureRaw writes a configuration with the routes to the raw servers.
+func (f *fleet) configureRaw(t *testing.T, version, maxBodyBytes int) {
+	t.Helper()
 	routes := []map[string]any{{"name": "jobs", "host": "h", "pathPrefix": rawJobs, "type": "rollout", "service": rawEngines, "maxAttempts": 3, "maxQueueS": 30}}
 	for prefix, kind := range rawPrefixes {
 		route := map[string]any{"name": kind, "host": "h", "pathPrefix": prefix, "type": kind, "timeoutMs": 9000, "service": rawService, "maxAttempts": 2}
@@ -198,7 +210,7 @@
 		routes = append(routes, route)
 	}
 	if err := f.store.Put(adapter.KindConfig, "main", map[string]any{
-		"version": 4, "routes": routes, "limits": map[string]any{"maxBodyBytes": rawMaxBytes, "maxHeaderBytes": 32 << 10},
+		"version": version, "routes": routes, "limits": map[string]any{"maxBodyBytes": maxBodyBytes, "maxHeaderBytes": 32 << 10},
 		"services": []map[string]any{
 			{"name": rawService},
 			{"name": rawEngines, "engine": map[string]any{"slots": 4, "models": []map[string]any{{"name": "m"}}}},
@@ -206,12 +218,26 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// allowBodies allows bodies up to the size.
+func (f *fleet) allowBodies(t *testing.T, maxBodyBytes int) {
+	t.Helper()
+	f.configureRaw(t, 5, maxBodyBytes)
 	for _, d := range f.daemons {
-		waitFor(t, "configuration", func() bool { return d.routes.Current().Version == 4 })
+		waitFor(t, "configuration", func() bool { return d.routes.Current().Version == 5 })
 	}
-	f.addServer(t, rawService, "raw-1", "1", server.serve)
-	f.addServer(t, rawEngines, "raw-2", "1", engine.serve)
-	return f
+}
+
+// removeServer removes the entry of a server.
+func (f *fleet) removeServer(t *testing.T, id string) {
+	t.Helper()
+	if err := f.store.Remove(t.Context(), adapter.KindServers, id); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "removal of the server", func() bool {
+		return len(f.linesOf(t, "backend server removed", "backend_server", id)) >= len(f.daemons)
+	})
 }
 
 // exchangeRaw sends the bytes and returns the final answer with its body.
@@ -424,3 +450,40 @@
 		}
 	}
 }
+
+// Guards against a daemon that does not notice that its caller has left, for requests with
+// each kind of body: their servers would work on in vain.
+func TestRequestEndsWhenItsCallerLeaves(t *testing.T) {
+	ended := make(chan string, 8)
+	f, _, _ := newServingFleet(t, 1)
+	f.configureRaw(t, 4, rawMaxBytes)
+	f.addServer(t, rawService, "raw-1", "1", func(r *http.Request, _ int, c net.Conn) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = c.Read(make([]byte, 1)) // until the daemon closes the connection
+		ended <- r.Header.Get(adapter.HeaderAttempt)
+	})
+	large := strings.Repeat("x", 100_000)
+	for id, framing := range map[string]string{
+		"none": "\r\n", "empty": "Content-Length: 0\r\n\r\n", "small": "Content-Length: 1\r\n\r\nx",
+		"large": "Content-Length: 100000\r\n\r\n" + large, "chunked": "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", f.callers[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, "POST /raw-once/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: "+id+"\r\nDeadline-Ms: 30000\r\n"+framing); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond) // until the server has the request
+		_ = conn.Close()
+		select {
+		case got := <-ended:
+			if got != id {
+				t.Errorf("request %s ended in place of %s", got, id)
+			}
+		case <-time.After(testTimeout / 2):
+			t.Errorf("request with body %s: the server works on after its caller has left", id)
+		}
+	}
+	f.stop(t)
+}
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -37,6 +37,8 @@
 	maxBody           = 40 << 20
 	maxHeader         = 256 << 10
 	callerIdleTimeout = 10 * time.Minute
+	// bodyMemoryShare is the share of the process's memory for the bodies of requests.
+	bodyMemoryShare = 0.25
 	// storeCallTimeout is well above the response time of a slow store and below the
 	// timeout of a trainer's request.
 	storeCallTimeout = 800 * time.Millisecond
@@ -264,10 +266,11 @@
 		IsClosing:    d.isClosing.Load,
 		Stopping:     stopping,
 		OnRequestEnd: d.countRequest,
+		Bodies:       transport.NewBodyMemory(bodyMemory(d.hostSettings.Memory)),
 		WriteMetrics: d.writeMetrics,
 	}
 	var err error
-	if d.callers, err = transport.Listen(d.hostSettings.Callers, transport.ServerOptions{MaxBodyBytes: maxBody, MaxHeaderBytes: maxHeader, IdleTimeout: callerIdleTimeout}); err != nil {
+	if d.callers, err = transport.Listen(d.hostSettings.Callers, transport.ServerOptions{MaxBodyBytes: maxBody, MaxHeaderBytes: maxHeader, IdleTimeout: callerIdleTimeout, StreamBodies: true}); err != nil {
 		return err
 	}
 	d.callers.Router().NoRoute(front.Handle)
@@ -312,6 +315,12 @@
 	return nil
 }
 
+// bodyMemory returns the memory for the bodies of requests, in bytes. It has room for one of
+// the largest size, and garbage of as many bytes may be left of the bodies before.
+func bodyMemory(processMemory int64) int {
+	return max(maxBody, int(bodyMemoryShare*float64(processMemory)))
+}
+
 // updateOwners passes the jobs that a peer has started to own to the jobs duty and
 // the notifier. It runs on a pool goroutine.
 func (d *frontDaemon) updateOwners(list []batch.Ownership) {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -118,22 +118,43 @@
 func (c *Conn) Send(ctx context.Context, req *protocol.Request) error {
 	c.BytesWritten, c.NextReadTimeout = 0, 0
 	c.startAckWatch()
+	first, rest, err := encodeRequest(req)
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	if err := core.ContextCause(ctx); err != nil {
+		return err
+	}
+	if err := c.writeAll(first); err != nil {
+		return err
+	}
+	return c.writeAll(rest)
+}
+
+// encodeRequest returns the bytes of the request in two parts. The second one is the body
+// itself if that is large, so that it is not copied.
+func encodeRequest(req *protocol.Request) (first, rest []byte, err error) {
+	body := req.BodyBytes()
+	if len(body) >= smallBodyBytes && len(req.Header.Host()) > 0 && !req.IsURIParsed() {
+		req.Header.SetContentLength(len(body))
+		return req.Header.Header(), body, nil
+	}
 	var encoded bytes.Buffer
 	w := network.NewWriter(&encoded)
 	if err := hertzreq.Write(req, w); err != nil {
-		return fmt.Errorf("encode request: %w", err)
+		return nil, nil, err
 	}
 	if err := w.Flush(); err != nil {
-		return fmt.Errorf("encode request: %w", err)
+		return nil, nil, err
 	}
-	if err := core.ContextCause(ctx); err != nil {
-		return err
-	}
-	return c.writeAll(encoded.Bytes())
+	return encoded.Bytes(), nil, nil
 }
 
 // writeAll writes the bytes within the read time-out.
 func (c *Conn) writeAll(b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
 	return c.operate(c.readTimeout, func(limit time.Duration) error {
 		if err := c.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 			return err
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -49,6 +49,9 @@
 	// StreamLargeBodies passes bodies over MaxBodyBytes to the handlers as
 	// streams, so that LimitBody can reject them with a verdict.
 	StreamLargeBodies bool
+	// StreamBodies passes all bodies to the handlers as streams. A handler must read them
+	// with ReadBody.
+	StreamBodies bool
 }
 
 // Server is an HTTP server on one listener.
@@ -84,7 +87,7 @@
 		server.WithSenseClientDisconnection(true),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(o.MaxBodyBytes),
-		server.WithStreamBody(o.StreamLargeBodies),
+		server.WithStreamBody(o.StreamLargeBodies || o.StreamBodies),
 		// A body is passed on as it arrived. The library would parse forms, reject those
 		// that it cannot read, and return the others written anew.
 		server.WithDisablePreParseMultipartForm(true),
