--- a/internal/server/hosted/streams_test.go
+++ b/internal/server/hosted/streams_test.go
@@ -228,12 +228,12 @@
 	f.stop(t)
 }
 
-// Guards against a caller that takes its stream up again through another daemon and gets
-// the rest from a server of another software version, or no rest at all.
-func TestStreamIsResumedThroughAnotherDaemon(t *testing.T) {
-	f, _, _ := newServingFleet(t, 3)
+// addUnfinishedServers adds servers of two software versions that send one event of a new
+// stream and then nothing, and the rest to a request that resumes it.
+func (f *fleet) addUnfinishedServers(t *testing.T) {
+	t.Helper()
 	hold := make(chan struct{})
-	defer close(hold)
+	t.Cleanup(func() { close(hold) })
 	for i := range 4 {
 		software := fmt.Sprint("v", 1+i%2)
 		f.addServer(t, "advice", fmt.Sprint("advice-", i), software, func(_ *http.Request, last int, c net.Conn) {
@@ -246,6 +246,13 @@
 			<-hold
 		})
 	}
+}
+
+// Guards against a caller that takes its stream up again through another daemon and gets
+// the rest from a server of another software version, or no rest at all.
+func TestStreamIsResumedThroughAnotherDaemon(t *testing.T) {
+	f, _, _ := newServingFleet(t, 3)
+	f.addUnfinishedServers(t)
 	for i := range 12 {
 		id := fmt.Sprint("s", i)
 		begun := openStream(t, f.callers[i%3], standin.StreamPrefix, id)
@@ -276,20 +283,7 @@
 // lost: what they knew of the streams must outlive them.
 func TestStreamIsResumedAfterAllDaemonsRestarted(t *testing.T) {
 	f, _, _ := newServingFleet(t, 3)
-	hold := make(chan struct{})
-	defer close(hold)
-	for i := range 4 {
-		software := fmt.Sprint("v", 1+i%2)
-		f.addServer(t, "advice", fmt.Sprint("advice-", i), software, func(_ *http.Request, last int, c net.Conn) {
-			if last > 0 {
-				interruptingServer(software)(nil, last, c)
-				return
-			}
-			_, _ = io.WriteString(c, streamHead)
-			writeChunk(c, event(software, 1))
-			<-hold
-		})
-	}
+	f.addUnfinishedServers(t)
 	first := map[string]string{}
 	for i := range 12 {
 		id := fmt.Sprint("s", i)
