--- a/internal/backend/crashes.go
+++ b/internal/backend/crashes.go
@@ -70,9 +70,8 @@
 }
 
 // RecordCrash merges a daemon's report of a crash. All requests in it become suspects at
-// once. The crash is judged by Judge, when the reports of the other daemons have arrived. It
-// returns false for a crash that was known already.
-func (s *SuspectSet) RecordCrash(r CrashReport, now time.Time) (isNew bool) {
+// once. The crash is judged by Judge, when the reports of the other daemons have arrived.
+func (s *SuspectSet) RecordCrash(r CrashReport, now time.Time) {
 	c := s.findCrash(r.CrashID)
 	if c == nil {
 		c = &crash{id: r.CrashID, at: now, daemons: map[string]bool{}, inFlight: map[uint64]bool{}}
@@ -80,24 +79,20 @@
 		if len(s.crashes) > maxCrashes {
 			s.crashes = s.crashes[1:]
 		}
-		isNew = true
 	}
 	if c.daemons[r.Daemon] {
-		return isNew
+		return
 	}
 	c.daemons[r.Daemon] = true
 	c.accepted += r.Accepted
-	before := map[uint64]bool{}
-	for _, f := range distinct(r.InFlight) {
-		before[f] = s.IsSuspected(f, now)
-	}
-	for f, wasSuspect := range before {
+	for _, f := range r.InFlight {
 		if _, ok := c.inFlight[f]; !ok {
-			c.inFlight[f] = wasSuspect
+			c.inFlight[f] = s.IsSuspected(f, now)
 		}
+	}
+	for _, f := range r.InFlight {
 		s.addSuspect(f, 0, now.Add(suspicionDuration))
 	}
-	return isNew
 }
 
 // findCrash returns the crash, or nil. Without a run, only a crash that has not been judged
@@ -167,7 +162,10 @@
 	}
 	count := suspect.crashesAlone
 	for _, c := range s.crashes {
-		if f, isSole := c.soleSuspect(); isSole && f == fingerprint && !c.isJudged {
+		if c.isJudged {
+			continue
+		}
+		if f, isSole := c.soleSuspect(); isSole && f == fingerprint {
 			count++
 		}
 	}
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -126,9 +126,10 @@
 	key := attemptKey{e.Attempt.Call.Request.ID, e.Attempt.Number}
 	fingerprint := state.inFlight[key].fingerprint
 	if e.Crashed {
-		h.recordCrash(state, CrashID{Server: e.Attempt.Server, Run: e.Attempt.Incarnation}, now)
+		id := CrashID{Server: e.Attempt.Server, Run: e.Attempt.Incarnation}
+		h.recordCrash(state, id, now)
 		if len(e.Tokens) > 0 {
-			h.suspects.Exonerate(CrashID{Server: e.Attempt.Server, Run: e.Attempt.Incarnation}, fingerprint)
+			h.suspects.Exonerate(id, fingerprint)
 		}
 	}
 	state.recordIncarnation(e.Incarnation)
@@ -254,8 +255,8 @@
 }
 
 // mayRunSuspect isolates crash suspects: a suspect runs once at a time, not while crashes
-// that may confirm it are not judged, and a server runs at most one suspect at a time. Requests that are not suspects
-// always pass.
+// that may confirm it are not judged, and a server runs at most one suspect at a time.
+// Requests that are not suspects always pass.
 func (h *health) mayRunSuspect(r *core.Request, c *Candidate, now time.Time) bool {
 	if !h.isSuspect(r, now) {
 		return true
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// Merge adds the suspects of another daemon, and its reports of crashes. A report never shortens or removes
-// a known entry, so reports may arrive late, repeatedly and in any order.
+// Merge adds the suspects of another daemon, and its reports of crashes. A report never
+// shortens or removes a known entry, so reports may arrive late, repeatedly and in any order.
 func (s *SuspectSet) Merge(r SuspectReport, now time.Time) {
 	for _, cause := range r.ConfirmedCauses {
 		if cause.Remaining > 0 {
--- a/internal/caller/originreplicas.go
+++ b/internal/caller/originreplicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -46,17 +47,18 @@
 }
 
 // replicate sends the origin to its holders. Without any, this daemon is the holder.
-func (s *StreamOrigins) replicate(o StreamOrigin) {
-	holders, isListed := s.peers.Holders(o.Stream)
-	if !isListed && len(s.unsent) < maxQueuedOrigins {
-		s.unsent = append(s.unsent, o)
+func (s *StreamOrigins) replicate(h *heldOrigin) {
+	if !s.isListed && len(s.unsent) < maxQueuedOrigins {
+		s.unsent = append(s.unsent, h.origin)
 		return
 	}
-	if len(holders) == 0 {
-		s.holdReplica(o)
+	if h.holders[0] == "" {
+		s.holdReplica(h.origin)
 	}
-	for rank := range min(originReplicas, len(holders)) {
-		s.enqueue(holders[rank], queuedOrigin{origin: o, rank: rank})
+	for rank, address := range h.holders[:originReplicas] {
+		if address != "" {
+			s.enqueue(address, queuedOrigin{origin: h.origin, rank: rank})
+		}
 	}
 }
 
@@ -123,7 +125,7 @@
 	if e.err != nil {
 		for _, o := range e.batch {
 			o.rank += originReplicas
-			holders, _ := s.peers.Holders(o.origin.Stream)
+			holders := s.peers.Holders(o.origin.Stream)
 			if o.rank < min(maxOriginHolders, len(holders)) {
 				s.enqueue(holders[o.rank], o)
 			} else {
@@ -136,8 +138,8 @@
 
 // handleListed starts what waited for the list of daemons.
 func (s *StreamOrigins) handleListed() {
-	if !s.isPulled {
-		s.isPulled = true
+	if !s.isListed {
+		s.isListed = true
 		for _, h := range s.held {
 			s.setHolders(h)
 		}
@@ -148,7 +150,7 @@
 	unsent, deferred := s.unsent, s.deferred
 	s.unsent, s.deferred = nil, nil
 	for _, o := range unsent {
-		s.replicate(o)
+		s.replicate(s.hold(o))
 	}
 	for _, q := range deferred {
 		s.handleLookup(q)
@@ -187,11 +189,8 @@
 func (s *StreamOrigins) replicasOf(address string) []StreamOrigin {
 	var origins []StreamOrigin
 	for i := len(s.byAge) - 1; i >= 0 && len(origins) < maxPulledOrigins; i-- {
-		h := s.held[s.byAge[i].stream]
-		for _, holder := range h.holders {
-			if holder == address {
-				origins = append(origins, h.origin)
-			}
+		if h := s.held[s.byAge[i].stream]; slices.Contains(h.holders[:], address) {
+			origins = append(origins, h.origin)
 		}
 	}
 	return origins
--- a/internal/caller/originsaves.go
+++ b/internal/caller/originsaves.go
@@ -41,14 +41,12 @@
 type originSaves struct {
 	version     int64
 	isLoaded    bool // version and content of the object are known
-	isLoading   bool // a read of the object is in progress
 	isUnsaved   bool // an origin is held that the object lacks
 	isSaving    bool
 	isScheduled bool
-	searches    []*originSearch // wait for the read
 }
 
-// originRead is the newest read of what another daemon saved.
+// originRead is the newest read of what a daemon saved.
 type originRead struct {
 	at       time.Time
 	searches []*originSearch // wait for the read; nil once it has ended
@@ -69,15 +67,16 @@
 }
 
 // loadOwn reads what an earlier run of this daemon has saved.
-func (s *StreamOrigins) loadOwn() {
-	s.saves.isLoading = true
-	s.load(s.self)
-}
+func (s *StreamOrigins) loadOwn() { s.load(s.self) }
 
-func (s *StreamOrigins) load(address string) {
+// load starts a read of what the daemon at the address has saved.
+func (s *StreamOrigins) load(address string) *originRead {
+	r := &originRead{at: s.loop.Clock().Now(), isActive: true}
+	s.reads[address] = r
 	s.store.LoadOrigins(address, func(saved SavedOrigins, err error) {
 		s.loaded.TryPut(originLoadEnd{address: address, saved: saved, err: err})
 	})
+	return r
 }
 
 func (s *StreamOrigins) handleLoaded(e originLoadEnd) {
@@ -86,35 +85,22 @@
 	}
 	if e.address == s.self {
 		s.handleOwnLoaded(e)
-		return
 	}
-	r := s.reads[e.address]
-	searches := r.searches
-	r.searches, r.isActive = nil, false
-	if e.err != nil {
-		// The next search reads again at once.
-		r.at = time.Time{}
-	}
-	s.endReads(searches, e.err)
+	s.endRead(s.reads[e.address], e.err)
 }
 
 func (s *StreamOrigins) handleOwnLoaded(e originLoadEnd) {
-	w := &s.saves
-	searches := w.searches
-	w.searches, w.isLoading = nil, false
 	if e.err != nil {
 		s.loop.After(originRetryDelay, s.loadOwn)
-		s.endReads(searches, e.err)
 		return
 	}
-	w.version, w.isLoaded = e.saved.Version, true
+	s.saves.version, s.saves.isLoaded = e.saved.Version, true
 	for _, o := range e.saved.Origins {
 		if h := s.held[o.Stream]; h != nil {
 			h.isReplica = true
 		}
 	}
 	s.scheduleSave()
-	s.endReads(searches, nil)
 }
 
 // markUnsaved records that the object in the store lacks an origin.
@@ -175,42 +161,49 @@
 // readSaved continues a search that found nothing at other daemons: it reads what the
 // first of them saved, and what this daemon saved if that is not known yet.
 func (s *StreamOrigins) readSaved(search *originSearch) {
-	holders, _ := s.peers.Holders(search.query.Params)
+	holders := s.peers.Holders(search.query.Params)
 	for _, address := range holders[:min(savedOriginRanks, len(holders))] {
-		if s.joinRead(address, search) {
-			search.waiting++
+		if r := s.recentRead(address); r.isActive {
+			r.add(search)
 		}
 	}
-	switch {
-	case s.saves.isLoading:
-		search.waiting++
-		s.saves.searches = append(s.saves.searches, search)
-	case !s.saves.isLoaded:
-		search.outcome.Failed++
+	if !s.saves.isLoaded {
+		// Between two attempts there is nothing to wait for.
+		if r := s.reads[s.self]; r != nil && r.isActive {
+			r.add(search)
+		} else {
+			search.outcome.Failed++
+		}
 	}
 	if search.waiting == 0 {
 		search.query.Reply(search.outcome)
 	}
 }
 
-// joinRead reports whether the search waits for a read of what the daemon saved. It does
-// not if that has just been read.
-func (s *StreamOrigins) joinRead(address string, search *originSearch) bool {
-	now := s.loop.Clock().Now()
+// recentRead returns the newest read of what the daemon saved, and starts one if that is too
+// old.
+func (s *StreamOrigins) recentRead(address string) *originRead {
 	r := s.reads[address]
-	if r == nil || (!r.isActive && now.Sub(r.at) >= originReadPeriod) {
-		r = &originRead{at: now, isActive: true}
-		s.reads[address] = r
-		s.load(address)
-	}
-	if r.isActive {
-		r.searches = append(r.searches, search)
+	if r == nil || (!r.isActive && s.loop.Clock().Now().Sub(r.at) >= originReadPeriod) {
+		r = s.load(address)
 	}
-	return r.isActive
+	return r
+}
+
+// add makes the search wait for the read.
+func (r *originRead) add(search *originSearch) {
+	search.waiting++
+	r.searches = append(r.searches, search)
 }
 
-// endReads continues searches that waited for a read.
-func (s *StreamOrigins) endReads(searches []*originSearch, err error) {
+// endRead continues the searches that waited for the read. After a failure the next search
+// reads again at once.
+func (s *StreamOrigins) endRead(r *originRead, err error) {
+	searches := r.searches
+	r.searches, r.isActive = nil, false
+	if err != nil {
+		r.at = time.Time{}
+	}
 	for _, search := range searches {
 		search.waiting--
 		if err != nil {
--- a/internal/caller/streamorigins.go
+++ b/internal/caller/streamorigins.go
@@ -49,9 +49,8 @@
 // OriginPeers are the other daemons, which hold the origins together.
 type OriginPeers interface {
 	// Holders returns the addresses of all other daemons in the order in which they are
-	// responsible for the stream. All daemons compute the same order. isListed is false
-	// while the list of daemons is not known yet. It must not block.
-	Holders(stream core.RequestID) (addresses []string, isListed bool)
+	// responsible for the stream. All daemons compute the same order. It must not block.
+	Holders(stream core.RequestID) []string
 	// Addresses returns the addresses of all other daemons. It must not block.
 	Addresses() []string
 	// PullOrigins returns the origins of the daemon at the address that this daemon should
@@ -69,7 +68,7 @@
 	// isReplica means that this daemon is one of the holders of the origin and saves it.
 	isReplica bool
 	// holders are the first of the daemons that are responsible for the stream, as they
-	// were when the origin came.
+	// were when the origin came; empty where there are fewer.
 	holders [originPullRanks]string
 }
 
@@ -119,14 +118,14 @@
 	store OriginStore
 	tryGo func(func()) bool // runs a blocking function on a pool
 
-	held   map[core.RequestID]*heldOrigin
-	byAge  []originExpiry // of all held origins, oldest first
-	queues map[string]*originQueue
+	held     map[core.RequestID]*heldOrigin
+	byAge    []originExpiry // of all held origins, oldest first
+	queues   map[string]*originQueue
+	isListed bool // the list of the other daemons is known
 	// unsent are origins whose holders are not known yet, and deferred the lookups that
 	// came before the list of daemons.
 	unsent   []StreamOrigin
 	deferred []duty.Query[core.RequestID, OriginLookup]
-	isPulled bool // the other daemons have been asked for the origins to hold
 	saves    originSaves
 	reads    map[string]*originRead
 
@@ -242,8 +241,8 @@
 }
 
 func (s *StreamOrigins) setHolders(h *heldOrigin) {
-	holders, _ := s.peers.Holders(h.origin.Stream)
-	copy(h.holders[:], holders)
+	h.holders = [originPullRanks]string{}
+	copy(h.holders[:], s.peers.Holders(h.origin.Stream))
 }
 
 func (s *StreamOrigins) removeOldest() {
@@ -271,8 +270,7 @@
 }
 
 func (s *StreamOrigins) handleRecorded(o StreamOrigin) {
-	s.hold(o)
-	s.replicate(o)
+	s.replicate(s.hold(o))
 }
 
 func (s *StreamOrigins) handleLookup(q duty.Query[core.RequestID, OriginLookup]) {
@@ -280,11 +278,11 @@
 		q.Reply(lookup)
 		return
 	}
-	holders, isListed := s.peers.Holders(q.Params)
-	if !isListed && len(s.deferred) < maxDeferredLookups {
+	if !s.isListed && len(s.deferred) < maxDeferredLookups {
 		s.deferred = append(s.deferred, q)
 		return
 	}
+	holders := s.peers.Holders(q.Params)
 	search := &originSearch{query: q}
 	for _, address := range holders[:min(originLookupFanout, len(holders))] {
 		search.outcome.Asked++
@@ -334,7 +332,7 @@
 	h := s.hold(o)
 	search.outcome.Origin, search.outcome.IsKnown = h.origin, true
 	search.query.Reply(search.outcome)
-	s.replicate(h.origin)
+	s.replicate(h)
 }
 
 // Resume returns the service and the progress with which a caller takes its stream up
--- a/internal/caller/streamorigins_test.go
+++ b/internal/caller/streamorigins_test.go
@@ -61,7 +61,9 @@
 		d.cluster.pending = append(d.cluster.pending, f)
 		return true
 	}})
-	d.origins.ReportDaemons()
+	if !d.isUnlisted {
+		d.origins.ReportDaemons()
+	}
 }
 
 // LoadOrigins implements OriginStore.
@@ -93,8 +95,7 @@
 
 // Addresses implements OriginPeers.
 func (d *originDaemon) Addresses() []string {
-	addresses, _ := d.Holders("")
-	return addresses
+	return d.Holders("")
 }
 
 // PullOrigins implements OriginPeers.
@@ -106,7 +107,7 @@
 }
 
 // Holders implements OriginPeers. Each stream has a fixed random order of the daemons.
-func (d *originDaemon) Holders(stream core.RequestID) ([]string, bool) {
+func (d *originDaemon) Holders(stream core.RequestID) []string {
 	var seed uint64
 	for _, c := range stream {
 		seed = seed*131 + uint64(c)
@@ -118,9 +119,9 @@
 		}
 	}
 	if d.isUnlisted {
-		return nil, false
+		return nil
 	}
-	return addresses, true
+	return addresses
 }
 
 func (d *originDaemon) peer(address string) *originDaemon {
@@ -244,6 +245,7 @@
 	if err := runner.Start(s.Loop()); err != nil {
 		t.Fatal(err)
 	}
+	s.ReportDaemons()
 	s.Record(StreamOrigin{Stream: "a", Service: "old", Software: "v1"})
 	route := &Route{Name: "r", Targets: []Target{{Service: "old", Weight: 1}}}
 	moved := &Route{Name: "r", Targets: []Target{{Service: "new", Weight: 1}, {Service: "old"}}}
--- a/internal/daemon/daemonrpc/peerserver.go
+++ b/internal/daemon/daemonrpc/peerserver.go
@@ -174,8 +174,13 @@
 	return encodeJobResponse(s.handlers.HandleJobRequest(context.Background(), q)), nil
 }
 
+// questionContext bounds the time of a handler, which the asking daemon waits for.
+func questionContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), peerIOTimeout)
+}
+
 func (s *PeerServer) handleOriginQuestion(stream core.RequestID) (*JobAnswer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerIOTimeout)
+	ctx, cancel := questionContext()
 	defer cancel()
 	lookup, err := s.handlers.HandleOriginQuestion(ctx, stream)
 	if err != nil {
@@ -188,7 +193,7 @@
 }
 
 func (s *PeerServer) handleOriginPull(address string) (*JobAnswer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerIOTimeout)
+	ctx, cancel := questionContext()
 	defer cancel()
 	origins, err := s.handlers.HandleOriginPull(ctx, address)
 	if err != nil {
@@ -198,7 +203,7 @@
 }
 
 func (s *PeerServer) handleSuspectQuestion() (*JobAnswer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerIOTimeout)
+	ctx, cancel := questionContext()
 	defer cancel()
 	r, err := s.handlers.HandleSuspectQuestion(ctx)
 	if err != nil {
@@ -212,7 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), peerIOTimeout)
+	ctx, cancel := questionContext()
 	defer cancel()
 	grant, err := s.handlers.HandlePermitRequest(ctx, r)
 	if err != nil {
--- a/internal/platform/position.go
+++ b/internal/platform/position.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"sync/atomic"
 	"time"
 )
 
@@ -28,12 +29,29 @@
 	renewedFor  int64     // change for which the list was read again
 }
 
+// reachedPosition is how far a watcher has come. Its duty advances it; any goroutine may
+// read it.
+type reachedPosition struct {
+	newestChange  atomic.Int64 // revision of the newest delivered change
+	upToUnixNanos atomic.Int64 // all changes up to this time were delivered
+}
+
+// advance records an answer to a call that was sent at the time.
+func (p *reachedPosition) advance(sentAt time.Time, l *Listing) {
+	p.upToUnixNanos.Store(max(p.upToUnixNanos.Load(), sentAt.Add(l.UpTo).UnixNano()))
+	for i := range l.Objects {
+		p.newestChange.Store(max(p.newestChange.Load(), l.Objects[i].Revision))
+	}
+}
+
+func (p *reachedPosition) upTo() time.Time { return time.Unix(0, p.upToUnixNanos.Load()) }
+
 // Position returns the position. isCurrent is false if the age of the state is not bounded
 // or has passed its bound. Any goroutine may call it.
 func (w *Watcher) Position() (p Position, isCurrent bool) {
-	p = Position{Prefix: w.prefix, Change: w.newestChange.Load()}
-	age := w.loop.Clock().Now().UnixNano() - w.confirmedAt.Load()
-	return p, w.maxAge() > 0 && time.Duration(age) <= w.maxAge()
+	p = Position{Prefix: w.prefix, Change: w.reached.newestChange.Load()}
+	maxAge := w.maxAge()
+	return p, maxAge > 0 && w.loop.Clock().Now().Sub(w.reached.upTo()) <= maxAge
 }
 
 // ReportPosition tells the watcher the position of another one of the same prefix that is
@@ -44,7 +62,7 @@
 	now := w.loop.Clock().Now()
 	w.oversight.at = now
 	switch {
-	case p.Change <= w.newestChange.Load() || p.Change <= w.oversight.renewedFor:
+	case p.Change <= w.reached.newestChange.Load() || p.Change <= w.oversight.renewedFor:
 		w.oversight.behindSince = time.Time{}
 	case w.oversight.behindSince.IsZero():
 		w.oversight.behindSince = now
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"sort"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -116,21 +115,18 @@
 	counters    watcherCounters
 
 	revision   int64
-	readUpTo   time.Time // all changes up to this time were delivered
+	isListed   bool
+	isActive   bool
+	callNumber uint64    // number of the call in progress
 	callSentAt time.Time // of the call in progress
+	isCalling  bool
+	isPaused   bool // a timer will start the next call
+	stopPause  func() bool
+	cancel     context.CancelFunc
+	delivered  map[string]deliveredVersion
+	retryDelay *retryDelay
 	oversight  oversight
-	// Position reads these on other goroutines.
-	newestChange atomic.Int64 // revision of the newest delivered change
-	confirmedAt  atomic.Int64 // readUpTo in Unix nanoseconds
-	isListed     bool
-	isActive     bool
-	callNumber   uint64 // number of the call in progress
-	isCalling    bool
-	isPaused     bool // a timer will start the next call
-	stopPause    func() bool
-	cancel       context.CancelFunc
-	delivered    map[string]deliveredVersion
-	retryDelay   *retryDelay
+	reached    reachedPosition
 }
 
 // NewWatcher returns the duty that follows prefix. deliver is called on the
@@ -268,7 +264,7 @@
 	if maxAge <= 0 || w.isOverseen(now) {
 		return w.options.WatchTimeout
 	}
-	return min(w.options.WatchTimeout, max(minWatchTimeout, maxAge-now.Sub(w.readUpTo)))
+	return min(w.options.WatchTimeout, max(minWatchTimeout, maxAge-now.Sub(w.reached.upTo())))
 }
 
 // pause starts the next call after d.
@@ -338,21 +334,15 @@
 	w.retryDelay.reset()
 	w.isListed = true
 	w.revision = r.listing.Revision
-	if upTo := r.sentAt.Add(r.listing.UpTo); upTo.After(w.readUpTo) {
-		w.readUpTo = upTo
-		w.confirmedAt.Store(upTo.UnixNano())
-	}
 	w.counters.revision.Update(w.revision)
-	for i := range r.listing.Objects {
-		w.newestChange.Store(max(w.newestChange.Load(), r.listing.Objects[i].Revision))
-	}
+	w.reached.advance(r.sentAt, &r.listing)
 	if r.isFull {
 		w.deliverList(r.listing)
 	} else {
 		w.deliverChanges(r.listing)
 	}
 	if w.options.OnRead != nil {
-		w.options.OnRead(w.readUpTo)
+		w.options.OnRead(w.reached.upTo())
 	}
 	if delay := w.batchDelay(); delay > 0 && len(r.listing.Objects) > 0 {
 		w.pause(delay)
--- a/internal/server/build_listeners.go
+++ b/internal/server/build_listeners.go
@@ -36,13 +36,13 @@
 	}
 	var err error
 	b.server.callers, err = transport.Listen(b.settings.CallerAddress, transport.ServerOptions{
-		TLS: b.listenerAccess.tls, MaxBodyBytes: b.settings.CallerMaxBody, StreamLargeBodies: true,
+		TLS: b.listenerAccess.tls, MaxBodyBytes: b.settings.CallerMaxBody, StreamBodies: true,
 	})
 	if err != nil {
 		return err
 	}
 	b.server.operator, err = transport.Listen(b.settings.OperatorAddress, transport.ServerOptions{
-		TLS: b.listenerAccess.tls, MaxBodyBytes: b.settings.OperatorMaxBody, StreamLargeBodies: true,
+		TLS: b.listenerAccess.tls, MaxBodyBytes: b.settings.OperatorMaxBody, StreamBodies: true,
 	})
 	return err
 }
--- a/internal/server/hosted/bodies_test.go
+++ b/internal/server/hosted/bodies_test.go
@@ -23,7 +23,6 @@
 	id, method, target string
 	headers            [][2]string
 	body               []byte
-	extension          string // of each chunk
 	isChunked          bool
 }
 
@@ -93,6 +92,17 @@
 	return body
 }
 
+// chunks encodes the body in chunks of any sizes, without the last one.
+func (g *requestGenerator) chunks(body []byte) string {
+	var b strings.Builder
+	for rest := body; len(rest) > 0; {
+		n := min(len(rest), 1+g.IntN(1+len(body)/3))
+		b.WriteString(chunk(string(rest[:n])))
+		rest = rest[n:]
+	}
+	return b.String()
+}
+
 // encode returns the bytes of the request, with its body in chunks of any sizes or with
 // a length.
 func (r *rawRequest) encode(g *requestGenerator) []byte {
@@ -106,11 +116,7 @@
 		return b.Bytes()
 	}
 	b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-	for rest := r.body; len(rest) > 0; {
-		n := min(len(rest), 1+g.IntN(1+len(r.body)/3))
-		fmt.Fprintf(&b, "%x%s\r\n%s\r\n", n, r.extension, rest[:n])
-		rest = rest[n:]
-	}
+	b.WriteString(g.chunks(r.body))
 	b.WriteString("0\r\n")
 	if g.IntN(2) == 0 {
 		b.WriteString("X-Sum: 1\r\n")
@@ -335,11 +341,7 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(a.body))
 	case a.isChunked:
 		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		for rest := a.body; len(rest) > 0; {
-			n := min(len(rest), 1+g.IntN(1+len(a.body)/3))
-			b.WriteString(chunk(string(rest[:n])))
-			rest = rest[n:]
-		}
+		b.WriteString(g.chunks(a.body))
 		b.WriteString("0\r\n\r\n")
 	default:
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(a.body), a.body)
--- a/internal/server/hosted/memory_test.go
+++ b/internal/server/hosted/memory_test.go
@@ -8,23 +8,15 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/berylfall/berylfall/internal/duty"
+	"github.com/berylfall/berylfall/internal/transport/transporttest"
 )
 
-// liveMemory returns the memory of the process without what was returned to the operating
-// system.
-func liveMemory() uint64 {
-	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	metrics.Read(samples)
-	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
-}
-
 // sendLarge sends a body of the size, in chunks or with a length, and returns the status. It
 // holds only a small part of the body.
 func sendLarge(address, id string, size int, isChunked bool) (int, error) {
@@ -87,20 +79,8 @@
 	f.allowBodies(t, size)
 	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(80 << 20))
-	debug.FreeOSMemory()
-	before := liveMemory()
-	var peak atomic.Uint64
-	ctx, stop := t.Context(), make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Millisecond):
-				peak.Store(max(peak.Load(), liveMemory()))
-			}
-		}
-	}()
+	before, peak := transporttest.MeasurePeak(t)
+	ctx := t.Context()
 	var running sync.WaitGroup
 	served := atomic.Int64{}
 	for i := range requesters {
@@ -121,12 +101,12 @@
 		}()
 	}
 	running.Wait()
-	close(stop)
+	most := peak()
 	if served.Load() != requesters {
 		t.Errorf("%d of %d requests were served", served.Load(), requesters)
 	}
-	t.Logf("%d MB before, at most %d MB with %d bodies of %d MB", before>>20, peak.Load()>>20, requesters, size>>20)
-	if peak.Load() > before+mostBytes {
-		t.Errorf("the process used %d MB more than without requests, want at most %d MB", (peak.Load()-before)>>20, mostBytes>>20)
+	t.Logf("%d MB before, at most %d MB with %d bodies of %d MB", before>>20, most>>20, requesters, size>>20)
+	if most > before+mostBytes {
+		t.Errorf("the process used %d MB more than without requests, want at most %d MB", (most-before)>>20, mostBytes>>20)
 	}
 }
--- a/internal/server/hosted/notifier.go
+++ b/internal/server/hosted/notifier.go
@@ -24,11 +24,13 @@
 	// in the store, so its message is sent once more, in time for the judgement.
 	notificationTimeout = time.Second
 	crashTimeout        = 300 * time.Millisecond
+	crashAttempts       = 2
 )
 
 // notifier is the duty that notifies all peers of the state that this daemon knows
 // first: the versions of engines that it orders, the jobs that it owns, the rate
-// limits that it distributes, and the crashes that it sees. It also sums the recent demand of all jobs by model.
+// limits that it distributes, and the crashes that it sees. It also sums the recent
+// demand of all jobs by model.
 type notifier struct {
 	loop           *duty.Loop
 	log            *logrus.Entry
@@ -187,20 +189,20 @@
 
 // sendTo sends the notifications to one peer. It runs on a pool goroutine.
 func (n *notifier) sendTo(address string, list daemonrpc.Notifications) {
-	err := n.trySend(address, list)
-	if err != nil && !list.Suspects.IsEmpty() {
-		err = n.trySend(address, list)
+	attempts, timeout := 1, notificationTimeout
+	if !list.Suspects.IsEmpty() {
+		attempts, timeout = crashAttempts, crashTimeout
 	}
-	if err != nil {
+	for range attempts {
+		err := n.trySend(address, list, timeout)
+		if err == nil {
+			return
+		}
 		n.log.WithError(err).WithField("daemon", address).Debug("notification could not be sent")
 	}
 }
 
-func (n *notifier) trySend(address string, list daemonrpc.Notifications) error {
-	timeout := notificationTimeout
-	if !list.Suspects.IsEmpty() {
-		timeout = crashTimeout
-	}
+func (n *notifier) trySend(address string, list daemonrpc.Notifications, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return n.send(ctx, address, list)
--- a/internal/server/hosted/streamorigins.go
+++ b/internal/server/hosted/streamorigins.go
@@ -29,14 +29,13 @@
 // originPeers implements caller.OriginPeers with the list of daemons.
 type originPeers struct {
 	*daemonrpc.PeerClient
-	list *peerList
 	self string
 }
 
 // Holders implements caller.OriginPeers.
-func (p originPeers) Holders(stream core.RequestID) (addresses []string, isListed bool) {
+func (p originPeers) Holders(stream core.RequestID) []string {
 	all := p.Addresses()
-	return rendezvous.RendezvousRank("origin/"+string(stream), all, len(all)), p.list.isKnown()
+	return rendezvous.RendezvousRank("origin/"+string(stream), all, len(all))
 }
 
 // PullOrigins implements caller.OriginPeers.
@@ -92,12 +91,9 @@
 		reply(0, err)
 		return
 	}
-	ifVersion := saved.Version
-	if ifVersion == 0 {
-		ifVersion = platform.Absent
-	}
+	// The version 0 of an object that does not exist is platform.Absent.
 	s.store.Submit(platform.Op{
-		Kind: platform.OpPut, Key: originsKey(s.self), Value: value, IfVersion: ifVersion, Timeout: originSaveTimeout,
+		Kind: platform.OpPut, Key: originsKey(s.self), Value: value, IfVersion: saved.Version, Timeout: originSaveTimeout,
 		Reply: func(r platform.Result) { reply(r.Object.Version, r.Err) },
 	})
 }
@@ -146,7 +142,7 @@
 	self := d.hostSettings.PeerAddress
 	d.origins = caller.NewStreamOrigins(caller.StreamOriginOptions{
 		Clock: d.clock, Self: self, TryGo: pool.TryGo,
-		Peers: originPeers{PeerClient: d.peers, list: d.peerList, self: self},
+		Peers: originPeers{PeerClient: d.peers, self: self},
 		Store: originStore{store: d.store, self: self},
 	})
 	d.loops = append(d.loops, d.origins.Loop())
--- a/internal/transport/auth.go
+++ b/internal/transport/auth.go
@@ -88,7 +88,7 @@
 }
 
 // LimitBody rejects request bodies over limit bytes. The server must have been
-// opened with StreamLargeBodies, since otherwise it rejects such requests before
+// opened with StreamBodies, since otherwise it rejects such requests before
 // any handler runs.
 func LimitBody(limit int) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -206,7 +206,7 @@
 	defer cancel()
 	pool := NewPool(time.Minute)
 	names := []string{"body to close", "one header value", "chunks", "large chunk", "status line", "chunk extensions", "header lines", "trailer lines"}
-	peak := measurePeak(ctx)
+	_, peak := transporttest.MeasurePeak(t)
 	var calls sync.WaitGroup
 	for i := range servers {
 		bad := endlessResponses[names[i%len(names)]]
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -46,11 +46,9 @@
 	ReadTimeout    time.Duration // of one read of a request
 	IdleTimeout    time.Duration // of a connection between two requests
 	MaxHeaderBytes int           // bytes
-	// StreamLargeBodies passes bodies over MaxBodyBytes to the handlers as
-	// streams, so that LimitBody can reject them with a verdict.
-	StreamLargeBodies bool
-	// StreamBodies passes all bodies to the handlers as streams. A handler must read them
-	// with ReadBody.
+	// StreamBodies passes bodies to the handlers as streams, also those over MaxBodyBytes.
+	// They must be read with ReadBody, or with LimitBody, which rejects large ones with a
+	// verdict.
 	StreamBodies bool
 }
 
@@ -87,7 +85,7 @@
 		server.WithSenseClientDisconnection(true),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(o.MaxBodyBytes),
-		server.WithStreamBody(o.StreamLargeBodies || o.StreamBodies),
+		server.WithStreamBody(o.StreamBodies),
 		// A body is passed on as it arrived. The library would parse forms, reject those
 		// that it cannot read, and return the others written anew.
 		server.WithDisablePreParseMultipartForm(true),
