Log and count the calls of the store by kind, and how far a load of a job came

The log did not tell apart the hypotheses of the incident: a failed load named neither its step nor its time, and nothing said what the calls of the store were made for.

No change of behaviour. Not measured yet.

--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -119,6 +119,7 @@
 		CallTimeout: storeCallTimeout, Random: d.random(),
 	})
 	d.store.OnRefusals(d.logRefusals)
+	d.observeStoreCalls()
 	d.loops = append(d.loops, d.store.Loop())
 	return nil
 }
--- a/internal/trainer/batch/item_parts.go
+++ b/internal/trainer/batch/item_parts.go
@@ -103,6 +103,7 @@
 
 // loadItemParts reads the items of a large job and then its state.
 func (m *Manager) loadItemParts(e *jobEntry, job *Job) {
+	e.loadStep = loadStepItems
 	m.submitToStore(platform.Op{Kind: platform.OpList, Key: job.itemPartsKey()}, func(r platform.Result) {
 		if r.Err == nil && len(r.Listing.Objects) < job.ItemParts {
 			r.Err = fmt.Errorf("%w: %d of %d item parts", platform.ErrNotFound, len(r.Listing.Objects), job.ItemParts)
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -10,14 +10,27 @@
 	"github.com/berylfall/berylfall/internal/platform"
 )
 
+// loadStep is what a load of a job reads or writes now.
+type loadStep string
+
+// Steps of a load, in their order.
+const (
+	loadStepJob      loadStep = "job"
+	loadStepItems    loadStep = "items"
+	loadStepState    loadStep = "state"
+	loadStepTakeover loadStep = "takeover"
+	loadStepResults  loadStep = "results"
+)
+
 // loadJob reads the job and its state from the store, and then its results if
 // this daemon owns the job or takes it over, or if the job has ended.
 func (m *Manager) loadJob(e *jobEntry) {
-	e.phase = phaseLoading
+	e.phase, e.loadStartedAt = phaseLoading, m.now()
 	if e.job != nil {
 		m.loadState(e)
 		return
 	}
+	e.loadStep = loadStepJob
 	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: jobPrefix + string(e.id)}, func(r platform.Result) {
 		if errors.Is(r.Err, platform.ErrNotFound) {
 			m.removeJob(e, StatusNotFound)
@@ -46,11 +59,19 @@
 }
 
 func (m *Manager) failLoad(e *jobEntry, err error) {
-	m.log.WithError(err).WithField("job", e.id).Warn("job could not be read")
+	m.loadLog(e).WithError(err).Warn("job could not be read")
 	m.removeJob(e, StatusUnavailable)
 }
 
+// loadLog returns a log entry that says how far the load of a job has come.
+func (m *Manager) loadLog(e *jobEntry) *logrus.Entry {
+	return m.log.WithFields(logrus.Fields{
+		"job": e.id, "step": e.loadStep, "ms": m.now().Sub(e.loadStartedAt).Milliseconds(), "waiting": len(e.awaitingLoad),
+	})
+}
+
 func (m *Manager) loadState(e *jobEntry) {
+	e.loadStep = loadStepState
 	e.lease = m.newLease(m.leaseNow())
 	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
 		if err := m.applyState(e, r); err != nil {
@@ -96,6 +117,7 @@
 
 // takeOverJob makes this daemon the owner by a conditional write of the state.
 func (m *Manager) takeOverJob(e *jobEntry) {
+	e.loadStep = loadStepTakeover
 	e.replaceOwner = Owner{}
 	previousOwner := e.state.Owner
 	next := state{Owner: m.self}
@@ -122,7 +144,7 @@
 
 // loadResults reads the complete result list and then enters the phase next.
 func (m *Manager) loadResults(e *jobEntry, next phase) {
-	e.phase = phaseLoading
+	e.phase, e.loadStep = phaseLoading, loadStepResults
 	sentAt := m.now()
 	m.submitToStore(platform.Op{Kind: platform.OpList, Key: resultPrefix + string(e.id) + "."}, func(r platform.Result) {
 		if r.Err != nil {
@@ -138,6 +160,7 @@
 			}
 			e.appendResultPart(part)
 		}
+		m.loadLog(e).WithField("results", len(e.published)).Info("job loaded")
 		if next == phaseOwned {
 			m.startJob(e)
 			return
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -98,6 +98,8 @@
 	// stateVersion is the version of the state object, platform.Absent if there is none.
 	stateVersion         int64
 	replaceOwner         Owner // owner that the load in progress takes the job over from
+	loadStep             loadStep
+	loadStartedAt        time.Time
 	awaitingLoad         []pendingQuery
 	awaitingResults      []pendingQuery
 	awaitingConfirmation []pendingQuery // queries that wait until the result list is known to be complete
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -40,6 +40,7 @@
 		q.request.Reply(a)
 	case e.phase == phaseEnded && m.now().Sub(e.confirmedAt) > confirmationTTL:
 		e.awaitingLoad = append(e.awaitingLoad, q)
+		e.loadStartedAt = m.now()
 		m.loadResults(e, phaseEnded)
 	case e.phase == phaseEnded:
 		q.request.Reply(e.resultsFrom(query.FromPosition))
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -55,6 +55,7 @@
 	PeerRun string
 
 	BytesWritten  int          // bytes of the current request
+	bytesRead     int          // bytes received since the current request
 	OnReadTimeout func() error // nil makes the read fail with the time-out error
 	buffer        []byte
 	start         int // index of the first unread byte of buffer
@@ -116,7 +117,7 @@
 // were sent. It writes nothing if ctx is over: the reset that ends a connection in use
 // with its context runs on another goroutine, which may be later than the write.
 func (c *Conn) Send(ctx context.Context, req *protocol.Request) error {
-	c.BytesWritten, c.NextReadTimeout = 0, 0
+	c.BytesWritten, c.bytesRead, c.NextReadTimeout = 0, 0, 0
 	c.startAckWatch()
 	first, rest, err := encodeRequest(req)
 	if err != nil {
@@ -204,6 +205,7 @@
 		return err
 	})
 	c.buffer = c.buffer[:used+read]
+	c.bytesRead += read
 	if read > 0 {
 		c.acks = ackWatch{}
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -109,19 +109,25 @@
 	return err
 }
 
-// Exchange is like Do and also reports whether any byte of the request was sent.
-func (p *Pool) Exchange(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response) (sent bool, err error) {
+// Traffic is what one exchange has sent and received, in bytes.
+type Traffic struct {
+	Sent     int
+	Received int // also of a response that was not received in full
+}
+
+// Exchange is like Do and also reports how many bytes were sent and received.
+func (p *Pool) Exchange(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response) (traffic Traffic, err error) {
 	c, err := p.Get(ctx, address)
 	if err != nil {
-		return false, err
+		return Traffic{}, err
 	}
 	p.Use(ctx, c, func() (reusable bool) {
 		err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
 		// Another exchange may use the connection once it is back in the pool.
-		sent = c.BytesWritten > 0
+		traffic = Traffic{Sent: c.BytesWritten, Received: c.bytesRead}
 		return err == nil && !resp.ConnectionClose()
 	})
-	return sent, err
+	return traffic, err
 }
 
 // Use calls exchange, which uses the connection. When ctx ends, the connection is reset
@@ -139,8 +145,8 @@
 }
 
 // DoJSON sends a JSON request to the host of x.URL and decodes the response into out
-// unless out is nil. It reports whether any byte of the request was sent.
-func (p *Pool) DoJSON(ctx context.Context, x Exchange, out any) (sent bool, err error) {
+// unless out is nil.
+func (p *Pool) DoJSON(ctx context.Context, x Exchange, out any) (traffic Traffic, err error) {
 	if x.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, x.Timeout)
@@ -150,12 +156,12 @@
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	if err := EncodeRequest(req, x); err != nil {
-		return false, err
+		return Traffic{}, err
 	}
-	if sent, err = p.Exchange(ctx, string(req.Host()), req, resp); err != nil {
-		return sent, err
+	if traffic, err = p.Exchange(ctx, string(req.Host()), req, resp); err != nil {
+		return traffic, err
 	}
-	return sent, decodeResponse(resp, out)
+	return traffic, decodeResponse(resp, out)
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
