Find a created object again after the answer to its creation was lost

What callers saw: after 6 s in which the store lost answers, beside a loss of power, trainers and readers got no answers from two of three data centres for half a minute.

Cause: a create with a lost answer was read back by a list whose prefix is the object's whole name. On the users' platform a list begins after the name that is given, so the object itself was never in it. The duty took that for not created, sent the create again, got a conflict, read again, without a pause, for 10 s, and then reported an unknown outcome. The fake of the object API and the stand-in of the store were more generous than the published protocol: the first listed the name itself, the second ignored where a list begins.

A write that is sent again more than once waits between.

--- a/internal/platform/fakes_test.go
+++ b/internal/platform/fakes_test.go
@@ -91,6 +91,14 @@
 	return Object{}, ErrNotFound
 }
 
+func (f *fakeAPI) Find(_ context.Context, key string) (Object, error) {
+	f.calls = append(f.calls, "find "+key)
+	if err := readError(f.chooseOutcome(false)); err != nil {
+		return Object{}, err
+	}
+	return f.objects[key], nil
+}
+
 func (f *fakeAPI) List(_ context.Context, prefix string) (Listing, error) {
 	f.calls = append(f.calls, "list "+prefix)
 	if err := readError(f.chooseOutcome(false)); err != nil {
--- a/internal/platform/objectapi.go
+++ b/internal/platform/objectapi.go
@@ -97,6 +97,11 @@
 // against the platform's rate limits, a waiting Watch included.
 type ObjectAPI interface {
 	Get(ctx context.Context, key string) (Object, error)
+	// Find reads the object with the key, or its tombstone if the store keeps them. It
+	// returns the zero Object if there is neither.
+	Find(ctx context.Context, key string) (Object, error)
+	// List reads the objects whose keys begin with the prefix. The prefix must not be the
+	// key of an object.
 	List(ctx context.Context, prefix string) (Listing, error)
 	Put(ctx context.Context, w Write) (Object, error)
 	Delete(ctx context.Context, w Write) (Object, error)
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -54,6 +54,18 @@
 	return o, err
 }
 
+// Find reads one object or its tombstone.
+func (c *Client) Find(ctx context.Context, key string) (platform.Object, error) {
+	// Only lists have tombstones.
+	l, err := c.List(ctx, key)
+	for _, o := range l.Objects {
+		if o.Key == key {
+			return o, err
+		}
+	}
+	return platform.Object{}, err
+}
+
 // List reads all objects with the prefix, including tombstones until they
 // are compacted.
 func (c *Client) List(ctx context.Context, prefix string) (platform.Listing, error) {
--- a/internal/platform/reconcile.go
+++ b/internal/platform/reconcile.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// sendAgain sends a write with a lost answer again. It does so at once the first time; a
+// store that keeps losing answers, or whose answers contradict each other, is left a
+// growing pause.
+func (s *Store) sendAgain(t *task) {
+	pause := t.resendPause
+	t.resendPause = min(max(2*pause, minStoreRetryDelay), maxStoreRetryDelay)
+	if pause == 0 {
+		s.callAgain(t, phaseCall)
+		return
+	}
+	s.loop.After(min(pause, t.reconcileBy.Sub(s.loop.Clock().Now())), func() {
+		s.callAgain(t, phaseCall)
+		s.startCalls()
+	})
+}
+
 func (s *Store) markAnswerLost(t *task) {
 	if t.isAnswerLost {
 		return
@@ -98,30 +114,16 @@
 		return
 	}
 	current := r.Object
-	if t.readsBackByList() {
-		current = findObject(r.Listing, t.op.Key)
-	}
 	switch {
 	case current.Token == t.token:
 		s.finish(t, Result{Object: current})
 	case current.Version == t.expectedVersion && !current.Deleted:
-		s.callAgain(t, phaseCall)
+		s.sendAgain(t)
 	default:
 		s.counters.unknown.Inc(1)
 		s.finish(t, Result{Object: current, Err: ErrUnknownOutcome})
 	}
 }
 
-// readsBackByList reports whether the object is read back by a list, which contains
-// tombstones, instead of a get, which does not.
-func (t *task) readsBackByList() bool { return t.op.Kind == OpDelete || t.expectedVersion == Absent }
-
-// findObject returns the object with exactly this key, or the zero Object.
-func findObject(l Listing, key string) Object {
-	for _, o := range l.Objects {
-		if o.Key == key {
-			return o
-		}
-	}
-	return Object{}
-}
+// needsTombstone reports whether a tombstone shows the outcome of the task's write.
+func (t *task) needsTombstone() bool { return t.op.Kind == OpDelete || t.expectedVersion == Absent }
--- a/internal/platform/recovery_test.go
+++ b/internal/platform/recovery_test.go
@@ -114,6 +114,8 @@
 	return Object{Key: key, Version: 1}, c.outcome()
 }
 
+func (c *cutSimulation) Find(ctx context.Context, key string) (Object, error) { return c.Get(ctx, key) }
+
 func (c *cutSimulation) List(context.Context, string) (Listing, error) {
 	return Listing{}, c.outcome()
 }
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -117,6 +117,7 @@
 	deadline        time.Time // end of Op.Timeout
 	isAnswerLost    bool      // a sent write has no known outcome
 	reconcileBy     time.Time
+	resendPause     time.Duration // before the write is sent again
 }
 
 func (t *task) isExpired(now time.Time) bool {
--- a/internal/platform/store_test.go
+++ b/internal/platform/store_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"strings"
@@ -90,6 +91,33 @@
 	}
 }
 
+// contradictingAPI loses the answer to a create, then says that the object exists and that
+// it does not.
+type contradictingAPI struct{ *fakeAPI }
+
+func (a contradictingAPI) Put(_ context.Context, w Write) (Object, error) {
+	a.calls = append(a.calls, "put "+w.Key)
+	if len(a.calls) == 1 {
+		return Object{}, ErrUnknownOutcome
+	}
+	return Object{}, ErrConflict
+}
+
+// Guards against writing and reading without a pause while the answers of the store
+// contradict each other.
+func TestContradictingAnswersAreNotAskedForWithoutAPause(t *testing.T) {
+	f := newStoreFixture(StoreOptions{})
+	f.store.api = contradictingAPI{f.api}
+	results := f.submit(Op{Kind: OpPut, Key: "k", IfVersion: Absent})
+	f.advance(defaultReconcileTimeout + time.Second)
+	if r := onlyResult(t, results); !errors.Is(r.Err, ErrUnknownOutcome) {
+		t.Errorf("outcome: %v", r.Err)
+	}
+	if n := len(f.api.calls); n > 30 {
+		t.Errorf("%d calls of the store in %v", n, defaultReconcileTimeout)
+	}
+}
+
 // Guards against a write that overtakes an earlier write to its key whose outcome
 // is unknown.
 func TestStoreOrdersWritesOfOneKey(t *testing.T) {
--- a/internal/platform/storecalls.go
+++ b/internal/platform/storecalls.go
@@ -115,9 +115,11 @@
 	defer cancel()
 	var r Result
 	switch {
-	case t.phase == phaseResolveVersion || (t.phase == phaseReadBack && !t.readsBackByList()):
+	case t.phase == phaseReadBack && t.needsTombstone():
+		r.Object, r.Err = s.api.Find(ctx, t.op.Key)
+	case t.phase == phaseReadBack || t.phase == phaseResolveVersion:
 		r.Object, r.Err = s.api.Get(ctx, t.op.Key)
-	case t.phase == phaseReadBack || t.op.Kind == OpList:
+	case t.op.Kind == OpList:
 		r.Listing, r.Err = s.api.List(ctx, t.op.Key)
 	case t.op.Kind == OpGet:
 		r.Object, r.Err = s.api.Get(ctx, t.op.Key)
--- a/internal/server/hosted/config_proof_test.go
+++ b/internal/server/hosted/config_proof_test.go
@@ -75,11 +75,15 @@
 	return true
 }
 
-// Get, Put and Delete complete the object API; this test does not call them.
+// Get, Find, Put and Delete complete the object API; this test does not call them.
 func (w *configSimulation) Get(context.Context, string) (platform.Object, error) {
 	return platform.Object{}, platform.ErrRejected
 }
 
+func (w *configSimulation) Find(context.Context, string) (platform.Object, error) {
+	return platform.Object{}, platform.ErrRejected
+}
+
 func (w *configSimulation) Put(context.Context, platform.Write) (platform.Object, error) {
 	return platform.Object{}, platform.ErrRejected
 }
--- a/internal/server/hosted/orders_proof_test.go
+++ b/internal/server/hosted/orders_proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -71,6 +72,14 @@
 	return s.apply(w)
 }
 
+func (s *faultyLeaseStore) Find(ctx context.Context, key string) (platform.Object, error) {
+	o, err := s.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Object{}, nil
+	}
+	return o, err
+}
+
 func (s *faultyLeaseStore) List(context.Context, string) (platform.Listing, error) {
 	return platform.Listing{}, platform.ErrUnavailable
 }
--- a/internal/trainer/simstore_test.go
+++ b/internal/trainer/simstore_test.go
@@ -45,6 +45,13 @@
 	return platform.Object{}, platform.ErrNotFound
 }
 
+func (s *fakeStore) Find(_ context.Context, key string) (platform.Object, error) {
+	if err := s.fault(); err != nil {
+		return platform.Object{}, err
+	}
+	return s.objects[key], nil
+}
+
 func (s *fakeStore) List(_ context.Context, prefix string) (platform.Listing, error) {
 	l := platform.Listing{Revision: s.revision}
 	if err := s.fault(); err != nil {
