Bound the reads of the store by their progress, not by their length

What callers saw: reads of jobs were refused with 503 for as long as the daemon that was asked read a large object while others shared its link.

Cause: one call of the store had 0.8 s, however large its answer. On a small host (60 Mbit/s, 0.192 cores) a list of 1.2 MB took 0.6 s alone, and did not end in time beside others; what had arrived was thrown away and read again.

Change: a read ends when no byte has arrived for 0.8 s, or after 5 s in all. A write has 0.8 s and the time that its value takes at 512 KB/s.

TestReadThatKeepsArrivingIsNotCutOff (900 KB at 400 KB/s) failed before: three calls, no value; now one call. TestReadThatStopsArrivingEnds failed before: 16 s, the whole time of the call; now 0.8 s.

--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -36,6 +36,8 @@
 	expirePeriod            = 100 * time.Millisecond
 	poolRetryDelay          = 5 * time.Millisecond
 	urgentCallDivisor       = 4 // one in this many concurrent calls is reserved for urgent operations
+	// minUploadRate is the rate in bytes per second at which a value is sent at least.
+	minUploadRate = 512 << 10
 )
 
 // Pool runs blocking calls; duty.Pool implements it.
@@ -50,7 +52,8 @@
 	QueueCapacity    int           // operations waiting or in progress
 	MaxCalls         int           // calls in progress
 	OpTimeout        time.Duration // for an Op without a Timeout
-	CallTimeout      time.Duration // for one call
+	CallTimeout      time.Duration // for one call; a write has uploadTime in addition
+	ReadTimeout      time.Duration // for one read, if the API bounds the pauses of its answer; 0 takes CallTimeout
 	ReconcileTimeout time.Duration // for reconciling a lost answer; after it the outcome is unknown
 	Random           *rand.Rand    // for jitter
 	MaxRetryDelay    time.Duration // largest delay between calls while the store is down
@@ -72,6 +75,9 @@
 	if o.CallTimeout <= 0 {
 		o.CallTimeout = defaultCallTimeout
 	}
+	if o.ReadTimeout <= 0 {
+		o.ReadTimeout = o.CallTimeout
+	}
 	if o.ReconcileTimeout <= 0 {
 		o.ReconcileTimeout = defaultReconcileTimeout
 	}
--- a/internal/platform/storecalls.go
+++ b/internal/platform/storecalls.go
@@ -111,7 +111,7 @@
 
 // call makes the next call of the task on a pool goroutine.
 func (s *Store) call(t *task) Result {
-	ctx, cancel := context.WithTimeout(context.Background(), s.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.callTimeout(t))
 	defer cancel()
 	var r Result
 	switch {
@@ -131,6 +131,19 @@
 	return r
 }
 
+// callTimeout returns the longest time for the next call of the task.
+func (s *Store) callTimeout(t *task) time.Duration {
+	if t.phase == phaseCall && t.op.isWrite() {
+		return s.options.CallTimeout + uploadTime(len(t.op.Value))
+	}
+	return s.options.ReadTimeout
+}
+
+// uploadTime returns the longest time that sending a value of so many bytes takes.
+func uploadTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / minUploadRate
+}
+
 func (t *task) writeRequest() Write {
 	return Write{Key: t.op.Key, IfVersion: t.expectedVersion, Token: t.token, Value: t.op.Value}
 }
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -42,6 +42,9 @@
 	// storeCallTimeout is well above the response time of a slow store and below the
 	// timeout of a trainer's request.
 	storeCallTimeout = 800 * time.Millisecond
+	// storeReadTimeout bounds one read of the store as a whole. It has room for an object of
+	// the largest size on a small host's link that other reads share.
+	storeReadTimeout = 5 * time.Second
 	// stopReserve is the part of the stop grace that is reserved for the release of
 	// jobs and leases.
 	stopReserve = 1500 * time.Millisecond
@@ -116,7 +119,7 @@
 		Budget: platform.NewBudget(platform.BudgetOptions{
 			ReadsPerSecond: d.hostSettings.Store.ReadsPerSecond / budgetDivisor, WritesPerSecond: d.hostSettings.Store.WritesPerSecond / budgetDivisor,
 		}),
-		CallTimeout: storeCallTimeout, Random: d.random(),
+		CallTimeout: storeCallTimeout, ReadTimeout: storeReadTimeout, Random: d.random(),
 	})
 	d.store.OnRefusals(d.logRefusals)
 	d.observeStoreCalls()
--- a/internal/transport/json.go
+++ b/internal/transport/json.go
@@ -118,6 +118,10 @@
 	Headers map[string]string
 	Body    any // encoded as JSON unless nil
 	Timeout time.Duration
+	// StallTimeout bounds the time without a byte of the response. Unlike Timeout it does
+	// not cut off a response that is large but keeps arriving. 0 takes the read time-out
+	// of the pool. Only a Pool observes it.
+	StallTimeout time.Duration
 }
 
 // ResponseError is a response with an HTTP status of 400 or above.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -116,11 +117,17 @@
 }
 
 // Exchange is like Do and also reports how many bytes were sent and received.
-func (p *Pool) Exchange(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response) (traffic Traffic, err error) {
+func (p *Pool) Exchange(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response) (Traffic, error) {
+	return p.exchange(ctx, address, req, resp, p.readTimeout)
+}
+
+// exchange does the same as Exchange. It ends when no byte has arrived for the time stall.
+func (p *Pool) exchange(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response, stall time.Duration) (traffic Traffic, err error) {
 	c, err := p.Get(ctx, address)
 	if err != nil {
 		return Traffic{}, err
 	}
+	c.readTimeout = stall
 	p.Use(ctx, c, func() (reusable bool) {
 		err = c.RoundTrip(ctx, req, resp, p.maxBodyBytes)
 		// Another exchange may use the connection once it is back in the pool.
@@ -158,7 +165,8 @@
 	if err := EncodeRequest(req, x); err != nil {
 		return Traffic{}, err
 	}
-	if traffic, err = p.Exchange(ctx, string(req.Host()), req, resp); err != nil {
+	stall := cmp.Or(x.StallTimeout, p.readTimeout)
+	if traffic, err = p.exchange(ctx, string(req.Host()), req, resp, stall); err != nil {
 		return traffic, err
 	}
 	return traffic, decodeResponse(resp, out)
@@ -184,7 +192,7 @@
 // Put returns a connection to the pool. Its last response must have been read in
 // full.
 func (p *Pool) Put(c *Conn) {
-	c.OnReadTimeout, c.AckTimeout = nil, 0
+	c.OnReadTimeout, c.AckTimeout, c.readTimeout = nil, 0, p.readTimeout
 	c.lastUsed = p.now()
 	for _, old := range p.addIdle(c) {
 		old.Abort()
