Read a job from the store part by part and keep what was read

Cause: a daemon that does not hold a job read its results, and the items of a large one, by lists. A list of the users' platform returns a page of up to 1 MB, whatever part of it belongs to the job, and all its pages had to arrive within one operation. When they did not, the daemon forgot what it had read, the query went to two more daemons which began as well, and the next read began anew at another one. A job that takes longer to read than one operation may was read by nobody, and each try slowed the others. The class of the fault: a time-out on the whole of a work that can only be repeated in full, so that load turns slow into never.

Change: results and items are read object by object, by key. The objects of a job never change, so what was read stays in memory when a load fails, and the next query goes on from there; readers of positions that were read get these. A result list that is complete is not read to its end again.

TestLeaseOfLoadedJobCountsFromItsState holds back the reads of results, which were a list before.

--- a/internal/server/hosted/slowlink_test.go
+++ b/internal/server/hosted/slowlink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -10,6 +11,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/trainer/batch"
+	"github.com/berylfall/berylfall/platform/standin"
 )
 
 const (
@@ -84,3 +87,48 @@
 		t.Errorf("%d calls of the store", n)
 	}
 }
+
+// storeEndedJob stores a job that has ended, whose daemons are gone.
+func storeEndedJob(t *testing.T, store *standin.Store, id string, items, textBytes int) {
+	t.Helper()
+	put := func(kind, name string, value any) {
+		if err := store.Put(kind, name, map[string]any{"writeToken": "w", "value": value}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	gone := batch.Owner{Address: "127.0.0.1:1", Run: "gone"}
+	job := batch.Job{ID: batch.JobID(id), Host: "h", Target: standin.BatchPrefix, Model: "m", AcceptedBy: gone}
+	for i := range items {
+		item := batch.ItemID(fmt.Sprintf("%s-%d", id, i))
+		job.Items = append(job.Items, batch.Item{ID: item, Target: standin.BatchPrefix, Body: make([]byte, textBytes), Model: "m"})
+		result := batch.Result{Item: item, Done: true, Text: strings.Repeat("t", textBytes), Score: "s"}
+		put("results", fmt.Sprintf("%s.%05d", id, i), map[string]any{"from": i, "results": []batch.Result{result}})
+	}
+	put("jobs", id, job)
+	put("jobstates", id, map[string]any{"owner": gone, "ended": true})
+}
+
+// Guards against an accepted job that no daemon can read after all of them have lost their
+// memory, since its objects arrive slower than one call of the store may take.
+func TestLargeJobIsReadableOverASlowLink(t *testing.T) {
+	const (
+		items     = 60
+		textBytes = 10 << 10
+	)
+	f := newFleet(t, 0)
+	storeEndedJob(t, f.store, "j1", items, textBytes)
+	f.startDaemon(t, startSlowLink(t, f.store.Address()))
+	waitFor(t, "a configuration", f.daemons[0].isReady)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*testTimeout)
+	defer cancel()
+	results, err := f.client().ReadAll(ctx, "j1")
+	if err != nil || len(results) != items {
+		t.Fatalf("%d of %d results are read: %v", len(results), items, err)
+	}
+	for i, r := range results {
+		if r.ID != fmt.Sprintf("j1-%d", i) || len(r.Text) != textBytes {
+			t.Errorf("position %d has item %s with %d bytes", i, r.ID, len(r.Text))
+		}
+	}
+	f.stop(t)
+}
--- a/internal/trainer/batch/cluster_test.go
+++ b/internal/trainer/batch/cluster_test.go
@@ -66,11 +66,14 @@
 	callsStall   bool                      // the calls of the daemon's items do not end
 	holds        func(op platform.Op) bool // replies to these operations are held back; nil holds none
 	heldReplies  []func()
-	storeOps     int
-	suspended    time.Duration // for which the host stood still; the cluster's clock does not count it
-	lastSubmit   time.Time     // of a call
-	calls        []*core.Call
-	collections  []func()
+	// fails, if not nil, reports whether the operation ends at its deadline.
+	fails       func(op platform.Op, r platform.Result) bool
+	dropsOp     func(op platform.Op) bool // reports whether the operation gets no reply
+	storeOps    int
+	suspended   time.Duration // for which the host stood still; the cluster's clock does not count it
+	lastSubmit  time.Time     // of a call
+	calls       []*core.Call
+	collections []func()
 }
 
 // testCluster is a set of daemons with one store and one manual clock.
@@ -151,6 +154,13 @@
 		d.heldReplies = append(d.heldReplies, func() { op.Reply(r) })
 		return true
 	}
+	if d.dropsOp != nil && d.dropsOp(op) {
+		return true
+	}
+	if d.fails != nil && d.fails(op, cluster.store.apply(op)) {
+		op.Reply(platform.Result{Err: platform.ErrQueueDeadline})
+		return true
+	}
 	draw := cluster.random.Float64() / max(cluster.faultRate, 1e-9)
 	execute := func() {
 		r := cluster.store.apply(op)
--- a/internal/trainer/batch/item_parts.go
+++ b/internal/trainer/batch/item_parts.go
@@ -85,7 +85,7 @@
 		m.createJob(e, job, value)
 		return
 	}
-	op := platform.Op{Kind: platform.OpPut, Key: fmt.Sprintf("%s%05d", job.itemPartsKey(), index), Value: parts[index], IfVersion: platform.Absent}
+	op := platform.Op{Kind: platform.OpPut, Key: job.itemPartKey(index), Value: parts[index], IfVersion: platform.Absent}
 	m.submitToStore(op, func(r platform.Result) {
 		switch {
 		case r.Err == nil || errors.Is(r.Err, platform.ErrConflict):
@@ -101,26 +101,27 @@
 	})
 }
 
-// loadItemParts reads the items of a large job and then its state.
-func (m *Manager) loadItemParts(e *jobEntry, job *Job) {
+// itemPartKey returns the key of the object with the part of the job's items.
+func (j *Job) itemPartKey(part int) string { return fmt.Sprintf("%s%05d", j.itemPartsKey(), part) }
+
+// loadItemParts reads the items of a large job that are not in memory, one object after
+// another, and then its state.
+func (m *Manager) loadItemParts(e *jobEntry) {
 	e.loadStep = loadStepItems
-	m.submitToStore(platform.Op{Kind: platform.OpList, Key: job.itemPartsKey()}, func(r platform.Result) {
-		if r.Err == nil && len(r.Listing.Objects) < job.ItemParts {
-			r.Err = fmt.Errorf("%w: %d of %d item parts", platform.ErrNotFound, len(r.Listing.Objects), job.ItemParts)
-		}
-		if r.Err != nil {
-			m.failLoad(e, r.Err)
+	job, part := e.loadedItems, e.loadedItemParts
+	if part == job.ItemParts {
+		e.job, e.loadedItems, e.loadedItemParts = job, nil, 0
+		m.loadState(e)
+		return
+	}
+	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: job.itemPartKey(part)}, func(r platform.Result) {
+		var items []Item
+		if err := decodeObject(r, &items); err != nil {
+			m.failLoad(e, fmt.Errorf("part %d of the items: %w", part, err))
 			return
 		}
-		for _, o := range r.Listing.Objects {
-			var items []Item
-			if err := json.Unmarshal(o.Value, &items); err != nil {
-				m.failLoad(e, fmt.Errorf("decode %s: %w", o.Key, err))
-				return
-			}
-			job.Items = append(job.Items, items...)
-		}
-		e.job = job
-		m.loadState(e)
+		job.Items = append(job.Items, items...)
+		e.loadedItemParts++
+		m.loadItemParts(e)
 	})
 }
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -30,6 +31,10 @@
 		m.loadState(e)
 		return
 	}
+	if e.loadedItems != nil {
+		m.loadItemParts(e)
+		return
+	}
 	e.loadStep = loadStepJob
 	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: jobPrefix + string(e.id)}, func(r platform.Result) {
 		if errors.Is(r.Err, platform.ErrNotFound) {
@@ -42,7 +47,8 @@
 			return
 		}
 		if job.ItemParts > 0 {
-			m.loadItemParts(e, job)
+			e.loadedItems = job
+			m.loadItemParts(e)
 			return
 		}
 		e.job = job
@@ -58,9 +64,23 @@
 	return json.Unmarshal(r.Object.Value, out)
 }
 
+// failLoad ends a load and answers the queries that wait for it, those for results that
+// were read with these. What was read is kept: the objects of a job never change, so the
+// next load goes on from there. Otherwise a job that takes longer to read than one query
+// may wait could never be read.
 func (m *Manager) failLoad(e *jobEntry, err error) {
 	m.loadLog(e).WithError(err).Warn("job could not be read")
-	m.removeJob(e, StatusUnavailable)
+	e.phase = phaseUnloaded
+	waiting := e.awaitingLoad
+	e.awaitingLoad = nil
+	for _, q := range waiting {
+		query := q.request.Params
+		if query.Kind == QueryResults && query.FromPosition < len(e.published) {
+			q.request.Reply(e.resultsFrom(query.FromPosition))
+			continue
+		}
+		q.request.Reply(Reply{Status: StatusUnavailable})
+	}
 }
 
 // loadLog returns a log entry that says how far the load of a job has come.
@@ -142,34 +162,46 @@
 	})
 }
 
-// loadResults reads the complete result list and then enters the phase next.
+// loadResults reads the parts of the result list that are not in memory, one after
+// another, and then enters the phase next. The key after the last part holds nothing.
 func (m *Manager) loadResults(e *jobEntry, next phase) {
 	e.phase, e.loadStep = phaseLoading, loadStepResults
 	sentAt := m.now()
-	m.submitToStore(platform.Op{Kind: platform.OpList, Key: resultPrefix + string(e.id) + "."}, func(r platform.Result) {
-		if r.Err != nil {
-			m.failLoad(e, r.Err)
-			return
-		}
-		e.published, e.resultParts, e.confirmedAt = nil, 0, sentAt
-		for _, o := range r.Listing.Objects {
-			var part resultPart
-			if err := json.Unmarshal(o.Value, &part); err != nil {
-				m.failLoad(e, fmt.Errorf("decode %s: %w", o.Key, err))
-				return
-			}
+	if e.isListComplete() {
+		m.finishLoad(e, next, sentAt)
+		return
+	}
+	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: resultPartKey(e.id, e.resultParts)}, func(r platform.Result) {
+		var part resultPart
+		err := decodeObject(r, &part)
+		switch {
+		case err == nil:
 			e.appendResultPart(part)
+			m.loadResults(e, next)
+		case errors.Is(err, platform.ErrNotFound):
+			m.finishLoad(e, next, sentAt)
+		default:
+			m.failLoad(e, fmt.Errorf("part %d of the results: %w", e.resultParts, err))
 		}
-		m.loadLog(e).WithField("results", len(e.published)).Info("job loaded")
-		if next == phaseOwned {
-			m.startJob(e)
-			return
-		}
-		e.phase = next
-		m.answerAwaitingLoad(e)
 	})
 }
 
+// finishLoad enters the phase next with a result list that was complete at the time
+// confirmedAt.
+func (m *Manager) finishLoad(e *jobEntry, next phase, confirmedAt time.Time) {
+	e.confirmedAt = confirmedAt
+	m.loadLog(e).WithField("results", len(e.published)).Info("job loaded")
+	if next == phaseOwned {
+		m.startJob(e)
+		return
+	}
+	e.phase = next
+	m.answerAwaitingLoad(e)
+}
+
+// isListComplete reports whether each item of the job has a result in memory.
+func (e *jobEntry) isListComplete() bool { return len(e.published) == len(e.job.Items) }
+
 func (e *jobEntry) appendResultPart(part resultPart) {
 	e.published = append(e.published, part.Results...)
 	e.resultParts++
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -47,8 +47,8 @@
 	// was read or written. It is well below the time within which every daemon
 	// must return a published result.
 	confirmationTTL = 600 * time.Millisecond
-	// inactiveJobTTL is how long a job that has ended stays in memory after its last
-	// query.
+	// inactiveJobTTL is how long a job that has ended, or what a failed load has read of
+	// one, stays in memory after its last query.
 	inactiveJobTTL = 10 * time.Second
 	// knownOwnerTTL is how long a daemon remembers the owner of another daemon's job.
 	// It covers the time for which trainers read the results, so that a read at any
@@ -76,7 +76,8 @@
 type phase int
 
 const (
-	phaseStoring  phase = iota // its object is being created
+	phaseUnloaded phase = iota // nothing of it is in memory, or what a failed load has read
+	phaseStoring               // its object is being created
 	phaseLoading               // it is being read from the store
 	phaseOwned                 // this daemon owns it and runs its items
 	phaseNotOwner              // another daemon owns it or may own it
@@ -100,6 +101,8 @@
 	replaceOwner         Owner // owner that the load in progress takes the job over from
 	loadStep             loadStep
 	loadStartedAt        time.Time
+	loadedItems          *Job // a large job of which loadedItemParts are in memory; nil without one
+	loadedItemParts      int
 	awaitingLoad         []pendingQuery
 	awaitingResults      []pendingQuery
 	awaitingConfirmation []pendingQuery // queries that wait until the result list is known to be complete
@@ -265,25 +268,18 @@
 		request.Reply(Reply{Status: StatusUnavailable})
 		return
 	}
-	if e == nil {
-		e = &jobEntry{id: q.ID, stateVersion: platform.Absent}
-		m.jobs[q.ID] = e
-		e.lastQueryAt = m.now()
-		e.awaitingLoad = append(e.awaitingLoad, pendingQuery{request: request})
-		if q.Kind == QuerySubmit {
-			m.acceptJob(e, q.Job)
-			return
-		}
-		e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
-		m.loadJob(e)
-		return
-	}
 	if q.Kind == QueryRelinquish {
 		m.relinquishJob(e, request)
 		return
 	}
+	if e == nil {
+		e = &jobEntry{id: q.ID, stateVersion: platform.Absent}
+		m.jobs[q.ID] = e
+	}
 	e.lastQueryAt = m.now()
 	switch e.phase {
+	case phaseUnloaded:
+		m.acceptOrLoadJob(e, request)
 	case phaseStoring, phaseLoading:
 		e.awaitingLoad = append(e.awaitingLoad, pendingQuery{request: request})
 		if q.ReplaceOwner != (Owner{}) {
@@ -297,6 +293,18 @@
 	}
 }
 
+// acceptOrLoadJob stores a submitted job, or reads a job that is not in memory.
+func (m *Manager) acceptOrLoadJob(e *jobEntry, request duty.Query[Query, Reply]) {
+	q := request.Params
+	e.awaitingLoad = append(e.awaitingLoad, pendingQuery{request: request})
+	if q.Kind == QuerySubmit && e.job == nil {
+		m.acceptJob(e, q.Job)
+		return
+	}
+	e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
+	m.loadJob(e)
+}
+
 // answerNotOwned answers a query about a job that another daemon owns. If a peer
 // considers this daemon the owner, or the query requests a takeover, the state
 // is read from the store again.
@@ -447,12 +455,12 @@
 			if m.isOwnershipCheckDue(e) {
 				m.checkOwnership(e)
 			}
-		case phaseEnded:
+		case phaseEnded, phaseUnloaded:
 			if now.Sub(e.lastQueryAt) > inactiveJobTTL {
 				delete(m.jobs, id)
 			}
 		case phaseNotOwner:
-			e.job, e.published = nil, nil
+			e.job, e.published, e.resultParts = nil, nil, 0
 			if now.Sub(e.lastQueryAt) > knownOwnerTTL {
 				delete(m.jobs, id)
 			}
--- a/internal/trainer/batch/ownership_test.go
+++ b/internal/trainer/batch/ownership_test.go
@@ -72,7 +72,7 @@
 	cluster.callStatus = func(*core.Call) int { return 503 }
 	cluster.query(d, submitQuery("a", 4))
 	d.start() // it owns the job again once it has read the state and the results
-	d.holds = func(op platform.Op) bool { return op.Kind == platform.OpList }
+	d.holds = func(op platform.Op) bool { return strings.HasPrefix(op.Key, resultPrefix) }
 	replies, err := d.manager.queries.Send(t.Context(), Query{Kind: QueryResults, ID: "a"})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -29,9 +29,8 @@
 // only when the result list is known to be complete.
 func (m *Manager) answerResults(e *jobEntry, q pendingQuery) {
 	query := q.request.Params
-	isComplete := len(e.published) == len(e.job.Items)
 	switch {
-	case query.FromPosition < len(e.published) || isComplete:
+	case query.FromPosition < len(e.published) || e.isListComplete():
 		a := e.resultsFrom(query.FromPosition)
 		a.StoreUnreachable = e.phase == phaseOwned && e.storeUnreachable
 		if a.StoreUnreachable {
@@ -73,8 +72,13 @@
 }
 
 // relinquishJob stops the runs of a job that another daemon has taken over
-// because this one could not reach the store. If it can, it asks the store at once.
+// because this one could not reach the store. If it can, it asks the store at once. e is
+// nil if the job is not known here.
 func (m *Manager) relinquishJob(e *jobEntry, request duty.Query[Query, Reply]) {
+	if e == nil {
+		request.Reply(Reply{Status: StatusOK})
+		return
+	}
 	if e.phase == phaseOwned && e.storeUnreachable {
 		m.log.WithField("job", e.id).Info("job yielded to another daemon")
 		e.state.Owner = Owner{}
