--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -36,8 +36,9 @@
 	expirePeriod            = 100 * time.Millisecond
 	poolRetryDelay          = 5 * time.Millisecond
 	urgentCallDivisor       = 4 // one in this many concurrent calls is reserved for urgent operations
-	// minUploadRate is the rate in bytes per second at which a value is sent at least.
-	minUploadRate = 512 << 10
+	// minTransferRate is the rate in bytes per second at which a value is sent and received
+	// at least.
+	minTransferRate = 512 << 10
 )
 
 // Pool runs blocking calls; duty.Pool implements it.
@@ -52,7 +53,7 @@
 	QueueCapacity    int           // operations waiting or in progress
 	MaxCalls         int           // calls in progress
 	OpTimeout        time.Duration // for an Op without a Timeout
-	CallTimeout      time.Duration // for one call; a write has uploadTime in addition
+	CallTimeout      time.Duration // for one call; a write has transferTime in addition
 	ReadTimeout      time.Duration // for one read, if the API bounds the pauses of its answer; 0 takes CallTimeout
 	ReconcileTimeout time.Duration // for reconciling a lost answer; after it the outcome is unknown
 	Random           *rand.Rand    // for jitter
--- a/internal/platform/storecalls.go
+++ b/internal/platform/storecalls.go
@@ -134,14 +134,15 @@
 // callTimeout returns the longest time for the next call of the task.
 func (s *Store) callTimeout(t *task) time.Duration {
 	if t.phase == phaseCall && t.op.isWrite() {
-		return s.options.CallTimeout + uploadTime(len(t.op.Value))
+		return s.options.CallTimeout + transferTime(len(t.op.Value))
 	}
 	return s.options.ReadTimeout
 }
 
-// uploadTime returns the longest time that sending a value of so many bytes takes.
-func uploadTime(bytes int) time.Duration {
-	return time.Duration(bytes) * time.Second / minUploadRate
+// transferTime returns the longest time that a write of so many bytes takes: the value is
+// sent, and the answer brings it back.
+func transferTime(bytes int) time.Duration {
+	return 2 * time.Duration(bytes) * time.Second / minTransferRate
 }
 
 func (t *task) writeRequest() Write {
