Handle one reply of a load at a time, and complete takeovers before answering

- Results were listed twice when the answers to a part of them and to the end of the job came after the owner had read that the job has ended: two loads appended the same part (a.0 a.1 a.0 a.1).
A load has one operation at a time, and only the reply to the newest counts; the end stops a job only where it still runs.
- A read from a position below 0 of a job that could not be read ended the daemon.
- A takeover that failed after some results had been read was answered with these, so that the former owner gave up the job and what it could not publish, and nobody ran it.
Takeovers are answered when they are complete, and what the former owner handed over is kept until then.
- Items of a large job that had been read were forgotten when the job was submitted again.

A confirmation that was asked for after the query counts, however long it took.

Readers whose results are in memory no longer wait for the rest of a load, so that an owner that loads a job does not count as dead.

--- a/internal/trainer/batch/item_parts.go
+++ b/internal/trainer/batch/item_parts.go
@@ -114,7 +114,7 @@
 		m.loadState(e)
 		return
 	}
-	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: job.itemPartKey(part)}, func(r platform.Result) {
+	m.submitLoadOp(e, platform.Op{Kind: platform.OpGet, Key: job.itemPartKey(part)}, func(r platform.Result) {
 		var items []Item
 		if err := decodeObject(r, &items); err != nil {
 			m.failLoad(e, fmt.Errorf("part %d of the items: %w", part, err))
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -36,7 +36,7 @@
 		return
 	}
 	e.loadStep = loadStepJob
-	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: jobPrefix + string(e.id)}, func(r platform.Result) {
+	m.submitLoadOp(e, platform.Op{Kind: platform.OpGet, Key: jobPrefix + string(e.id)}, func(r platform.Result) {
 		if errors.Is(r.Err, platform.ErrNotFound) {
 			m.removeJob(e, StatusNotFound)
 			return
@@ -56,6 +56,18 @@
 	})
 }
 
+// submitLoadOp sends an operation of a load to the store. A job has one load at a time: the
+// reply is ignored if another operation of a load has been sent since.
+func (m *Manager) submitLoadOp(e *jobEntry, op platform.Op, reply func(platform.Result)) {
+	e.loadOps++
+	number := e.loadOps
+	m.submitToStore(op, func(r platform.Result) {
+		if e.loadOps == number {
+			reply(r)
+		}
+	})
+}
+
 // decodeObject decodes the object of a store reply, or returns the reply's error.
 func decodeObject(r platform.Result, out any) error {
 	if r.Err != nil {
@@ -74,15 +86,22 @@
 	waiting := e.awaitingLoad
 	e.awaitingLoad = nil
 	for _, q := range waiting {
-		query := q.request.Params
-		if query.Kind == QueryResults && query.FromPosition < len(e.published) {
-			q.request.Reply(e.resultsFrom(query.FromPosition))
+		if e.canAnswerEarly(q.request.Params) {
+			q.request.Reply(e.resultsFrom(q.request.Params.FromPosition))
 			continue
 		}
 		q.request.Reply(Reply{Status: StatusUnavailable})
 	}
 }
 
+// canAnswerEarly reports whether the query can be answered before the job is loaded: it is
+// for results that are in memory, which never change. A takeover must complete first, since
+// the former owner gives the job up when it is answered.
+func (e *jobEntry) canAnswerEarly(q Query) bool {
+	isTakeover := q.ReplaceOwner != (Owner{})
+	return q.Kind == QueryResults && !isTakeover && e.job != nil && q.FromPosition < len(e.published)
+}
+
 // loadLog returns a log entry that says how far the load of a job has come.
 func (m *Manager) loadLog(e *jobEntry) *logrus.Entry {
 	return m.log.WithFields(logrus.Fields{
@@ -93,7 +112,7 @@
 func (m *Manager) loadState(e *jobEntry) {
 	e.loadStep = loadStepState
 	e.lease = m.newLease(m.leaseNow())
-	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
+	m.submitLoadOp(e, platform.Op{Kind: platform.OpGet, Key: statePrefix + string(e.id)}, func(r platform.Result) {
 		if err := m.applyState(e, r); err != nil {
 			m.failLoad(e, err)
 			return
@@ -148,7 +167,7 @@
 	}
 	op := platform.Op{Kind: platform.OpPut, Key: statePrefix + string(e.id), Value: value, IfVersion: e.stateVersion}
 	e.lease = m.newLease(m.leaseNow())
-	m.submitToStore(op, func(r platform.Result) {
+	m.submitLoadOp(e, op, func(r platform.Result) {
 		switch {
 		case r.Err == nil:
 			m.log.WithFields(logrus.Fields{"job": e.id, "owner_before": previousOwner.Address}).Info("job taken over")
@@ -171,7 +190,7 @@
 		m.finishLoad(e, next, sentAt)
 		return
 	}
-	m.submitToStore(platform.Op{Kind: platform.OpGet, Key: resultPartKey(e.id, e.resultParts)}, func(r platform.Result) {
+	m.submitLoadOp(e, platform.Op{Kind: platform.OpGet, Key: resultPartKey(e.id, e.resultParts)}, func(r platform.Result) {
 		var part resultPart
 		err := decodeObject(r, &part)
 		switch {
--- a/internal/trainer/batch/load_test.go
+++ b/internal/trainer/batch/load_test.go
@@ -3,10 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
+	"github.com/berylfall/berylfall/internal/ring"
 )
 
 const (
@@ -114,6 +118,165 @@
 	}
 }
 
+// releaseReplies passes on the replies that were held back, and returns how many they were.
+func (d *testDaemon) releaseReplies() int {
+	held := d.heldReplies
+	d.heldReplies = nil
+	for _, reply := range held {
+		reply()
+	}
+	return len(held)
+}
+
+// holdUntil steps the cluster until the daemon holds back replies to n operations.
+func (cluster *testCluster) holdUntil(d *testDaemon, n int) {
+	cluster.t.Helper()
+	for range maxReplySteps {
+		if len(d.heldReplies) >= n {
+			return
+		}
+		cluster.step()
+	}
+	cluster.t.Fatalf("%d replies are held back, want %d", len(d.heldReplies), n)
+}
+
+// Guards against results that are listed twice when the answers to a part of them and to the
+// end of the job come late, after the owner has read that the job has ended.
+func TestLateAnswersBesideAnEndListNoResultTwice(t *testing.T) {
+	cluster := newCluster(t, 1, 1)
+	d := cluster.daemons[0]
+	cluster.callStatus = func(c *core.Call) int {
+		if id := c.Request.Forward.ID; id == "a.2" || id == "a.3" {
+			return statusUnavailable
+		}
+		return 0
+	}
+	d.holds = func(op platform.Op) bool { return strings.HasPrefix(op.Key, resultPrefix) }
+	cluster.query(d, submitQuery("a", 4))
+	cluster.holdUntil(d, 1) // a part of the results
+	d.heldReplies = nil
+	d.holds = func(op platform.Op) bool {
+		return strings.HasPrefix(op.Key, resultPrefix) || (op.Kind == platform.OpPut && strings.HasPrefix(op.Key, statePrefix))
+	}
+	if _, err := d.manager.queries.Send(t.Context(), Query{Kind: QueryEndJob, ID: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	cluster.holdUntil(d, 2) // the end, and the list that is read once the end is found
+	if _, err := d.manager.queries.Send(t.Context(), Query{Kind: QueryResults, ID: "a", MaxWait: time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	cluster.step()
+	end := d.heldReplies[0]
+	d.heldReplies = d.heldReplies[1:]
+	end()
+	cluster.step()
+	d.holds = nil
+	d.releaseReplies()
+	cluster.wait(time.Second)
+	var items []ItemID
+	for _, r := range cluster.query(d, Query{Kind: QueryResults, ID: "a"}).Results {
+		items = append(items, r.Item)
+	}
+	if !slices.Equal(items, []ItemID{"a.0", "a.1"}) {
+		t.Errorf("listed items: %v", items)
+	}
+}
+
+// Guards against a position below 0 that ends the daemon when the job cannot be read.
+func TestNegativePositionOfAnUnreadableJob(t *testing.T) {
+	cluster := newCluster(t, 1, 1)
+	d := cluster.daemons[0]
+	d.fails = func(platform.Op, platform.Result) bool { return true }
+	if r := cluster.query(d, Query{Kind: QueryResults, ID: "a", FromPosition: -1}); r.Status != StatusUnavailable {
+		t.Errorf("status %v", r.Status)
+	}
+}
+
+// Guards against a takeover that fails and is answered with results: the former owner then
+// gives up the job, which nobody runs, and what it could not publish.
+func TestFailedTakeoverIsNotAnsweredWithResults(t *testing.T) {
+	cluster := newCluster(t, 2, 1)
+	former, next := cluster.daemons[0], cluster.daemons[1]
+	cluster.callStatus = func(c *core.Call) int {
+		if c.Request.Forward.ID == "a.3" {
+			return statusUnavailable
+		}
+		return 0
+	}
+	cluster.query(former, submitQuery("a", 4))
+	cluster.wait(2 * time.Second)
+	parts := former.manager.jobs["a"].resultParts
+	former.disconnected = true
+	takeover := Query{
+		Kind: QueryResults, ID: "a", Reload: true, ReplaceOwner: former.manager.self,
+		Unpublished: []Result{{Item: "a.3", Done: true, Text: expectedText("a.3"), Versions: []core.Version{2}, Score: "score-ra.3"}},
+	}
+	for _, key := range []string{resultPartKey("a", parts), statePrefix + "a"} {
+		next.fails = func(op platform.Op, _ platform.Result) bool { return op.Key == key }
+		if r := cluster.query(next, takeover); r.Status != StatusUnavailable {
+			t.Errorf("takeover that fails at %s: %v with %d results", key, r.Status, len(r.Results))
+		}
+	}
+	next.fails = nil
+	cluster.query(next, Query{Kind: QueryResults, ID: "a"})
+	cluster.wait(2 * time.Second)
+	r := cluster.query(next, Query{Kind: QueryResults, ID: "a"})
+	if len(r.Results) != 4 || cluster.runs["a.3"] != 0 {
+		t.Errorf("%d results, and the item that the former owner had finished ran %d times", len(r.Results), cluster.runs["a.3"])
+	}
+}
+
+// Guards against readers at the end of the list that a slow store never lets go: each
+// confirmation counts as too old when it arrives.
+func TestReadersAreAnsweredWhileTheStoreIsSlow(t *testing.T) {
+	cluster := newCluster(t, 1, 1)
+	cluster.storeEndedJob(t, "a")
+	const listed = storedItems / 2
+	for part := listed / itemsPerPart; part < storedItems/itemsPerPart; part++ {
+		delete(cluster.store.objects, resultPartKey("a", part))
+	}
+	d := cluster.daemons[0]
+	d.holds = func(platform.Op) bool { return true }
+	var replies []*ring.Ring[Reply]
+	for range 3 {
+		r, err := d.manager.queries.Send(t.Context(), Query{Kind: QueryResults, ID: "a", FromPosition: listed})
+		if err != nil {
+			t.Fatal(err)
+		}
+		replies = append(replies, r)
+	}
+	for range storedItems {
+		cluster.wait(confirmationTTL + 5*stepDuration)
+		d.releaseReplies()
+	}
+	for i, r := range replies {
+		if reply, ok := r.TryTake(); !ok || reply.Status != StatusOK || len(reply.Results) != 0 {
+			t.Errorf("reader %d: answered %v, status %v with %d results", i, ok, reply.Status, len(reply.Results))
+		}
+	}
+}
+
+// Guards against items of a large job that are forgotten, when it is submitted again after
+// they were read in part.
+func TestRepeatedSubmissionKeepsItemsThatWereRead(t *testing.T) {
+	cluster := newCluster(t, 1, 1)
+	cluster.storeEndedJob(t, "a")
+	d := cluster.daemons[0]
+	reads := 0
+	d.fails = func(platform.Op, platform.Result) bool {
+		reads++
+		return reads > storedItems/itemsPerPart/2
+	}
+	cluster.query(d, Query{Kind: QueryResults, ID: "a"})
+	before := d.manager.jobs["a"].loadedItemParts
+	if r := cluster.query(d, submitQuery("a", 2)); r.Status != StatusUnavailable || before == 0 {
+		t.Fatalf("the job submitted again: %v, %d parts were read before", r.Status, before)
+	}
+	if e := d.manager.jobs["a"]; e == nil || e.loadedItemParts != before {
+		t.Errorf("%d parts of the items were read; they are forgotten", before)
+	}
+}
+
 // Guards against a job that is stored again, with other items, where it was read in part.
 func TestJobReadInPartIsNotAcceptedAgain(t *testing.T) {
 	cluster := newCluster(t, 1, 1)
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -86,8 +86,13 @@
 
 // pendingQuery is a query that waits for its reply.
 type pendingQuery struct {
-	request  duty.Query[Query, Reply]
-	deadline time.Time // of a wait for results
+	request   duty.Query[Query, Reply]
+	arrivedAt time.Time
+	deadline  time.Time // of a wait for results
+}
+
+func (m *Manager) newPendingQuery(request duty.Query[Query, Reply]) pendingQuery {
+	return pendingQuery{request: request, arrivedAt: m.now()}
 }
 
 // jobEntry is the state of one job in memory.
@@ -103,6 +108,7 @@
 	loadStartedAt        time.Time
 	loadedItems          *Job // a large job of which loadedItemParts are in memory; nil without one
 	loadedItemParts      int
+	loadOps              int // operations of loads sent; only the reply to the newest one counts
 	awaitingLoad         []pendingQuery
 	awaitingResults      []pendingQuery
 	awaitingConfirmation []pendingQuery // queries that wait until the result list is known to be complete
@@ -281,7 +287,11 @@
 	case phaseUnloaded:
 		m.acceptOrLoadJob(e, request)
 	case phaseStoring, phaseLoading:
-		e.awaitingLoad = append(e.awaitingLoad, pendingQuery{request: request})
+		if e.canAnswerEarly(q) && e.replaceOwner == (Owner{}) {
+			request.Reply(e.resultsFrom(q.FromPosition))
+			return
+		}
+		e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
 		if q.ReplaceOwner != (Owner{}) {
 			e.replaceOwner = q.ReplaceOwner
 		}
@@ -289,19 +299,19 @@
 	case phaseNotOwner:
 		m.answerNotOwned(e, request)
 	default:
-		m.answerQuery(e, pendingQuery{request: request})
+		m.answerQuery(e, m.newPendingQuery(request))
 	}
 }
 
 // acceptOrLoadJob stores a submitted job, or reads a job that is not in memory.
 func (m *Manager) acceptOrLoadJob(e *jobEntry, request duty.Query[Query, Reply]) {
 	q := request.Params
-	e.awaitingLoad = append(e.awaitingLoad, pendingQuery{request: request})
-	if q.Kind == QuerySubmit && e.job == nil {
+	e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
+	if q.Kind == QuerySubmit && e.job == nil && e.loadedItems == nil {
 		m.acceptJob(e, q.Job)
 		return
 	}
-	e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
+	e.replaceOwner, e.inherited = q.ReplaceOwner, append(e.inherited, q.Unpublished...)
 	m.loadJob(e)
 }
 
@@ -315,7 +325,7 @@
 		request.Reply(Reply{Status: StatusOK})
 	case q.Relayed || q.Reload:
 		e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
-		e.awaitingLoad = append(e.awaitingLoad, pendingQuery{request: request})
+		e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
 		m.loadJob(e)
 	default:
 		request.Reply(Reply{Status: StatusNotOwner, Owner: e.state.Owner})
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -37,7 +37,9 @@
 			a.Unpublished = e.unpublished
 		}
 		q.request.Reply(a)
-	case e.phase == phaseEnded && m.now().Sub(e.confirmedAt) > confirmationTTL:
+	case e.phase == phaseLoading:
+		e.awaitingLoad = append(e.awaitingLoad, q)
+	case e.phase == phaseEnded && !m.isListConfirmed(e, q):
 		e.awaitingLoad = append(e.awaitingLoad, q)
 		e.loadStartedAt = m.now()
 		m.loadResults(e, phaseEnded)
@@ -52,12 +54,18 @@
 	}
 }
 
+// isListConfirmed reports whether the result list is known to be complete for the query:
+// confirmed since it arrived, however long the answer of the store took, or shortly before.
+func (m *Manager) isListConfirmed(e *jobEntry, q pendingQuery) bool {
+	return !e.confirmedAt.Before(q.arrivedAt) || m.now().Sub(e.confirmedAt) <= confirmationTTL
+}
+
 // answerAtOnce answers with published results or that there are none at the
 // position. It confirms the result list first, unless it was recently known to be
 // complete, and the ownership if that is due.
 func (m *Manager) answerAtOnce(e *jobEntry, q pendingQuery) {
 	position := q.request.Params.FromPosition
-	if position < len(e.published) || m.now().Sub(e.confirmedAt) <= confirmationTTL {
+	if position < len(e.published) || m.isListConfirmed(e, q) {
 		q.request.Reply(e.resultsFrom(position))
 		return
 	}
@@ -146,9 +154,12 @@
 			return
 		}
 		m.log.WithFields(logrus.Fields{"job": e.id, "listed": len(e.published)}).Info("job ended")
-		e.state = next
-		m.stopJob(e, phaseEnded)
-		m.answerAwaitingLoad(e)
+		// Otherwise the end was read from the store before the answer to its write arrived.
+		if e.phase == phaseOwned {
+			e.state = next
+			m.stopJob(e, phaseEnded)
+			m.answerAwaitingLoad(e)
+		}
 		q.request.Reply(Reply{Status: StatusOK})
 	})
 }
