End the orders in progress when the lease on orders is released or lost

Cause: an order that had been started waited for its engine, which was busy, and was sent as soon as that was idle, up to the end of the lease that it had copied. The release took for granted that no order follows it, and the next holder counts its wait from the release.

Change: orders run under a context that ends when the lease with their fencing number is lost or released. A renewal does not end them.

--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -210,11 +210,43 @@
 	f := newRolloutFixture(t, 1, true)
 	lease := Lease{Fence: 1, ValidUntil: f.clock.Now().Add(time.Second)}
 	f.clock.Advance(2 * time.Second)
-	if _, err := f.rollout.sendOrder(f.clock, lease, Engine{ID: "w000"}, Order{Engine: "w000", Version: 2}, ""); err == nil {
+	if _, err := f.rollout.sendOrder(t.Context(), f.clock, lease, Engine{ID: "w000"}, Order{Engine: "w000", Version: 2}, ""); err == nil {
 		t.Error("an order was sent after the lease had expired")
 	}
 }
 
+// waitingLoader waits for the engine of each order until the order's context ends.
+type waitingLoader struct{ started, ended chan struct{} }
+
+func (l waitingLoader) Load(ctx context.Context, _ Engine, _ Order, _ string, _ int64) (core.Version, error) {
+	l.started <- struct{}{}
+	<-ctx.Done()
+	l.ended <- struct{}{}
+	return 0, ctx.Err()
+}
+
+// Guards against an order that waits for a busy engine and is sent after its lease was
+// released, when the next holder may order the same engine.
+func TestReleasedLeaseEndsOrdersThatWait(t *testing.T) {
+	f := newRolloutFixture(t, 1, true)
+	loader := waitingLoader{started: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
+	f.rollout.loader = loader
+	f.setLease(5)
+	f.runUntil("an order waits", func() bool { return len(loader.started) == 1 })
+	f.rollout.SetLease(Lease{Fence: 5, ValidUntil: f.clock.Now().Add(2 * time.Hour)})
+	f.step()
+	if len(loader.ended) > 0 {
+		t.Fatal("the renewal of the lease ended the order")
+	}
+	f.rollout.SetLease(Lease{})
+	f.rollout.Loop().RunPending()
+	select {
+	case <-loader.ended:
+	case <-time.After(MaxOrderDuration / 3):
+		t.Error("the order still waits after the release")
+	}
+}
+
 // Guards against a new owner whose orders reach engines that do not check fencing
 // numbers before those of the previous owner.
 func TestNewOwnerWaitsForEnginesWithoutFencing(t *testing.T) {
