Count no reply to a load that has ended

A load that finds its list complete ends without an operation, so a reply to an earlier one could still have been handled. No such sequence was found; the end of a load and the stop of a job now say so themselves. Tests of internal/trainer/batch pass.

--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -68,6 +68,9 @@
 	})
 }
 
+// abandonLoad makes the reply to the newest operation of a load count no more.
+func (e *jobEntry) abandonLoad() { e.loadOps++ }
+
 // decodeObject decodes the object of a store reply, or returns the reply's error.
 func decodeObject(r platform.Result, out any) error {
 	if r.Err != nil {
@@ -209,6 +212,7 @@
 // confirmedAt.
 func (m *Manager) finishLoad(e *jobEntry, next phase, confirmedAt time.Time) {
 	e.confirmedAt = confirmedAt
+	e.abandonLoad()
 	m.loadLog(e).WithField("results", len(e.published)).Info("job loaded")
 	if next == phaseOwned {
 		m.startJob(e)
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -414,6 +414,7 @@
 // results to awaitingLoad.
 func (m *Manager) stopJob(e *jobEntry, next phase) {
 	e.lease.Revoke()
+	e.abandonLoad()
 	for _, item := range e.items {
 		item.cancelRun()
 	}
