--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/berylfall/berylfall/internal/core"
 )
 
 // RouteKind determines how the requests of a route may be executed.
@@ -38,6 +40,8 @@
 	Resumable        bool          // a stream may be resumed at another backend server
 	SingleVersion    bool          // one weight version must generate a whole sample
 	AbandonAfter     time.Duration // age of a batch job from which its items may be abandoned
+	Public           bool          // needs no key
+	Rank             core.Rank     // of its requests, unless their customer has one
 }
 
 // Service is a service in the routing configuration.
@@ -54,13 +58,15 @@
 	// MaxBodyBytes and MaxHeaderBytes bound a request; 0 is unlimited.
 	MaxBodyBytes   int
 	MaxHeaderBytes int
-	byHost         map[string][]Route
+	// Customers are those who may send requests; nil if the configuration names none.
+	Customers *Customers
+	byHost    map[string][]Route
 	// singleVersionServices are the services of routes with SingleVersion.
 	singleVersionServices map[string]bool
 }
 
 // NewRouteSet returns the set with the routes grouped by host. MaxHeaderBytes is
-// unlimited.
+// unlimited and Customers nil.
 func NewRouteSet(version int64, routes []Route, services map[string]Service, maxBody int) *RouteSet {
 	set := &RouteSet{Version: version, Services: services, MaxBodyBytes: maxBody, byHost: map[string][]Route{}, singleVersionServices: map[string]bool{}}
 	for _, r := range routes {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -39,6 +39,13 @@
 // CustomerID names a customer.
 type CustomerID string
 
+// Rank is the order of a request by the priority of its customer or route: 1 is the most
+// urgent.
+type Rank int
+
+// Unranked is the Rank of a request to which no priority applies.
+const Unranked Rank = 0
+
 // ServerID names a backend server.
 type ServerID string
 
@@ -58,6 +65,7 @@
 	Repeatable     bool   // idempotent: safe to run more than once
 	IdempotencyKey string // required when not Repeatable
 	Priority       int    // within the class; the highest is served first
+	Rank           Rank   // on the users' platform; no queue orders by it yet
 	Deadline       time.Time
 	Prompt         string
 	Body           []byte // for plain services
