Keep one budget of hedges for forwarded requests of all customers

Callers of the users' platform keep the hedges that they have today once their requests name customers. The budget was one for all of them, since none named a customer. Split by customer, one with few requests would need hundreds of them to earn its first early hedge. The share of a forwarded message is the daemon's own, not that of a contract. Contracts keep their budgets.

Run: go test ./internal/backend.

--- a/internal/backend/hedging.go
+++ b/internal/backend/hedging.go
@@ -39,16 +39,27 @@
 	if len(b.tokens) >= maxHedgeCustomers {
 		clear(b.tokens)
 	}
-	b.tokens[r.Customer] = min(b.tokens[r.Customer]+share, hedgeBurst)
+	owner := budgetOwner(r)
+	b.tokens[owner] = min(b.tokens[owner]+share, hedgeBurst)
 }
 
 // allows reports whether the customer's budget covers a hedge and still leaves
 // the reserve.
 func (b *hedgeBudget) allows(r *core.Request, reserve float64) bool {
-	return b.tokens[r.Customer] >= 1+reserve
+	return b.tokens[budgetOwner(r)] >= 1+reserve
 }
 
-func (b *hedgeBudget) consume(r *core.Request) { b.tokens[r.Customer]-- }
+func (b *hedgeBudget) consume(r *core.Request) { b.tokens[budgetOwner(r)]-- }
+
+// budgetOwner returns the customer whose contract permits the hedges of the request. The
+// share of a forwarded message is the daemon's own, so all of these share one budget:
+// split by customer, those with few requests would never earn a hedge.
+func budgetOwner(r *core.Request) core.CustomerID {
+	if r.Forward != nil {
+		return ""
+	}
+	return r.Customer
+}
 
 // scheduleOverdueCheck calls checkOverdue when the call's newest attempt has
 // lasted for the p95 of its kind of work.
