Ask for customers' keys on the users' platform, and keep jobs to their customers

Callers get 401 without a key of a customer, unless the route is public or the configuration names no customers; trainers read, end and resubmit the jobs of their own customer only (404; 409 for a submission under the id of another customer's job, since it can never be stored there). Operators name customers in the configuration; an odd one is refused alone and logged once, a line says at most once a second what was refused, and metrics count it.

The key stays in the daemon: it is removed from requests, streams and items, and the name of its customer is set instead. A caller's own header of that name is removed always, a key only where there are customers. A job stores its customer; queries between daemons and announcements of owners carry it, and each daemon that answers compares it. Recorded bytes without a customer are as before.

--- a/internal/daemon/daemonrpc/fuzz_test.go
+++ b/internal/daemon/daemonrpc/fuzz_test.go
@@ -64,7 +64,7 @@
 // a response with a status that is not known.
 func FuzzPeerRequest(f *testing.F) {
 	addRecorded(f, "*.hex")
-	for _, q := range []*JobQuestion{{}, {Kind: 99}, {After: -1, WaitMs: -1}, {Submitted: []byte("null")}, {Kind: int32(batch.QueryResults), WaitMs: 1 << 62}} {
+	for _, q := range []*JobQuestion{{}, {Kind: 99}, {After: -1, WaitMs: -1}, {Submitted: []byte("null")}, {Customer: "x"}, {Kind: int32(batch.QuerySubmit), Customer: "x", Submitted: []byte(`{"id":"j","customer":"y"}`)}, {Kind: int32(batch.QueryResults), WaitMs: 1 << 62}} {
 		data, err := proto.Marshal(&Question{Kind: &Question_Job{Job: q}})
 		if err != nil {
 			f.Fatal(err)
--- a/internal/daemon/daemonrpc/wirejobs.go
+++ b/internal/daemon/daemonrpc/wirejobs.go
@@ -12,7 +12,7 @@
 func encodeJobRequest(q batch.Query) (*Question, error) {
 	m := &JobQuestion{
 		Kind: int32(q.Kind), Job: string(q.ID), After: int64(q.FromPosition), WaitMs: q.MaxWait.Milliseconds(), Item: string(q.Item),
-		Delegated: q.Delegated,
+		Delegated: q.Delegated, Customer: string(q.Customer),
 	}
 	var err error
 	if q.Job != nil {
@@ -25,6 +25,7 @@
 	q := batch.Query{
 		Kind: batch.QueryKind(m.GetKind()), ID: batch.JobID(m.GetJob()), FromPosition: int(m.GetAfter()),
 		MaxWait: time.Duration(m.GetWaitMs()) * time.Millisecond, Item: batch.ItemID(m.GetItem()), Delegated: m.GetDelegated(),
+		Customer: core.CustomerID(m.GetCustomer()),
 	}
 	if len(m.GetSubmitted()) > 0 {
 		if err := json.Unmarshal(m.Submitted, &q.Job); err != nil {
@@ -57,7 +58,7 @@
 // may send it, says that the peer cannot answer.
 func decodeJobResponse(m *JobAnswer) batch.Reply {
 	status := batch.Status(m.Status)
-	if status < batch.StatusUnavailable || status > batch.StatusUnknownOutcome || m.Total < 0 {
+	if status < batch.StatusUnavailable || status > batch.StatusConflict || m.Total < 0 {
 		return batch.Reply{Status: batch.StatusUnavailable}
 	}
 	return batch.Reply{
--- a/internal/daemon/daemonrpc/wirenotifications.go
+++ b/internal/daemon/daemonrpc/wirenotifications.go
@@ -21,7 +21,7 @@
 		m.Engines = append(m.Engines, &ServerNotice{Server: string(e.Server), Model: e.Model, Version: int64(e.Version), Loading: e.Loading})
 	}
 	for _, o := range n.Owners {
-		m.Owners = append(m.Owners, &JobOwner{Job: string(o.Job), Address: o.Owner.Address, Run: o.Owner.Run, Model: o.Model, Work: o.RemainingTokens})
+		m.Owners = append(m.Owners, &JobOwner{Job: string(o.Job), Address: o.Owner.Address, Run: o.Owner.Run, Model: o.Model, Work: o.RemainingTokens, Customer: string(o.Customer)})
 	}
 	return &Question{Kind: &Question_Notices{Notices: m}}
 }
@@ -34,6 +34,7 @@
 	for _, o := range m.Owners {
 		n.Owners = append(n.Owners, batch.Ownership{
 			Job: batch.JobID(o.Job), Owner: batch.Owner{Address: o.Address, Run: o.Run}, Model: o.Model, RemainingTokens: o.Work,
+			Customer: core.CustomerID(o.Customer),
 		})
 	}
 	return n
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -73,6 +73,7 @@
 	jobManager  *batch.Manager
 	peers       *daemonrpc.PeerClient
 	peerList    *peerList
+	refusedKeys *unauthorizedRequests
 	notifier    *notifier
 	relay       *platform.Relay
 	origins     *caller.StreamOrigins
@@ -84,6 +85,7 @@
 	isClosing   atomic.Bool // requests are no longer passed on to backend servers
 	oddServers  oddEntries
 	oddConfigs  oddEntries
+	oddKeys     oddEntries
 	oddDaemons  oddEntries
 	oddVersions oddEntries
 	endRequests func()      // ends the requests in progress with an answer
@@ -100,6 +102,7 @@
 	d := &frontDaemon{base: b, routes: &caller.RouteTable{}, peerList: &peerList{}}
 	d.peers = daemonrpc.NewPeerClient(d.peerList.otherAddresses)
 	d.metrics = settings.NewMetrics(func() []*duty.Loop { return d.runner.Loops() })
+	d.refusedKeys = newUnauthorizedRequests(d.clock, d.log, d.metrics)
 	for _, step := range []func() error{
 		d.buildStore, d.buildPeerList, d.buildBackend, d.buildRateLimiter, d.buildStreamOrigins, d.buildNotifier, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
 	} {
@@ -246,12 +249,13 @@
 		if o.Deleted || o.Key != adapter.ConfigKey() {
 			continue
 		}
-		set, err := adapter.DecodeConfig(o.Value)
+		set, faults, err := adapter.DecodeConfig(o.Value)
 		if err != nil {
 			d.reportOddEntry(&d.oddConfigs, o.Key, "configuration cannot be decoded; the previous one stays in force", err)
 			continue
 		}
 		d.oddConfigs.remove(o.Key)
+		d.reportOddCustomers(o.Key, faults)
 		d.log.WithFields(logrus.Fields{"config": set.Version, "applied": d.routes.Apply(set)}).Info("configuration received")
 	}
 }
@@ -270,6 +274,7 @@
 		IsClosing:    d.isClosing.Load,
 		Stopping:     stopping,
 		OnRequestEnd: d.countRequest,
+		OnUnknownKey: d.refusedKeys.report,
 		Bodies:       transport.NewBodyMemory(bodyMemory(d.hostSettings.Memory)),
 		WriteMetrics: d.writeMetrics,
 	}
@@ -376,13 +381,17 @@
 }
 
 // JobRules implements batch.Routes.
-func (r jobRoutes) JobRules(host, target string) (batch.JobRules, bool) {
-	route := r.match(host, target)
+func (r jobRoutes) JobRules(host, target string, customer core.CustomerID) (batch.JobRules, bool) {
+	set := r.table.Current()
+	if set == nil {
+		return batch.JobRules{}, false
+	}
+	route := set.Match(host, target)
 	if route == nil || len(route.Targets) == 0 {
 		return batch.JobRules{}, false
 	}
 	return batch.JobRules{
-		Service: route.Targets[0].Service, MaxAttempts: route.MaxAttempts,
+		Service: route.Targets[0].Service, Rank: set.RankOf(route, customer), MaxAttempts: route.MaxAttempts,
 		SingleVersion: route.SingleVersion, AbandonAfter: route.AbandonAfter,
 	}, true
 }
--- a/internal/server/hosted/observe.go
+++ b/internal/server/hosted/observe.go
@@ -3,14 +3,13 @@
 import (
 	"io"
 	"strconv"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/backend"
-	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/settings"
+	adapter "github.com/berylfall/berylfall/platform"
 )
 
 // logAttempt counts an attempt and logs it if it failed. It runs on the dispatch
@@ -59,11 +58,14 @@
 
 // countRequest counts a request that has ended. It runs on the goroutine of the
 // request's handler.
-func (d *frontDaemon) countRequest(route string, status int, verdict core.Verdict, took time.Duration) {
-	byRoute := settings.Label{Name: "route", Value: route}
-	d.metrics.Observe("request_seconds", took, byRoute)
+func (d *frontDaemon) countRequest(e adapter.RequestEnd) {
+	byRoute := settings.Label{Name: "route", Value: e.Route}
+	d.metrics.Observe("request_seconds", e.Took, byRoute)
 	d.metrics.Count("requests_total", byRoute,
-		settings.Label{Name: "status", Value: strconv.Itoa(status)}, settings.Label{Name: "verdict", Value: verdict.String()})
+		settings.Label{Name: "status", Value: strconv.Itoa(e.Status)}, settings.Label{Name: "verdict", Value: e.Verdict.String()})
+	if e.Customer != "" {
+		d.metrics.Count("customer_requests_total", settings.Label{Name: "customer", Value: string(e.Customer)})
+	}
 }
 
 func (d *frontDaemon) writeMetrics(out io.Writer) error {
--- a/internal/server/hosted/oddentries.go
+++ b/internal/server/hosted/oddentries.go
@@ -1,10 +1,14 @@
 package hosted
 
 import (
+	"errors"
+	"maps"
+	"strconv"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/berylfall/berylfall/internal/caller"
 	"github.com/berylfall/berylfall/internal/settings"
 )
 
@@ -34,6 +38,11 @@
 // remove forgets an entry that can be used or is deleted.
 func (o *oddEntries) remove(key string) { delete(o.faults, key) }
 
+// retain forgets the entries for which isOdd returns false.
+func (o *oddEntries) retain(isOdd func(key string) bool) {
+	maps.DeleteFunc(o.faults, func(key, _ string) bool { return !isOdd(key) })
+}
+
 // reportOddEntry logs and counts an entry that cannot be used. It runs on the goroutine
 // of the kind's watch.
 func (d *frontDaemon) reportOddEntry(entries *oddEntries, key, message string, err error) {
@@ -46,6 +55,23 @@
 	d.log.WithFields(logrus.Fields{"object": shorten(key), "error": fault}).Warn(message)
 }
 
+// reportOddCustomers logs and counts the customers of a configuration that cannot be used
+// as they stand. It runs on the goroutine of the kind's watch.
+func (d *frontDaemon) reportOddCustomers(config string, faults []caller.CustomerFault) {
+	byEntry := map[string][]error{}
+	for _, fault := range faults {
+		entry := config + "#" + fault.Name
+		if fault.Name == "" {
+			entry = config + "#" + strconv.Itoa(fault.Position)
+		}
+		byEntry[entry] = append(byEntry[entry], fault.Err)
+	}
+	d.oddKeys.retain(func(entry string) bool { return len(byEntry[entry]) > 0 })
+	for entry, errs := range byEntry {
+		d.reportOddEntry(&d.oddKeys, entry, "customer of the configuration cannot be used as it stands; the others hold", errors.Join(errs...))
+	}
+}
+
 func shorten(text string) string {
 	if len(text) <= maxLoggedBytes {
 		return text
--- a/internal/trainer/batch/cluster_test.go
+++ b/internal/trainer/batch/cluster_test.go
@@ -131,7 +131,9 @@
 	})
 }
 
-func (cluster *testCluster) JobRules(string, string) (JobRules, bool) { return cluster.rules, true }
+func (cluster *testCluster) JobRules(string, string, core.CustomerID) (JobRules, bool) {
+	return cluster.rules, true
+}
 func (cluster *testCluster) RewardRules(string, string) (RewardRules, bool) {
 	return cluster.rewardRules, true
 }
--- a/internal/trainer/batch/item_parts.go
+++ b/internal/trainer/batch/item_parts.go
@@ -110,7 +110,8 @@
 	e.loadStep = loadStepItems
 	job, part := e.loadedItems, e.loadedItemParts
 	if part == job.ItemParts {
-		e.job, e.loadedItems, e.loadedItemParts = job, nil, 0
+		e.setJob(job)
+		e.loadedItems, e.loadedItemParts = nil, 0
 		m.loadState(e)
 		return
 	}
--- a/internal/trainer/batch/items.go
+++ b/internal/trainer/batch/items.go
@@ -93,7 +93,7 @@
 	e.remainingItems = len(e.items)
 	e.storeUnreachable = false
 	if m.onOwned != nil {
-		m.onOwned(Ownership{Job: e.id, Owner: m.self, Model: e.job.Model, RemainingTokens: e.remainingTokens()})
+		m.onOwned(Ownership{Job: e.id, Owner: m.self, Model: e.job.Model, Customer: e.customer, RemainingTokens: e.remainingTokens()})
 	}
 	m.queueInherited(e)
 	m.answerAwaitingLoad(e)
@@ -141,7 +141,7 @@
 	if e.phase != phaseOwned || m.released {
 		return
 	}
-	rules, ok := m.routes.JobRules(e.job.Host, e.job.Target)
+	rules, ok := m.routes.JobRules(e.job.Host, e.job.Target, e.customer)
 	now := m.now()
 	expired := ok && rules.AbandonAfter > 0 && now.After(e.job.AcceptedAt.Add(rules.AbandonAfter))
 	mayLaunch := ok && e.lease.IsValid()
@@ -176,6 +176,8 @@
 		return
 	}
 	request := &core.Request{
+		Customer:    e.customer,
+		Rank:        rules.Rank,
 		Service:     rules.Service,
 		Model:       r.item.Model,
 		MinVersion:  e.job.MinVersion,
@@ -359,7 +361,7 @@
 		log.WithFields(logrus.Fields{"status": end.callEnd.Status, "failures": r.failures}).Warn("backend server failed to run an item")
 		r.discardText()
 		r.notBefore = m.now().Add(itemRetryDelay)
-		rules, ok := m.routes.JobRules(e.job.Host, e.job.Target)
+		rules, ok := m.routes.JobRules(e.job.Host, e.job.Target, e.customer)
 		if ok && end.callEnd.Status == statusItemFailed && r.failures >= max(1, rules.MaxAttempts) {
 			m.abandonItem(e, r, "it failed too often")
 		}
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -51,7 +51,7 @@
 			m.loadItemParts(e)
 			return
 		}
-		e.job = job
+		e.setJob(job)
 		m.loadState(e)
 	})
 }
@@ -75,6 +75,10 @@
 	e.awaitingLoad = nil
 	for _, q := range waiting {
 		query := q.request.Params
+		if e.job != nil && !e.isOpenTo(&query) {
+			q.request.Reply(denial(&query))
+			continue
+		}
 		if query.Kind == QueryResults && query.FromPosition < len(e.published) {
 			q.request.Reply(e.resultsFrom(query.FromPosition))
 			continue
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -95,7 +95,10 @@
 	id    JobID
 	phase phase
 	job   *Job
-	state state
+	// customer is the job's, once the job was read or its owner announced it. It stays when
+	// the job is removed from memory.
+	customer core.CustomerID
+	state    state
 	// stateVersion is the version of the state object, platform.Absent if there is none.
 	stateVersion         int64
 	replaceOwner         Owner // owner that the load in progress takes the job over from
@@ -229,9 +232,12 @@
 		e := m.jobs[o.Job]
 		switch {
 		case e == nil && len(m.jobs) < maxKnownJobs:
-			m.jobs[o.Job] = &jobEntry{id: o.Job, phase: phaseNotOwner, state: state{Owner: o.Owner}, lastQueryAt: m.now()}
+			m.jobs[o.Job] = &jobEntry{id: o.Job, phase: phaseNotOwner, customer: o.Customer, state: state{Owner: o.Owner}, lastQueryAt: m.now()}
 		case e != nil && e.phase == phaseNotOwner:
 			e.state.Owner = o.Owner
+			if o.Customer != "" {
+				e.customer = o.Customer
+			}
 		}
 	}
 }
@@ -311,6 +317,8 @@
 func (m *Manager) answerNotOwned(e *jobEntry, request duty.Query[Query, Reply]) {
 	q := request.Params
 	switch {
+	case !e.isOpenTo(&q):
+		request.Reply(denial(&q))
 	case q.Kind == QuerySubmit:
 		request.Reply(Reply{Status: StatusOK})
 	case q.Relayed || q.Reload:
@@ -353,7 +361,8 @@
 	switch {
 	case r.Err == nil:
 		log.Info("job accepted")
-		e.job, e.state = job, state{Owner: m.self}
+		e.setJob(job)
+		e.state = state{Owner: m.self}
 		m.startJob(e)
 	case errors.Is(r.Err, platform.ErrConflict):
 		log.Info("job was accepted before")
@@ -389,17 +398,25 @@
 	e.awaitingLoad = nil
 	for _, w := range waiting {
 		if e.phase == phaseNotOwner {
-			reply := Reply{Status: StatusNotOwner, Owner: e.state.Owner}
-			if w.request.Params.Kind == QuerySubmit {
-				reply = Reply{Status: StatusOK}
-			}
-			w.request.Reply(reply)
+			w.request.Reply(e.replyNotOwned(&w.request.Params))
 			continue
 		}
 		m.answerQuery(e, w)
 	}
 }
 
+// replyNotOwned returns the reply to a query about a job that was read and has another
+// owner.
+func (e *jobEntry) replyNotOwned(q *Query) Reply {
+	switch {
+	case !e.isOpenTo(q):
+		return denial(q)
+	case q.Kind == QuerySubmit:
+		return Reply{Status: StatusOK}
+	}
+	return Reply{Status: StatusNotOwner, Owner: e.state.Owner}
+}
+
 // stopJob revokes the lease of a job, cancels the runs of its items and moves the queries that wait for
 // results to awaitingLoad.
 func (m *Manager) stopJob(e *jobEntry, next phase) {
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -13,6 +13,10 @@
 // answerQuery answers a query about a job whose results are in memory.
 func (m *Manager) answerQuery(e *jobEntry, q pendingQuery) {
 	query := q.request.Params
+	if !e.isOpenTo(&query) {
+		q.request.Reply(denial(&query))
+		return
+	}
 	switch query.Kind {
 	case QuerySubmit:
 		q.request.Reply(Reply{Status: StatusOK})
--- a/internal/trainer/batch/router.go
+++ b/internal/trainer/batch/router.go
@@ -57,7 +57,7 @@
 	q.Delegated = true
 	for _, address := range r.randomPeers() {
 		peerReply, err := r.relayQuery(ctx, Owner{Address: address}, q)
-		if err == nil && (peerReply.Status == StatusOK || peerReply.Status == StatusNotFound) {
+		if err == nil && peerReply.Status.IsConclusive() {
 			r.log.WithFields(logrus.Fields{"job": q.ID, "daemon": address}).Info("delegated query answered by a peer")
 			return peerReply
 		}
@@ -78,7 +78,7 @@
 		}
 		owner := reply.Owner
 		peerReply, err := r.relayToOwner(ctx, owner, q)
-		isConclusive := err == nil && (peerReply.Status == StatusOK || peerReply.Status == StatusNotFound)
+		isConclusive := err == nil && peerReply.Status.IsConclusive()
 		if isConclusive && !peerReply.StoreUnreachable {
 			return peerReply
 		}
--- a/internal/trainer/batch/types.go
+++ b/internal/trainer/batch/types.go
@@ -51,16 +51,19 @@
 
 // Job is an accepted batch job. It is immutable.
 type Job struct {
-	ID           JobID        `json:"id"`
-	Host         string       `json:"host"`
-	Target       string       `json:"target"` // path of the submission
-	Step         int64        `json:"step"`
-	Model        string       `json:"model"`
-	MinVersion   core.Version `json:"minVersion"` // oldest weight version that may generate its tokens
-	WantedGroups int          `json:"wanted"`     // complete groups that the trainer waits for
-	Items        []Item       `json:"items"`
-	AcceptedAt   time.Time    `json:"acceptedAt"`
-	AcceptedBy   Owner        `json:"owner"` // daemon that accepted it
+	ID JobID `json:"id"`
+	// Customer may read and end the job, and its items run for it; every customer may if
+	// it is "".
+	Customer     core.CustomerID `json:"customer,omitempty"`
+	Host         string          `json:"host"`
+	Target       string          `json:"target"` // path of the submission
+	Step         int64           `json:"step"`
+	Model        string          `json:"model"`
+	MinVersion   core.Version    `json:"minVersion"` // oldest weight version that may generate its tokens
+	WantedGroups int             `json:"wanted"`     // complete groups that the trainer waits for
+	Items        []Item          `json:"items"`
+	AcceptedAt   time.Time       `json:"acceptedAt"`
+	AcceptedBy   Owner           `json:"owner"` // daemon that accepted it
 	// ItemParts is the number of additional objects that hold the items, and
 	// ItemsDigest is part of their keys; 0 and "" if the items are in the job's
 	// own object.
@@ -80,7 +83,8 @@
 	Job             JobID
 	Owner           Owner
 	Model           string
-	RemainingTokens int64 // estimated output tokens of the items without a result
+	Customer        core.CustomerID // of the job
+	RemainingTokens int64           // estimated output tokens of the items without a result
 }
 
 // state is the mutable part of a job, stored as an object of its own.
@@ -109,7 +113,8 @@
 // JobRules are the settings of a job's route in the configuration in force.
 type JobRules struct {
 	Service       string
-	MaxAttempts   int // failures after which an item is abandoned
+	Rank          core.Rank // of the items
+	MaxAttempts   int       // failures after which an item is abandoned
 	SingleVersion bool
 	AbandonAfter  time.Duration // counted from the acceptance
 }
@@ -124,7 +129,7 @@
 // Routes looks up rules in the configuration in force. ok is false if no route
 // matches.
 type Routes interface {
-	JobRules(host, target string) (r JobRules, ok bool)
+	JobRules(host, target string, customer core.CustomerID) (r JobRules, ok bool)
 	RewardRules(host, target string) (r RewardRules, ok bool)
 }
 
@@ -146,6 +151,9 @@
 	Kind QueryKind
 	ID   JobID
 	Job  *Job // for QuerySubmit
+	// Customer is the one who asks; "" if the daemon that has the request knows no
+	// customers, and for QueryRelinquish, which concerns daemons only.
+	Customer core.CustomerID
 
 	FromPosition int           // first list position to return
 	MaxWait      time.Duration // how long to wait for a result at that position
@@ -196,11 +204,17 @@
 	StatusNotFound
 	StatusNotOwner       // another daemon owns the job
 	StatusUnknownOutcome // the submission may or may not have been stored
+	StatusConflict       // the id is that of another customer's job; the submission can never be stored
 )
 
+// IsConclusive reports whether no other daemon could answer otherwise.
+func (s Status) IsConclusive() bool {
+	return s == StatusOK || s == StatusNotFound || s == StatusConflict
+}
+
 // String returns the name of the status in logs.
 func (s Status) String() string {
-	return [...]string{"unavailable", "ok", "not-found", "elsewhere", "uncertain"}[s]
+	return [...]string{"unavailable", "ok", "not-found", "elsewhere", "uncertain", "conflict"}[s]
 }
 
 // Reply is the outcome of a query, from the own jobs duty or from a peer.
