--- a/internal/server/hosted/customers_test.go
+++ b/internal/server/hosted/customers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/berylfall/berylfall/internal/caller"
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/settings"
@@ -288,3 +289,19 @@
 		t.Errorf("%d lines for 3 s:\n%s", lines, buffer.String())
 	}
 }
+
+// Guards against items that don't take the priority of their customer before that of their
+// route.
+func TestItemsTakeTheRankOfTheirCustomer(t *testing.T) {
+	set, _, err := adapter.DecodeConfig([]byte(`{"version":1,"routes":[{"host":"h","pathPrefix":"/","service":"s","priority":4}],"tenants":[{"name":"a","apiKeys":[],"priority":0},{"name":"b","apiKeys":[]}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := &caller.RouteTable{}
+	table.Apply(set)
+	for customer, want := range map[core.CustomerID]core.Rank{"a": 1, "b": 5, "": 5, "gone": 5} {
+		if rules, ok := (jobRoutes{table: table}).JobRules("h", "/x", customer); !ok || rules.Rank != want {
+			t.Errorf("customer %q: rank %d, want %d", customer, rules.Rank, want)
+		}
+	}
+}
--- a/internal/trainer/batch/customers_test.go
+++ b/internal/trainer/batch/customers_test.go
@@ -1,11 +1,17 @@
 package batch
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"github.com/berylfall/berylfall/internal/core"
+	"github.com/berylfall/berylfall/internal/platform"
 )
 
 func submissionOf(customer core.CustomerID) Query {
@@ -27,27 +33,33 @@
 // under its id is answered as accepted: at the owner, at a daemon that reads the job from
 // the store, and at one that knows its owner from an announcement.
 func TestJobIsClosedToOtherCustomers(t *testing.T) {
-	for _, at := range []string{"owner", "reader", "announced"} {
+	for _, at := range []string{"owner", "reader", "announced", "announced again"} {
 		cluster := newCluster(t, 2, 1)
 		owner, asked := cluster.daemons[0], cluster.daemons[1]
 		cluster.callStatus = func(*core.Call) int { return 503 } // the job stays open
+		owner.manager.onOwned = func(o Ownership) {
+			switch at {
+			case "announced":
+				asked.manager.UpdateOwners([]Ownership{o})
+			case "announced again":
+				// A daemon of an earlier build announces no customer.
+				asked.manager.UpdateOwners([]Ownership{{Job: o.Job, Owner: o.Owner}, o})
+			}
+		}
 		if a := cluster.query(owner, submissionOf("x")); a.Status != StatusOK {
 			t.Fatalf("submission answered %v", a.Status)
 		}
-		switch at {
-		case "owner":
+		if at == "owner" {
 			asked = owner
-		case "announced":
-			asked.manager.UpdateOwners([]Ownership{{Job: "a", Owner: owner.manager.self, Customer: "x"}})
+		}
+		if a := cluster.query(asked, submissionOf("y")); a.Status != StatusConflict {
+			t.Errorf("%s: the submission of another customer is answered %v", at, a.Status)
 		}
 		for _, q := range queriesOf("y") {
-			if a := cluster.queryViaOwner(asked, q); a.Status != StatusNotFound || a.Total != 0 || a.Body != nil {
+			if a := cluster.query(asked, q); a.Status != StatusNotFound || a.Total != 0 || a.Body != nil {
 				t.Errorf("%s: query %d of another customer is answered %+v", at, q.Kind, a)
 			}
 		}
-		if a := cluster.query(asked, submissionOf("y")); a.Status != StatusConflict {
-			t.Errorf("%s: the submission of another customer is answered %v", at, a.Status)
-		}
 		if owner.manager.countOpenJobs() != 1 {
 			t.Errorf("%s: the job was ended or taken over", at)
 		}
@@ -75,13 +87,53 @@
 	if a, ok := first.TryTake(); !ok || a.Status != StatusOK {
 		t.Errorf("the first submission is answered %v, %v", a.Status, ok)
 	}
-	d.start()
-	for _, q := range append(queriesOf("y"), submissionOf("y")) {
-		want := denial(&q).Status
-		if a := cluster.query(d, q); a.Status != want {
-			t.Errorf("after a restart, query %d of another customer is answered %v, want %v", q.Kind, a.Status, want)
+	for _, stateIsRead := range []bool{true, false} {
+		d.fails = func(op platform.Op, _ platform.Result) bool {
+			return !stateIsRead && strings.HasPrefix(op.Key, statePrefix)
+		}
+		for _, q := range append(queriesOf("y"), submissionOf("y")) {
+			d.start() // knows nothing of the job
+			want := denial(&q).Status
+			if a := cluster.query(d, q); a.Status != want {
+				t.Errorf("state read %v: query %d of another customer is answered %v, want %v", stateIsRead, q.Kind, a.Status, want)
+			}
+		}
+	}
+}
+
+// peerWithConflict is a peer that knows the job as another customer's.
+type peerWithConflict struct{ asked Query }
+
+func (p *peerWithConflict) Addresses() []string { return []string{"10.0.0.9:1"} }
+
+func (p *peerWithConflict) SendQuery(_ context.Context, _ string, q Query) (Reply, error) {
+	p.asked = q
+	return Reply{Status: StatusConflict}, nil
+}
+
+// Guards against a delegated submission without its customer, and against a conflict that
+// its trainer takes for a refusal of the moment.
+func TestDelegatedSubmissionKeepsItsCustomer(t *testing.T) {
+	cluster := newCluster(t, 1, 5)
+	cluster.daemons[0].disconnected = true
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	peer := &peerWithConflict{}
+	router := NewRouter(cluster.daemons[0].manager, peer, logrus.NewEntry(log))
+	replies := make(chan Reply, 1)
+	go func() { replies <- router.HandleQuery(t.Context(), submissionOf("x")) }()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
+		cluster.step()
+		select {
+		case r := <-replies:
+			if r.Status != StatusConflict || peer.asked.Customer != "x" || !peer.asked.Delegated {
+				t.Errorf("answered %v after %+v", r.Status, peer.asked)
+			}
+			return
+		case <-time.After(time.Millisecond): // the router runs on its own goroutine
 		}
 	}
+	t.Fatal("no reply")
 }
 
 // Guards against items that run without their customer or its rank, and against reward
