--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -51,7 +51,7 @@
 			m.loadItemParts(e)
 			return
 		}
-		e.job = job
+		e.setJob(job)
 		m.loadState(e)
 	})
 }
@@ -89,11 +89,15 @@
 	waiting := e.awaitingLoad
 	e.awaitingLoad = nil
 	for _, q := range waiting {
-		if e.canAnswerEarly(q.request.Params) {
-			q.request.Reply(e.resultsFrom(q.request.Params.FromPosition))
-			continue
+		query := q.request.Params
+		switch {
+		case e.job != nil && !e.isOpenTo(&query):
+			q.request.Reply(denial(&query))
+		case e.canAnswerEarly(query):
+			q.request.Reply(e.resultsFrom(query.FromPosition))
+		default:
+			q.request.Reply(Reply{Status: StatusUnavailable})
 		}
-		q.request.Reply(Reply{Status: StatusUnavailable})
 	}
 }
 
@@ -102,7 +106,7 @@
 // the former owner gives the job up when it is answered.
 func (e *jobEntry) canAnswerEarly(q Query) bool {
 	isTakeover := q.ReplaceOwner != (Owner{})
-	return q.Kind == QueryResults && !isTakeover && e.job != nil && q.FromPosition < len(e.published)
+	return q.Kind == QueryResults && !isTakeover && e.job != nil && q.FromPosition < len(e.published) && e.isOpenTo(&q)
 }
 
 // loadLog returns a log entry that says how far the load of a job has come.
--- a/internal/trainer/batch/load_test.go
+++ b/internal/trainer/batch/load_test.go
@@ -192,6 +192,35 @@
 	}
 }
 
+// Guards against results that another customer gets while their job is loaded, or when its
+// load fails.
+func TestLoadingJobAnswersItsCustomerOnly(t *testing.T) {
+	cluster := newCluster(t, 1, 1)
+	cluster.storeEndedJob(t, "a")
+	d := cluster.daemons[0]
+	d.fails = func(op platform.Op, _ platform.Result) bool { return op.Key == resultPartKey("a", 1) }
+	cluster.query(d, Query{Kind: QueryResults, ID: "a"})
+	d.manager.jobs["a"].customer = "one"
+	for customer, want := range map[core.CustomerID]Status{"one": StatusOK, "another": StatusNotFound} {
+		if r := cluster.query(d, Query{Kind: QueryResults, ID: "a", Customer: customer}); r.Status != want {
+			t.Errorf("customer %s: %v, want %v", customer, r.Status, want)
+		}
+	}
+	d.fails, d.holds = nil, func(platform.Op) bool { return true }
+	if _, err := d.manager.queries.Send(t.Context(), Query{Kind: QueryResults, ID: "a", FromPosition: storedItems, Customer: "one"}); err != nil {
+		t.Fatal(err)
+	}
+	cluster.holdUntil(d, 1)
+	replies, err := d.manager.queries.Send(t.Context(), Query{Kind: QueryResults, ID: "a", Customer: "another"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cluster.step()
+	if r, ok := replies.TryTake(); ok {
+		t.Errorf("another customer is answered while the job is loaded: %v", r.Status)
+	}
+}
+
 // Guards against a takeover that fails and is answered with results: the former owner then
 // gives up the job, which nobody runs, and what it could not publish.
 func TestFailedTakeoverIsNotAnsweredWithResults(t *testing.T) {
