--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -46,6 +46,9 @@
 	// OnLeaving is called if the server says with its answer that it is leaving. It must
 	// not block; nil disables it.
 	OnLeaving func()
+	// OnRun receives the wall-clock time at which the request was sent, once the head of an
+	// answer shows that the server ran it. It must not block; nil disables it.
+	OnRun func(sentAt time.Time)
 	// IsTooSlow reports whether a stream that produced this number of events in
 	// the time since its first event should continue on another server. Nil
 	// disables the check.
@@ -130,6 +133,9 @@
 		OnRateLimit:  d.rateLimitHandler(chosen),
 		OnLeaving:    d.leavingHandler(&chosen.Server),
 	}
+	if onRun := d.onRun; onRun != nil {
+		a.OnRun = func(sentAt time.Time) { onRun(s.call.Request, sentAt) }
+	}
 	if s.call.Request.Class == core.ClassRollout && number <= maxPaceMoves {
 		a.IsTooSlow = d.slowStreamCheck(s.call.Request, a.Software)
 	}
--- a/internal/backend/dispatch.go
+++ b/internal/backend/dispatch.go
@@ -99,6 +99,7 @@
 	deliverSuspectSummary   func(SuspectReport)
 	deliverOwnWork          func([]OwnWork)
 	onAttemptEnd            func(AttemptEnd)
+	onRun                   func(r *core.Request, sentAt time.Time)
 	onLeaving               func(LeavingNotice)
 	rateLimitObserver       RateLimitObserver
 	permitSource            PermitSource
@@ -171,6 +172,12 @@
 // duty starts.
 func (d *Dispatcher) SetAttemptEndHandler(f func(AttemptEnd)) { d.onAttemptEnd = f }
 
+// SetRunHandler sets a function that receives the request and the time at which it was
+// sent, for each attempt that a server is known to have run. The function runs on the
+// goroutine of the attempt and must not block. SetRunHandler must be called before the
+// duty starts.
+func (d *Dispatcher) SetRunHandler(f func(r *core.Request, sentAt time.Time)) { d.onRun = f }
+
 // Submit queues the call. It returns false if the ring is full; the call is
 // then not accepted.
 func (d *Dispatcher) Submit(c *core.Call) bool { return d.calls.TryPut(c) }
--- a/internal/lint/lint.go
+++ b/internal/lint/lint.go
@@ -50,6 +50,7 @@
 	"internal/platform",
 	"internal/daemon",
 	"internal/operator",
+	"internal/usage",
 }
 
 // platformPackages are the adapter packages for the users' platform. Only they may
@@ -63,7 +64,7 @@
 	"Weight-Versions", "Token-Count", "Prompt-Prefix", "Length-Hint", "Wait-Ms", "Kv-From", "Kv-Fetch", "Kv-Backup",
 	"/api/lots", "/api/items", "/api/objects", "/api/order", "/api/report", "/api/readyz", "/api/kv",
 	"fencingToken", "fencingEnforced", "maxQueueS", "resultDueMs", "pathPrefix", "targetLatencyMs", "storeRevision",
-	"coldRemainingMs", "desiredCount", "BERYLFALL_SETTINGS",
+	"coldRemainingMs", "desiredCount", "BERYLFALL_SETTINGS", "Duty-Holder", "Fencing-Token", "windowId",
 }
 
 // transportLibraries may be imported by the encodings and by the packages that
