Carry totals of usage between daemons

Operators get counts that three other daemons hold 0.2 s after a request began. One message carries totals of a run of a daemon, one question asks for those of the last windows that the receiver holds. A daemon of an earlier build takes both for a query about a job and answers; so an answer has a mark of a daemon that holds totals, and one without it counts as an error. Then another daemon gets the totals.

--- a/internal/daemon/daemonrpc/fuzz_test.go
+++ b/internal/daemon/daemonrpc/fuzz_test.go
@@ -17,6 +17,7 @@
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
+	"github.com/berylfall/berylfall/internal/usage"
 )
 
 // addRecorded adds the recorded messages of an earlier build to the seed corpus.
@@ -83,6 +84,8 @@
 		{Kind: &Question_Origin{Origin: &StreamOriginQuestion{Stream: string(testOrigin.Stream)}}},
 		{Kind: &Question_Suspects{Suspects: &SuspectQuestion{}}},
 		encodeNotifications(Notifications{Suspects: testSuspects}),
+		encodeTotals(testTotals),
+		{Kind: &Question_UsagePull{UsagePull: &UsageQuestion{}}},
 		{Kind: &Question_OriginPull{OriginPull: &StreamOriginPull{Address: "127.0.0.1:1"}}},
 	} {
 		data, err := proto.Marshal(q)
@@ -122,6 +125,16 @@
 			HandleOriginPull: func(context.Context, string) ([]caller.StreamOrigin, error) {
 				return []caller.StreamOrigin{testOrigin}, nil
 			},
+			HandleUsage: func(totals []usage.Totals) {
+				for _, held := range totals {
+					for customer, n := range held.Counts {
+						if held.Run == "" || customer == "" || n <= 0 {
+							t.Errorf("totals %+v", held)
+						}
+					}
+				}
+			},
+			HandleUsagePull:    func(context.Context) ([]usage.Totals, error) { return testTotals, nil },
 			HandleWatchRequest: func(context.Context, int64) (platform.Listing, error) { return platform.Listing{}, nil },
 			HandleJobRequest:   func(context.Context, batch.Query) batch.Reply { return batch.Reply{} },
 			HandlePermitRequest: func(_ context.Context, r backend.PermitRequest) (backend.PermitGrant, error) {
--- a/internal/daemon/daemonrpc/peerclient.go
+++ b/internal/daemon/daemonrpc/peerclient.go
@@ -18,6 +18,7 @@
 	"github.com/berylfall/berylfall/internal/core"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
+	"github.com/berylfall/berylfall/internal/usage"
 )
 
 const (
@@ -147,6 +148,31 @@
 	return decodeSuspects(response.GetSuspects()), nil
 }
 
+// SendTotals makes the daemon at the address hold the totals.
+func (p *PeerClient) SendTotals(ctx context.Context, address string, totals []usage.Totals) error {
+	_, err := p.requestUsage(ctx, address, encodeTotals(totals))
+	return err
+}
+
+// PullTotals asks the daemon at the address for the totals of recent windows that it holds.
+func (p *PeerClient) PullTotals(ctx context.Context, address string) ([]usage.Totals, error) {
+	response, err := p.requestUsage(ctx, address, &Question{Kind: &Question_UsagePull{UsagePull: &UsageQuestion{}}})
+	if err != nil {
+		return nil, err
+	}
+	return decodeTotals(response.GetUsage()), nil
+}
+
+// requestUsage returns an error if the daemon at the address holds no totals, as one of an
+// earlier build.
+func (p *PeerClient) requestUsage(ctx context.Context, address string, m *Question) (*JobAnswer, error) {
+	response, err := p.request(ctx, address, m)
+	if err == nil && !response.GetHoldsUsage() {
+		return nil, errNoUsage
+	}
+	return response, err
+}
+
 // Ping opens a connection to the peer and closes it. It returns an error if the peer
 // does not accept it.
 func (p *PeerClient) Ping(ctx context.Context, address string) error {
--- a/internal/daemon/daemonrpc/peerserver.go
+++ b/internal/daemon/daemonrpc/peerserver.go
@@ -19,6 +19,7 @@
 	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
 	"github.com/berylfall/berylfall/internal/trainer/batch"
+	"github.com/berylfall/berylfall/internal/usage"
 )
 
 // PeerServer serves the peer requests and notifications of other daemons.
@@ -51,6 +52,11 @@
 	HandleOriginQuestion func(context.Context, core.RequestID) (caller.OriginLookup, error)
 	// HandleOriginPull returns the origins for the daemon at the address. It may block.
 	HandleOriginPull func(ctx context.Context, address string) ([]caller.StreamOrigin, error)
+	// HandleUsage holds the totals of another daemon. It must not block; nil says that this
+	// daemon holds none.
+	HandleUsage func([]usage.Totals)
+	// HandleUsagePull returns the totals of recent windows. It may block; nil returns none.
+	HandleUsagePull func(context.Context) ([]usage.Totals, error)
 }
 
 // ListenPeers opens the listener. The pool runs one goroutine for each session
@@ -167,6 +173,12 @@
 	if m.GetSuspects() != nil {
 		return s.handleSuspectQuestion()
 	}
+	if u := m.GetUsage(); u != nil {
+		return s.handleUsage(u)
+	}
+	if m.GetUsagePull() != nil {
+		return s.handleUsagePull()
+	}
 	q, err := decodeJobRequest(m.GetJob())
 	if err != nil {
 		return nil, err
@@ -212,6 +224,27 @@
 	return &JobAnswer{Suspects: encodeSuspects(r)}, nil
 }
 
+func (s *PeerServer) handleUsage(m *UsageList) (*JobAnswer, error) {
+	if s.handlers.HandleUsage == nil {
+		return &JobAnswer{}, nil
+	}
+	s.handlers.HandleUsage(decodeTotals(m.GetTotals()))
+	return &JobAnswer{HoldsUsage: true}, nil
+}
+
+func (s *PeerServer) handleUsagePull() (*JobAnswer, error) {
+	if s.handlers.HandleUsagePull == nil {
+		return &JobAnswer{}, nil
+	}
+	ctx, cancel := questionContext()
+	defer cancel()
+	totals, err := s.handlers.HandleUsagePull(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &JobAnswer{Usage: encodeTotalsList(totals), HoldsUsage: true}, nil
+}
+
 func (s *PeerServer) handlePermitRequest(m *PermitQuestion) (*JobAnswer, error) {
 	r, err := decodePermitRequest(m)
 	if err != nil {
