Report the usage of customers to the accounting API

Without the duty in the settings file no duty runs, no message is sent and no lease is read.

Parts of jobs, reward calls and streams that are taken up again are not counted.

--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -77,6 +77,7 @@
 	relay       *platform.Relay
 	origins     *caller.StreamOrigins
 	orders      *engineOrders
+	usage       *usageReports // nil if the platform wants no reports of usage
 	callers     *transport.Server
 	readiness   *transport.Server
 	metrics     *settings.Metrics
@@ -101,7 +102,7 @@
 	d.peers = daemonrpc.NewPeerClient(d.peerList.otherAddresses)
 	d.metrics = settings.NewMetrics(func() []*duty.Loop { return d.runner.Loops() })
 	for _, step := range []func() error{
-		d.buildStore, d.buildPeerList, d.buildBackend, d.buildRateLimiter, d.buildStreamOrigins, d.buildNotifier, d.buildOrders, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
+		d.buildStore, d.buildPeerList, d.buildBackend, d.buildRateLimiter, d.buildStreamOrigins, d.buildNotifier, d.buildOrders, d.buildUsage, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
 	} {
 		if err := step(); err != nil {
 			return nil, err
@@ -286,7 +287,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := daemonrpc.ListenPeers(d.hostSettings.PeerAddress, pool, d.log, daemonrpc.PeerHandlers{
+	handlers := daemonrpc.PeerHandlers{
 		HandleContact:             d.peers.RecordContact,
 		HandleJobRequest:          jobRouter.HandleRelayed,
 		HandleEngineNotifications: d.directory.UpdateModelStatus,
@@ -299,7 +300,9 @@
 		HandleOriginPull:          d.origins.FindReplicas,
 		HandleSuspects:            d.mergeSuspects,
 		HandleSuspectQuestion:     d.dispatch.Suspects,
-	})
+	}
+	d.usageHandlers(&handlers)
+	jobs, err := daemonrpc.ListenPeers(d.hostSettings.PeerAddress, pool, d.log, handlers)
 	if err != nil {
 		return err
 	}
@@ -352,7 +355,9 @@
 	defer cancelAccepting()
 	d.isStopping.Store(true)
 	d.callers.Drain()
+	d.stopUsageReports()
 	d.orders.releaseLeases(accepting)
+	d.releaseUsageLease()
 	_ = duty.Sleep(accepting, minStopDuration-leaseReleaseDelay)
 	d.callers.WaitIdle(accepting)
 	d.isClosing.Store(true)
@@ -365,6 +370,7 @@
 	d.callers.WaitIdle(answering)
 	d.endRequests()
 	d.callers.WaitIdle(ctx)
+	d.sendLastCounts(ctx)
 	d.runner.Stop(ctx)
 	d.peers.Close()
 	d.releasePools()
--- a/internal/server/hosted/front_test.go
+++ b/internal/server/hosted/front_test.go
@@ -34,6 +34,7 @@
 	daemons []*frontDaemon
 	callers []string
 	log     *lockedBuffer
+	usage   adapter.UsageSettings // of daemons that start
 }
 
 // newFleet starts n daemons, two engines and a plain server.
@@ -87,6 +88,7 @@
 	set := &adapter.Settings{
 		Host: fmt.Sprintf("front-%d", len(f.daemons)), DataCentre: "a", PeerAddress: addresses[0], Callers: addresses[1], Readiness: addresses[2],
 		Store:  adapter.StoreSettings{Address: store, WritesPerSecond: 400, ReadsPerSecond: 2000},
+		Usage:  f.usage,
 		Bounds: adapter.Bounds{StopGrace: 8 * time.Second, LeaseTurn: 3 * time.Second, Drain: 2 * time.Second},
 	}
 	d, err := StartFront(set, log.WithField("host", set.Host))
--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -148,7 +148,7 @@
 		return
 	}
 	o.leaseManager.Loop().After(g.firstDelay, func() {
-		o.leaseManager.Loop().After(time.Duration(d.rank(g))*candidateDelay, acquire)
+		o.leaseManager.Loop().After(time.Duration(d.leaseRank(g.lease))*candidateDelay, acquire)
 	})
 }
 
@@ -156,10 +156,10 @@
 	return strings.HasPrefix(holder, d.hostSettings.Host+"/")
 }
 
-// rank returns this daemon's rank among the candidates for the group's lease, from 0.
-func (d *frontDaemon) rank(g *orderGroup) int {
+// leaseRank returns this daemon's rank among the candidates for the lease, from 0.
+func (d *frontDaemon) leaseRank(lease string) int {
 	others := d.peerList.otherAddresses()
-	ranked := rendezvous.RendezvousRank(g.lease, append(slices.Clone(others), d.hostSettings.PeerAddress), len(others)+1)
+	ranked := rendezvous.RendezvousRank(lease, append(slices.Clone(others), d.hostSettings.PeerAddress), len(others)+1)
 	return slices.Index(ranked, d.hostSettings.PeerAddress)
 }
 
@@ -167,7 +167,7 @@
 // candidate. The holder of another group's lease leaves it to others, because the loss
 // of a daemon that holds both would delay new versions in all groups.
 func (d *frontDaemon) pollPeriod(o *engineOrders, g *orderGroup) time.Duration {
-	return candidatePollPeriod(d.rank(g), o.holdsAnother(g))
+	return candidatePollPeriod(d.leaseRank(g.lease), o.holdsAnother(g))
 }
 
 func candidatePollPeriod(rank int, holdsAnother bool) time.Duration {
--- a/internal/server/hosted/peerlist.go
+++ b/internal/server/hosted/peerlist.go
@@ -112,6 +112,7 @@
 	relays := rankRelays(list, d.hostSettings.PeerAddress)
 	d.peerList.relays.Store(&relays)
 	d.origins.ReportDaemons()
+	d.reportUsageDaemons()
 	if isFirst {
 		d.pullSuspects()
 	}
