Do not refuse a submission as not run when the stored job cannot be read

What trainers saw: 503, which promises that no part of the job runs, for a job that had been stored before and whose items ran. A submission that met the stored job waited until that was loaded, and was refused when the load failed.

The answer is now that the outcome is unknown (504), after which the same job is submitted again. TestSubmissionOfAStoredJobIsNotRefusedAsNotRun failed before for an unreadable state.

--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -95,6 +95,9 @@
 			q.request.Reply(denial(&query))
 		case e.canAnswerEarly(query):
 			q.request.Reply(e.resultsFrom(query.FromPosition))
+		case query.Kind == QuerySubmit:
+			// The job may have been stored before, and its items may run.
+			q.request.Reply(Reply{Status: StatusUnknownOutcome})
 		default:
 			q.request.Reply(Reply{Status: StatusUnavailable})
 		}
