Read the change again: names, comments and places that a newcomer stumbled on

Two small faults were found by reading: totals of usage that had no room at their receiver were taken for held, and a request was taken for counted when another customer had used its ID. Both are mended; no test shows them.

The log of the calls of the store is no longer named after usage, which is another matter; customers' entries, refusals and the context of a lease have plainer names; handlers of queries moved to the files of their kind; comments and pages say what the code does.

--- a/internal/caller/customers.go
+++ b/internal/caller/customers.go
@@ -34,7 +34,8 @@
 
 // NewCustomers returns the customers that can be used, and the faults of the others. A
 // fault concerns one entry or one key and leaves the rest as it is. The positions of the
-// faults are those in list. An entry of Keys that is "" is an odd one.
+// faults are those in list. A key that is ""
+// stands for one that could not be decoded and is reported as a fault.
 func NewCustomers(list []Customer) (*Customers, []CustomerFault) {
 	c := &Customers{byKey: make(map[string]*Customer, len(list)), byName: make(map[core.CustomerID]*Customer, len(list))}
 	var faults []CustomerFault
@@ -77,7 +78,7 @@
 			report(keyError(i, "a key that no other customer has", "is also a key of another customer and authorizes neither"))
 		}
 	}
-	// The keys are in the map; the names of the customers are enough from here on.
+	// byKey has the keys; no second copy of them is kept.
 	customer.Keys = nil
 }
 
--- a/internal/daemon/daemonrpc/fuzz_test.go
+++ b/internal/daemon/daemonrpc/fuzz_test.go
@@ -125,7 +125,7 @@
 			HandleOriginPull: func(context.Context, string) ([]caller.StreamOrigin, error) {
 				return []caller.StreamOrigin{testOrigin}, nil
 			},
-			HandleUsage: func(totals []usage.Totals) {
+			HandleUsage: func(totals []usage.Totals) bool {
 				for _, held := range totals {
 					for customer, n := range held.Counts {
 						if held.Run == "" || customer == "" || n <= 0 {
@@ -133,6 +133,7 @@
 						}
 					}
 				}
+				return true
 			},
 			HandleUsagePull:    func(context.Context) ([]usage.Totals, error) { return testTotals, nil },
 			HandleWatchRequest: func(context.Context, int64) (platform.Listing, error) { return platform.Listing{}, nil },
--- a/internal/daemon/daemonrpc/peerserver.go
+++ b/internal/daemon/daemonrpc/peerserver.go
@@ -52,9 +52,9 @@
 	HandleOriginQuestion func(context.Context, core.RequestID) (caller.OriginLookup, error)
 	// HandleOriginPull returns the origins for the daemon at the address. It may block.
 	HandleOriginPull func(ctx context.Context, address string) ([]caller.StreamOrigin, error)
-	// HandleUsage holds the totals of another daemon. It must not block; nil says that this
-	// daemon holds none.
-	HandleUsage func([]usage.Totals)
+	// HandleUsage holds the totals of another daemon and reports whether there was room for
+	// them. It must not block; nil says that this daemon holds none.
+	HandleUsage func([]usage.Totals) bool
 	// HandleUsagePull returns the totals of recent windows. It may block; nil returns none.
 	HandleUsagePull func(context.Context) ([]usage.Totals, error)
 }
@@ -228,8 +228,7 @@
 	if s.handlers.HandleUsage == nil {
 		return &JobAnswer{}, nil
 	}
-	s.handlers.HandleUsage(decodeTotals(m.GetTotals()))
-	return &JobAnswer{HoldsUsage: true}, nil
+	return &JobAnswer{HoldsUsage: s.handlers.HandleUsage(decodeTotals(m.GetTotals()))}, nil
 }
 
 func (s *PeerServer) handleUsagePull() (*JobAnswer, error) {
--- a/internal/daemon/daemonrpc/wireusage_test.go
+++ b/internal/daemon/daemonrpc/wireusage_test.go
@@ -23,7 +23,7 @@
 func TestUsageMessagesAreWhole(t *testing.T) {
 	var received []usage.Totals
 	s := &PeerServer{handlers: PeerHandlers{
-		HandleUsage:     func(totals []usage.Totals) { received = totals },
+		HandleUsage:     func(totals []usage.Totals) bool { received = totals; return true },
 		HandleUsagePull: func(context.Context) ([]usage.Totals, error) { return testTotals, nil },
 	}}
 	odd := append([]usage.Totals{{Window: 1, Counts: usage.CustomerCounts{"c": 1}}}, testTotals...)
@@ -48,7 +48,7 @@
 	for _, holds := range []bool{false, true} {
 		var handlers PeerHandlers
 		if holds {
-			handlers.HandleUsage = func([]usage.Totals) {}
+			handlers.HandleUsage = func([]usage.Totals) bool { return true }
 			handlers.HandleUsagePull = func(context.Context) ([]usage.Totals, error) { return testTotals, nil }
 		}
 		s, err := ListenPeers("127.0.0.1:0", pool, logrus.NewEntry(logrus.New()), handlers)
--- a/internal/server/hosted/front.go
+++ b/internal/server/hosted/front.go
@@ -66,31 +66,31 @@
 // frontDaemon serves callers and trainers.
 type frontDaemon struct {
 	*base
-	routes      *caller.RouteTable
-	dispatch    *backend.Dispatcher
-	rateLimiter *backend.RateLimiter
-	directory   *backend.Directory
-	jobManager  *batch.Manager
-	peers       *daemonrpc.PeerClient
-	peerList    *peerList
-	refusedKeys *unauthorizedRequests
-	notifier    *notifier
-	relay       *platform.Relay
-	origins     *caller.StreamOrigins
-	orders      *engineOrders
-	usage       *usageReports // nil if the platform wants no reports of usage
-	callers     *transport.Server
-	readiness   *transport.Server
-	metrics     *settings.Metrics
-	isStopping  atomic.Bool
-	isClosing   atomic.Bool // requests are no longer passed on to backend servers
-	oddServers  oddEntries
-	oddConfigs  oddEntries
-	oddKeys     oddEntries
-	oddDaemons  oddEntries
-	oddVersions oddEntries
-	endRequests func()      // ends the requests in progress with an answer
-	isIsolated  atomic.Bool // the store and most peers do not answer
+	routes       *caller.RouteTable
+	dispatch     *backend.Dispatcher
+	rateLimiter  *backend.RateLimiter
+	directory    *backend.Directory
+	jobManager   *batch.Manager
+	peers        *daemonrpc.PeerClient
+	peerList     *peerList
+	unauthorized *unauthorizedRequests
+	notifier     *notifier
+	relay        *platform.Relay
+	origins      *caller.StreamOrigins
+	orders       *engineOrders
+	usage        *usageReports // nil if the platform wants no reports of usage
+	callers      *transport.Server
+	readiness    *transport.Server
+	metrics      *settings.Metrics
+	isStopping   atomic.Bool
+	isClosing    atomic.Bool // requests are no longer passed on to backend servers
+	oddServers   oddEntries
+	oddConfigs   oddEntries
+	oddCustomers oddEntries
+	oddDaemons   oddEntries
+	oddVersions  oddEntries
+	endRequests  func()      // ends the requests in progress with an answer
+	isIsolated   atomic.Bool // the store and most peers do not answer
 }
 
 // StartFront starts a daemon that serves callers and trainers. It returns once the
@@ -103,7 +103,7 @@
 	d := &frontDaemon{base: b, routes: &caller.RouteTable{}, peerList: &peerList{}}
 	d.peers = daemonrpc.NewPeerClient(d.peerList.otherAddresses)
 	d.metrics = settings.NewMetrics(func() []*duty.Loop { return d.runner.Loops() })
-	d.refusedKeys = newUnauthorizedRequests(d.clock, d.log, d.metrics)
+	d.unauthorized = newUnauthorizedRequests(d.clock, d.log, d.metrics)
 	for _, step := range []func() error{
 		d.buildStore, d.buildPeerList, d.buildBackend, d.buildRateLimiter, d.buildStreamOrigins, d.buildNotifier, d.buildOrders, d.buildUsage, d.buildJobs, d.buildConfig, d.startDuties, d.buildListeners,
 	} {
@@ -266,18 +266,18 @@
 	stopping, endRequests := context.WithCancel(context.Background())
 	d.endRequests = endRequests
 	front := &adapter.RequestHandler{
-		Routes:       d.routes,
-		Calls:        d.dispatch,
-		Jobs:         jobRouter,
-		Streams:      d.origins,
-		Log:          d.log,
-		IsReady:      d.isReady,
-		IsClosing:    d.isClosing.Load,
-		Stopping:     stopping,
-		OnRequestEnd: d.countRequest,
-		OnUnknownKey: d.refusedKeys.report,
-		Bodies:       transport.NewBodyMemory(bodyMemory(d.hostSettings.Memory)),
-		WriteMetrics: d.writeMetrics,
+		Routes:         d.routes,
+		Calls:          d.dispatch,
+		Jobs:           jobRouter,
+		Streams:        d.origins,
+		Log:            d.log,
+		IsReady:        d.isReady,
+		IsClosing:      d.isClosing.Load,
+		Stopping:       stopping,
+		OnRequestEnd:   d.countRequest,
+		OnUnauthorized: d.unauthorized.report,
+		Bodies:         transport.NewBodyMemory(bodyMemory(d.hostSettings.Memory)),
+		WriteMetrics:   d.writeMetrics,
 	}
 	var err error
 	if d.callers, err = transport.Listen(d.hostSettings.Callers, transport.ServerOptions{MaxBodyBytes: maxBody, MaxHeaderBytes: maxHeader, IdleTimeout: callerIdleTimeout, StreamBodies: true}); err != nil {
--- a/internal/server/hosted/oddentries.go
+++ b/internal/server/hosted/oddentries.go
@@ -66,9 +66,9 @@
 		}
 		byEntry[entry] = append(byEntry[entry], fault.Err)
 	}
-	d.oddKeys.retain(func(entry string) bool { return len(byEntry[entry]) > 0 })
+	d.oddCustomers.retain(func(entry string) bool { return len(byEntry[entry]) > 0 })
 	for entry, errs := range byEntry {
-		d.reportOddEntry(&d.oddKeys, entry, "customer of the configuration cannot be used as it stands; the others hold", errors.Join(errs...))
+		d.reportOddEntry(&d.oddCustomers, entry, "customer of the configuration cannot be used as it stands; the others hold", errors.Join(errs...))
 	}
 }
 
--- a/internal/server/hosted/storeusage.go
+++ b/internal/server/hosted/storecalls.go
@@ -16,15 +16,15 @@
 )
 
 const (
-	// storeUsagePeriod is the time between two log lines with the calls of the store.
-	storeUsagePeriod = 5 * time.Second
-	// storeUsageCapacity bounds the ends of calls that wait to be counted for the log.
-	storeUsageCapacity = 256
+	// storeCallLogPeriod is the time between two log lines with the calls of the store.
+	storeCallLogPeriod = 5 * time.Second
+	// storeCallLogCapacity bounds the ends of calls that wait to be counted for the log.
+	storeCallLogCapacity = 256
 )
 
-// storeUsage is what the calls of one operation on one kind of objects took since the
+// storeCallCounts is what the calls of one operation on one kind of objects took since the
 // last log line.
-type storeUsage struct {
+type storeCallCounts struct {
 	Operation string `json:"operation"`
 	Kind      string `json:"kind"`
 	Calls     int    `json:"calls"`
@@ -33,20 +33,20 @@
 	LongestMs int64  `json:"longest_ms"`
 }
 
-type storeUsageKey struct{ operation, kind string }
+type storeCallKey struct{ operation, kind string }
 
-// storeUsageLog counts the calls of the store for the log. The store duty owns it.
-type storeUsageLog struct {
-	log   *logrus.Entry
-	calls *ring.Ring[adapter.StoreCall]
-	usage map[storeUsageKey]*storeUsage
+// storeCallLog counts the calls of the store for the log. The store duty owns it.
+type storeCallLog struct {
+	log    *logrus.Entry
+	calls  *ring.Ring[adapter.StoreCall]
+	counts map[storeCallKey]*storeCallCounts
 }
 
 // observeStoreCalls counts the calls of the store by operation and kind, in the metrics
 // and in the log.
 func (d *frontDaemon) observeStoreCalls() {
-	u := &storeUsageLog{
-		log: d.log, calls: ring.New[adapter.StoreCall]("store.usage", storeUsageCapacity), usage: map[storeUsageKey]*storeUsage{},
+	u := &storeCallLog{
+		log: d.log, calls: ring.New[adapter.StoreCall]("store.calls_for_log", storeCallLogCapacity), counts: map[storeCallKey]*storeCallCounts{},
 	}
 	d.storeClient.OnCall(func(c adapter.StoreCall) {
 		d.countStoreCall(c)
@@ -54,7 +54,7 @@
 	})
 	loop := d.store.Loop()
 	duty.On(loop, u.calls, u.add)
-	loop.Every(storeUsagePeriod, u.write)
+	loop.Every(storeCallLogPeriod, u.write)
 }
 
 // countStoreCall counts a call of the store. It runs on the goroutine of the call.
@@ -64,12 +64,12 @@
 	d.metrics.Add("store_received_bytes_total", int64(c.Traffic.Received), operation, kind)
 }
 
-func (u *storeUsageLog) add(c adapter.StoreCall) {
-	key := storeUsageKey{c.Operation, c.Kind}
-	row := u.usage[key]
+func (u *storeCallLog) add(c adapter.StoreCall) {
+	key := storeCallKey{c.Operation, c.Kind}
+	row := u.counts[key]
 	if row == nil {
-		row = &storeUsage{Operation: c.Operation, Kind: c.Kind}
-		u.usage[key] = row
+		row = &storeCallCounts{Operation: c.Operation, Kind: c.Kind}
+		u.counts[key] = row
 	}
 	row.Calls++
 	if c.IsFailed() {
@@ -80,13 +80,13 @@
 }
 
 // write logs the calls since the last line, unless there were none.
-func (u *storeUsageLog) write() {
-	if len(u.usage) == 0 {
+func (u *storeCallLog) write() {
+	if len(u.counts) == 0 {
 		return
 	}
-	rows := slices.SortedFunc(maps.Values(u.usage), func(a, b *storeUsage) int {
+	rows := slices.SortedFunc(maps.Values(u.counts), func(a, b *storeCallCounts) int {
 		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Operation, b.Operation))
 	})
-	u.log.WithField("usage", rows).Info("calls of the store")
-	clear(u.usage)
+	u.log.WithField("calls", rows).Info("calls of the store")
+	clear(u.counts)
 }
--- a/internal/server/hosted/usage.go
+++ b/internal/server/hosted/usage.go
@@ -176,11 +176,13 @@
 }
 
 // receive returns the function that holds the totals of a daemon.
-func (u *usageReports) receive(d *frontDaemon) func([]usage.Totals) {
-	return func(totals []usage.Totals) {
-		if !u.reporter.Receive(totals) {
+func (u *usageReports) receive(d *frontDaemon) func([]usage.Totals) bool {
+	return func(totals []usage.Totals) bool {
+		isHeld := u.reporter.Receive(totals)
+		if !isHeld {
 			d.metrics.Count("usage_counts_dropped_total")
 		}
+		return isHeld
 	}
 }
 
@@ -230,9 +232,9 @@
 	return usage.Lease{Fence: e.Lease.Fence, ValidUntil: e.Lease.Deadline, TakeoverWaitDone: e.Kind == platform.LeaseGained && e.TakeoverWaitDone}
 }
 
-// stopUsageReports ends the calls of the accounting API at a planned stop. It runs
-// leaseReleaseDelay before the release of the lease, and on the lease manager's goroutine,
-// so that no event comes in between.
+// stopUsageReports ends the calls of the accounting API at a planned stop,
+// leaseReleaseDelay before the lease is released. It replaces the lease on the lease
+// manager's goroutine, so that no later event restores it.
 func (d *frontDaemon) stopUsageReports() {
 	if d.usage != nil {
 		d.orders.leaseManager.Loop().After(0, func() { d.usage.reporter.SetLease(usage.Lease{}) })
@@ -245,7 +247,8 @@
 	}
 }
 
-// sendLastCounts waits until the counts of the last requests are at other daemons.
+// sendLastCounts gives the counts of the last requests usageStopWait to reach the other
+// daemons. It does not check that they have.
 func (d *frontDaemon) sendLastCounts(ctx context.Context) {
 	if d.usage != nil && d.usage.counts.HasUnsent() {
 		_ = duty.Sleep(ctx, usageStopWait)
@@ -281,7 +284,7 @@
 	case errors.Is(err, usage.ErrRateLimited):
 		outcome = "rate-limited"
 	case err != nil:
-		outcome = "unknown"
+		outcome = "failed"
 	}
 	o.d.metrics.Count("usage_calls_total", settings.Label{Name: "outcome", Value: outcome})
 	if err != nil {
--- a/internal/server/hosted/usage_proof_test.go
+++ b/internal/server/hosted/usage_proof_test.go
@@ -159,9 +159,9 @@
 	})
 }
 
-func (h *usageHost) receive(totals []usage.Totals) {
+func (h *usageHost) receive(totals []usage.Totals) bool {
 	h.received = append(h.received, totals...)
-	h.reporter.Receive(totals)
+	return h.reporter.Receive(totals)
 }
 
 // tryGo starts a call of the reporter. Its host may be frozen before the call begins.
--- a/internal/trainer/batch/load.go
+++ b/internal/trainer/batch/load.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/berylfall/berylfall/internal/duty"
 	"github.com/berylfall/berylfall/internal/platform"
 )
 
@@ -23,6 +24,18 @@
 	loadStepResults  loadStep = "results"
 )
 
+// acceptOrLoadJob stores a submitted job, or reads a job that is not in memory.
+func (m *Manager) acceptOrLoadJob(e *jobEntry, request duty.Query[Query, Reply]) {
+	q := request.Params
+	e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
+	if q.Kind == QuerySubmit && e.job == nil && e.loadedItems == nil {
+		m.acceptJob(e, q.Job)
+		return
+	}
+	e.replaceOwner, e.inherited = q.ReplaceOwner, append(e.inherited, q.Unpublished...)
+	m.loadJob(e)
+}
+
 // loadJob reads the job and its state from the store, and then its results if
 // this daemon owns the job or takes it over, or if the job has ended.
 func (m *Manager) loadJob(e *jobEntry) {
--- a/internal/trainer/batch/manager.go
+++ b/internal/trainer/batch/manager.go
@@ -309,37 +309,6 @@
 	}
 }
 
-// acceptOrLoadJob stores a submitted job, or reads a job that is not in memory.
-func (m *Manager) acceptOrLoadJob(e *jobEntry, request duty.Query[Query, Reply]) {
-	q := request.Params
-	e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
-	if q.Kind == QuerySubmit && e.job == nil && e.loadedItems == nil {
-		m.acceptJob(e, q.Job)
-		return
-	}
-	e.replaceOwner, e.inherited = q.ReplaceOwner, append(e.inherited, q.Unpublished...)
-	m.loadJob(e)
-}
-
-// answerNotOwned answers a query about a job that another daemon owns. If a peer
-// considers this daemon the owner, or the query requests a takeover, the state
-// is read from the store again.
-func (m *Manager) answerNotOwned(e *jobEntry, request duty.Query[Query, Reply]) {
-	q := request.Params
-	switch {
-	case !e.isOpenTo(&q):
-		request.Reply(denial(&q))
-	case q.Kind == QuerySubmit:
-		request.Reply(Reply{Status: StatusOK})
-	case q.Relayed || q.Reload:
-		e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
-		e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
-		m.loadJob(e)
-	default:
-		request.Reply(Reply{Status: StatusNotOwner, Owner: e.state.Owner})
-	}
-}
-
 // acceptJob stores a new job. The job is accepted once its object has been created.
 func (m *Manager) acceptJob(e *jobEntry, job *Job) {
 	e.phase = phaseStoring
@@ -415,18 +384,6 @@
 	}
 }
 
-// replyNotOwned returns the reply to a query about a job that was read and has another
-// owner.
-func (e *jobEntry) replyNotOwned(q *Query) Reply {
-	switch {
-	case !e.isOpenTo(q):
-		return denial(q)
-	case q.Kind == QuerySubmit:
-		return Reply{Status: StatusOK}
-	}
-	return Reply{Status: StatusNotOwner, Owner: e.state.Owner}
-}
-
 // stopJob revokes the lease of a job, cancels the runs of its items and moves the queries that wait for
 // results to awaitingLoad.
 func (m *Manager) stopJob(e *jobEntry, next phase) {
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -29,6 +29,37 @@
 	}
 }
 
+// answerNotOwned answers a query about a job that another daemon owns. If a peer
+// considers this daemon the owner, or the query requests a takeover, the state
+// is read from the store again.
+func (m *Manager) answerNotOwned(e *jobEntry, request duty.Query[Query, Reply]) {
+	q := request.Params
+	switch {
+	case !e.isOpenTo(&q):
+		request.Reply(denial(&q))
+	case q.Kind == QuerySubmit:
+		request.Reply(Reply{Status: StatusOK})
+	case q.Relayed || q.Reload:
+		e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
+		e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
+		m.loadJob(e)
+	default:
+		request.Reply(Reply{Status: StatusNotOwner, Owner: e.state.Owner})
+	}
+}
+
+// replyNotOwned returns the reply to a query about a job that was read and has another
+// owner.
+func (e *jobEntry) replyNotOwned(q *Query) Reply {
+	switch {
+	case !e.isOpenTo(q):
+		return denial(q)
+	case q.Kind == QuerySubmit:
+		return Reply{Status: StatusOK}
+	}
+	return Reply{Status: StatusNotOwner, Owner: e.state.Owner}
+}
+
 // answerResults answers with published results. It replies that there are none
 // only when the result list is known to be complete.
 func (m *Manager) answerResults(e *jobEntry, q pendingQuery) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -121,7 +121,7 @@
 	return p.exchange(ctx, address, req, resp, p.readTimeout)
 }
 
-// exchange does the same as Exchange. It ends when no byte has arrived for the time stall.
+// exchange is Exchange with a bound of its own on the time without a byte of the answer.
 func (p *Pool) exchange(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response, stall time.Duration) (traffic Traffic, err error) {
 	c, err := p.Get(ctx, address)
 	if err != nil {
--- a/internal/usage/counts.go
+++ b/internal/usage/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,16 @@
 	SentAt   time.Time // wall-clock time at which the request was sent to the server
 }
 
+// errNoRoom means that this daemon could not hold its own totals.
+var errNoRoom = errors.New("usage: no room for the totals")
+
+// countedRequest identifies a request that was counted. Callers choose its ID, so that of
+// another customer may be the same.
+type countedRequest struct {
+	customer core.CustomerID
+	id       core.RequestID
+}
+
 // countedWindow is what this run of the daemon counted in a window.
 type countedWindow struct {
 	counts  CustomerCounts
@@ -55,12 +66,14 @@
 
 // CountsOptions are what the duty needs.
 type CountsOptions struct {
-	Clock   duty.Clock // of the wall
-	Window  time.Duration
-	Run     string // names this run of the daemon
-	Self    string // address of this daemon, as the others know it
-	Peers   Peers
-	Deliver func([]Totals)      // receives the totals if this daemon is one of the receivers
+	Clock  duty.Clock // wall-clock time
+	Window time.Duration
+	Run    string // names this run of the daemon
+	Self   string // address of this daemon, as the others know it
+	Peers  Peers
+	// Deliver receives the totals if this daemon is one of the receivers, and reports
+	// whether there was room for them.
+	Deliver func([]Totals) bool
 	TryGo   func(f func()) bool // runs a blocking function on a pool
 	// OnDropped is called if a request is not counted because a ring is full.
 	OnDropped func()
@@ -76,8 +89,8 @@
 	sent        *ring.Ring[totalsSent]
 	windows     map[Window]*countedWindow
 	receivers   map[string]*receiver
-	seen        map[core.RequestID]struct{}
-	seenBefore  map[core.RequestID]struct{} // those of the period before
+	seen        map[countedRequest]struct{}
+	seenBefore  map[countedRequest]struct{} // those of the period before
 	isScheduled bool
 	hasUnsent   atomic.Bool
 }
@@ -89,7 +102,7 @@
 		begun:   ring.New[Begun]("usage.begun", begunCapacity),
 		sent:    ring.New[totalsSent]("usage.sent", sentCapacity),
 		windows: map[Window]*countedWindow{}, receivers: map[string]*receiver{},
-		seen: map[core.RequestID]struct{}{}, seenBefore: map[core.RequestID]struct{}{},
+		seen: map[countedRequest]struct{}{}, seenBefore: map[countedRequest]struct{}{},
 	}
 	duty.On(c.loop, c.begun, c.handleBegun)
 	duty.On(c.loop, c.sent, c.handleSent)
@@ -108,15 +121,15 @@
 	}
 }
 
-// HasUnsent reports whether counts are not at another daemon yet. Any goroutine may call
-// it.
+// HasUnsent reports whether a receiver lacks counts. Any goroutine may call it.
 func (c *Counts) HasUnsent() bool { return c.hasUnsent.Load() || c.begun.Stats().Depth > 0 }
 
 func (c *Counts) handleBegun(b Begun) {
-	if b.Customer == "" || c.isSeen(b.Request) {
+	request := countedRequest{customer: b.Customer, id: b.Request}
+	if b.Customer == "" || c.isSeen(request) {
 		return
 	}
-	c.seen[b.Request] = struct{}{}
+	c.seen[request] = struct{}{}
 	w := WindowAt(b.SentAt, c.o.Window)
 	counted := c.windows[w]
 	if counted == nil {
@@ -129,9 +142,9 @@
 	c.schedule()
 }
 
-func (c *Counts) isSeen(id core.RequestID) bool {
-	_, now := c.seen[id]
-	_, before := c.seenBefore[id]
+func (c *Counts) isSeen(r countedRequest) bool {
+	_, now := c.seen[r]
+	_, before := c.seenBefore[r]
 	return now || before
 }
 
@@ -208,7 +221,9 @@
 	}
 	r.isSending = true
 	if address == c.o.Self {
-		c.o.Deliver(totals)
+		if !c.o.Deliver(totals) {
+			e.err = errNoRoom
+		}
 		c.handleSent(e)
 		return
 	}
@@ -253,7 +268,7 @@
 // prune removes what is too old. Request ids are kept for one to two periods.
 func (c *Counts) prune() {
 	now := c.loop.Clock().Now()
-	c.seen, c.seenBefore = map[core.RequestID]struct{}{}, c.seen
+	c.seen, c.seenBefore = map[countedRequest]struct{}{}, c.seen
 	maps.DeleteFunc(c.windows, func(w Window, _ *countedWindow) bool { return !w.isCurrent(now, c.o.Window) })
 	for _, r := range c.receivers {
 		maps.DeleteFunc(r.known, func(w Window, _ int) bool { return c.windows[w] == nil })
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -29,6 +29,9 @@
 	callTimeout   = time.Second
 	minRetryPause = 500 * time.Millisecond
 	maxRetryPause = 5 * time.Second
+	// removeAge is the age of the window whose object is removed when another one is
+	// reported. No holder sends it any more, however late.
+	removeAge = 10 * time.Minute
 )
 
 // Lease is the right to report. The zero value is none.
@@ -70,7 +73,7 @@
 // ReporterOptions are what the duty needs.
 type ReporterOptions struct {
 	Clock  duty.Clock       // counts the time during which the host is suspended
-	Wall   func() time.Time // true time
+	Wall   func() time.Time // wall-clock time
 	Window time.Duration
 	Late   time.Duration // from the end of a window until its report is late
 	// TakeoverWait is the time from the gain of the lease to the first call.
@@ -399,10 +402,6 @@
 	}
 }
 
-// removeAge is the age of the window whose object is removed when another one is reported.
-// No holder sends it any more, however late.
-const removeAge = 10 * time.Minute
-
 // enter puts the report into its next stage without a pause.
 func (r *Reporter) enter(report *windowReport, next stage, decided Report) {
 	if report.stage != stageSend && next == stageSend {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -104,6 +104,8 @@
 	// CreateReport stores the report unless the store holds one of the window, which
 	// ErrDecided says. After any other error either may be the case.
 	CreateReport(r Report, reply func(error))
+	// LoadReport reads the report of the window; found is false without an error if the
+	// store holds none.
 	LoadReport(w Window, reply func(r Report, found bool, err error))
 	// RemoveReport removes the report of a window that is not sent any more.
 	RemoveReport(w Window)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -96,9 +96,9 @@
 	h.reporter.SetLease(usage.Lease{Fence: fence, ValidUntil: h.w.clock.Now().Add(forever)})
 }
 
-func (h *host) receive(totals []usage.Totals) {
+func (h *host) receive(totals []usage.Totals) bool {
 	h.received = append(h.received, totals...)
-	h.reporter.Receive(totals)
+	return h.reporter.Receive(totals)
 }
 
 func (h *host) Ranked() []string {
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -120,7 +120,7 @@
 	inProgress      map[core.ServerID]Order
 	lease           Lease
 	leaseSince      time.Time       // when the lease with this fencing number began
-	underLease      context.Context // ends when the lease with this fencing number is lost or released
+	leaseContext    context.Context // ends when the lease with this fencing number is lost or released
 	endLease        context.CancelFunc
 	listeners       []func(model string, v core.Version)
 	onLoad          func(LoadEvent)
@@ -149,7 +149,7 @@
 		inProgress:      map[core.ServerID]Order{},
 		listeners:       listeners,
 	}
-	r.underLease, r.endLease = context.WithCancel(context.Background())
+	r.leaseContext, r.endLease = context.WithCancel(context.Background())
 	duty.On(r.loop, r.leases, r.handleLease)
 	duty.On(r.loop, r.reports, r.handleReports)
 	duty.On(r.loop, r.results, r.handleResult)
@@ -206,7 +206,7 @@
 		// Orders in progress may be waiting for their engine. They must not be sent any more,
 		// since the next holder counts from the end of this lease.
 		r.endLease()
-		r.underLease, r.endLease = context.WithCancel(context.Background())
+		r.leaseContext, r.endLease = context.WithCancel(context.Background())
 		r.leaseSince = r.loop.Clock().Now()
 		if l.TakeoverWaitDone {
 			r.leaseSince = r.leaseSince.Add(-r.takeoverWait())
@@ -426,9 +426,9 @@
 	if s := r.engines[o.Source]; s != nil {
 		source = s.Address
 	}
-	engine, lease, underLease, clock := e.Engine, r.lease, r.underLease, r.loop.Clock()
+	engine, lease, leaseContext, clock := e.Engine, r.lease, r.leaseContext, r.loop.Clock()
 	started := r.pool.TryGo(func() {
-		readBack, err := r.sendOrder(underLease, clock, lease, engine, o, source)
+		readBack, err := r.sendOrder(leaseContext, clock, lease, engine, o, source)
 		r.results.TryPut(orderResult{order: o, model: engine.Model, readBack: readBack, err: err})
 	})
 	if !started {
@@ -441,12 +441,13 @@
 }
 
 // sendOrder runs on a pool goroutine. It checks the lease again right before the
-// order is sent, since the goroutine may have been paused. underLease ends with the lease.
-func (r *Rollout) sendOrder(underLease context.Context, clock duty.Clock, l Lease, e Engine, o Order, source string) (core.Version, error) {
+// order is sent, since the goroutine may have been paused. leaseContext ends when the
+// lease is lost or released.
+func (r *Rollout) sendOrder(leaseContext context.Context, clock duty.Clock, l Lease, e Engine, o Order, source string) (core.Version, error) {
 	if !clock.Now().Before(l.ValidUntil) {
 		return 0, core.NotRunError(core.CodeConflict, "the lease on rollouts has expired")
 	}
-	ctx, cancel := context.WithTimeout(underLease, MaxOrderDuration)
+	ctx, cancel := context.WithTimeout(leaseContext, MaxOrderDuration)
 	defer cancel()
 	o.ValidUntil = l.ValidUntil
 	return r.loader.Load(ctx, e, o, source, l.Fence)
