--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -51,6 +51,7 @@
 	w        *world
 	address  string
 	isDead   bool
+	isFull   bool // has no room for totals
 	received []usage.Totals
 	counts   *usage.Counts
 	reporter *usage.Reporter
@@ -97,6 +98,9 @@
 }
 
 func (h *host) receive(totals []usage.Totals) bool {
+	if h.isFull {
+		return false
+	}
 	h.received = append(h.received, totals...)
 	return h.reporter.Receive(totals)
 }
@@ -118,7 +122,9 @@
 	if other.isDead {
 		return errDown
 	}
-	other.receive(totals)
+	if !other.receive(totals) {
+		return errDown
+	}
 	return nil
 }
 
@@ -476,3 +482,34 @@
 		t.Errorf("window ends at %v", end)
 	}
 }
+
+// Guards against totals that are taken for held although their receiver had no room for them:
+// they are sent again only when the counts of their window change.
+func TestTotalsWithoutRoomAreSentAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	h := w.hosts[0]
+	h.isFull = true
+	h.count("a", 1)
+	w.run(time.Second)
+	h.isFull = false
+	w.run(length)
+	if len(h.received) == 0 {
+		t.Error("the totals were not sent again")
+	}
+}
+
+// Guards against a request that is not counted because another customer used its ID.
+func TestRequestsOfTwoCustomersMayHaveOneID(t *testing.T) {
+	w := newWorld(t, 1)
+	h := w.hosts[0]
+	for _, customer := range []core.CustomerID{"a", "b", "a"} {
+		h.counts.Record(usage.Begun{Request: "r", Customer: customer, SentAt: w.clock.Now()})
+	}
+	w.run(time.Second)
+	if len(h.received) == 0 {
+		t.Fatal("no totals were sent")
+	}
+	if counts := h.received[len(h.received)-1].Counts; counts["a"] != 1 || counts["b"] != 1 {
+		t.Errorf("counts %v", counts)
+	}
+}
