Answer queries about another daemon's job in one place

Read again: answerNotOwned repeated the cases of replyNotOwned, and the line of a lease that changes stood in the code of orders and in that of usage. One piece serves both in each case; behaviour stays as it is.

--- a/internal/server/hosted/orders.go
+++ b/internal/server/hosted/orders.go
@@ -192,13 +192,18 @@
 	if e.Kind == platform.LeaseRenewed {
 		return
 	}
-	d.log.WithFields(logrus.Fields{"lease": e.Lease.Name, "event": e.Kind.String(), "fence": e.Lease.Fence, "holder": e.Holder, "holder_before": e.PreviousHolder}).Info("lease changed")
+	d.logLeaseChange(e)
 	g.isHolder.Store(e.Kind == platform.LeaseGained)
 	o.versionWatcher.SetActive(o.holdsAny())
 	// The empty update makes the directory deliver the engines to a new holder.
 	d.directory.UpdateModelStatus(nil)
 }
 
+// logLeaseChange logs that a lease was gained or lost, or that its holder has changed.
+func (d *frontDaemon) logLeaseChange(e platform.LeaseEvent) {
+	d.log.WithFields(logrus.Fields{"lease": e.Lease.Name, "event": e.Kind.String(), "fence": e.Lease.Fence, "holder": e.Holder, "holder_before": e.PreviousHolder}).Info("lease changed")
+}
+
 // holdsAnother reports whether this daemon holds the lease of a group other than g,
 // which may be nil.
 func (o *engineOrders) holdsAnother(g *orderGroup) bool {
--- a/internal/server/hosted/usage.go
+++ b/internal/server/hosted/usage.go
@@ -223,7 +223,7 @@
 		d.usage.reporter.SetLease(newUsageLease(e))
 	}
 	if e.Kind != platform.LeaseRenewed {
-		d.log.WithFields(logrus.Fields{"lease": e.Lease.Name, "event": e.Kind.String(), "fence": e.Lease.Fence, "holder": e.Holder, "holder_before": e.PreviousHolder}).Info("lease changed")
+		d.logLeaseChange(e)
 	}
 }
 
--- a/internal/trainer/batch/queries.go
+++ b/internal/trainer/batch/queries.go
@@ -34,22 +34,18 @@
 // is read from the store again.
 func (m *Manager) answerNotOwned(e *jobEntry, request duty.Query[Query, Reply]) {
 	q := request.Params
-	switch {
-	case !e.isOpenTo(&q):
-		request.Reply(denial(&q))
-	case q.Kind == QuerySubmit:
-		request.Reply(Reply{Status: StatusOK})
-	case q.Relayed || q.Reload:
-		e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
-		e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
-		m.loadJob(e)
-	default:
-		request.Reply(Reply{Status: StatusNotOwner, Owner: e.state.Owner})
+	reply := e.replyNotOwned(&q)
+	if reply.Status != StatusNotOwner || (!q.Relayed && !q.Reload) {
+		request.Reply(reply)
+		return
 	}
+	e.replaceOwner, e.inherited = q.ReplaceOwner, q.Unpublished
+	e.awaitingLoad = append(e.awaitingLoad, m.newPendingQuery(request))
+	m.loadJob(e)
 }
 
-// replyNotOwned returns the reply to a query about a job that was read and has another
-// owner.
+// replyNotOwned returns the reply to a query about a job that has another owner, as far as
+// this daemon knows.
 func (e *jobEntry) replyNotOwned(q *Query) Reply {
 	switch {
 	case !e.isOpenTo(q):
